--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+export PYTHONPATH := src:.
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: test demo bench lint format binary capacity
+
+$(STAMP): requirements.lock requirements-dev.lock
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.lock
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/python -m pytest -q
+
+demo: $(STAMP)
+	$(BIN)/python -m standins.demo
+
+lint: $(STAMP)
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix .
+	$(BIN)/ruff format .
+
+bench: $(STAMP)
+	$(BIN)/python -m bench.run
+
+capacity: $(STAMP)
+	$(BIN)/python -m bench.capacity
+
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py build/heathercleat
--- /dev/null
+++ b/src/heathercleat/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from heathercleat.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/heathercleat/cli/_client.py
@@ -0,0 +1,131 @@
+"""Calls to the operators' address of an entry VM."""
+
+import json
+import os
+from pathlib import Path
+from urllib.parse import urlencode
+
+from curio import run
+
+from heathercleat.codes import ResultCode
+from heathercleat.connection.http import (
+    CONNECTION_ERRORS,
+    Message,
+    before,
+    connect,
+    exchange,
+)
+from heathercleat.connection.operator import operator_token
+from heathercleat.errors import HeathercleatError
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.settings import DEFAULT_PORTS, load_settings
+
+KEY_VARIABLE = "HEATHERCLEAT_KEY"
+CALL_SECONDS = 20.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class RemoteError(HeathercleatError):
+    """An error that an entry VM answered with."""
+
+    def __init__(self, answer):
+        super().__init__(
+            ResultCode.from_number(answer["code"]), "\n".join(answer["messages"])
+        )
+
+
+class OperatorClient:
+    """Calls one entry VM.
+
+    :param host: its IP number.
+    :param port: the operators' port.
+    :param key: a shared key.
+    """
+
+    def __init__(self, host, port, key):
+        self._host = host
+        self._port = port
+        self._key = key
+        self._clock = SystemClock()
+
+    def get(self, path, **query):
+        """Return the JSON answer of a GET call."""
+        given = {name: value for name, value in query.items() if value is not None}
+        return self._call("GET", f"{path}?{urlencode(given)}" if given else path)
+
+    def post(self, path, body):
+        """Return the JSON answer of a POST call with a JSON body."""
+        return self._call("POST", path, json.dumps(body).encode())
+
+    def at(self, host):
+        """Return a client of another VM with the same key and port."""
+        return OperatorClient(host, self._port, self._key)
+
+    def _call(self, method, path, body=b""):
+        token = operator_token(self._key, method, path, body, self._clock.wall())
+        message = Message(
+            method=method, path=path, headers={"authorization": token}, body=body
+        )
+        try:
+            answer = run(self._exchange, message)
+        except (TimeoutError, *CONNECTION_ERRORS) as error:
+            # A call whose connection was refused did nothing; any other may have.
+            code = ResultCode.EDIT_UNKNOWN if body else ResultCode.VM_UNREACHABLE
+            if isinstance(error, ConnectionRefusedError):
+                code = ResultCode.VM_UNREACHABLE
+            text = f"{self._host}:{self._port} did not answer {method} {path}: {error}"
+            raise HeathercleatError(code, text) from None
+        result = json.loads(answer.body)
+        if answer.status != ResultCode.OK.status:
+            raise RemoteError(result)
+        return result
+
+    async def _exchange(self, message):
+        deadline = self._clock.now() + CALL_SECONDS
+        stream = await connect(self._host, self._port, deadline, self._clock)
+        try:
+            exchanged = exchange(stream, message, MAX_ANSWER_BYTES)
+            return await before(deadline, self._clock, exchanged)
+        finally:
+            await stream.close()
+
+
+def add_client_options(parser):
+    """Add the options that say which VM to call, and ``--json``."""
+    group = parser.add_argument_group("which entry VM to call")
+    group.add_argument(
+        "--settings", metavar="FILE", help="take address, port and key from here"
+    )
+    group.add_argument("--vm", metavar="IP[:PORT]", help="another VM than the file's")
+    group.add_argument(
+        "--key-file",
+        metavar="FILE",
+        help=f"a file that holds a shared key (or set {KEY_VARIABLE})",
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON for machines")
+
+
+def client_of(args):
+    """Return the :class:`OperatorClient` that the options name."""
+    host, port, key = None, DEFAULT_PORTS["operator"], os.environ.get(KEY_VARIABLE)
+    if args.settings:
+        settings = load_settings(args.settings)
+        host, port = settings.address, settings.ports.operator
+        key = settings.keys[0]
+    if args.vm:
+        host, _, given = args.vm.partition(":")
+        port = int(given) if given.isdecimal() else port
+    if args.key_file:
+        key = _read_key(args.key_file)
+    if host is None or not key:
+        text = "name a VM and its key: --settings FILE, or --vm and --key-file"
+        raise HeathercleatError(ResultCode.SETTINGS_INVALID, text)
+    return OperatorClient(host, port, key)
+
+
+def _read_key(path):
+    try:
+        return Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        text = f'cannot read the key file "{path}": {error.strerror}'
+        raise HeathercleatError(ResultCode.SETTINGS_INVALID, text) from None
--- /dev/null
+++ b/src/heathercleat/cli/_drain.py
@@ -0,0 +1,82 @@
+"""The ``drain`` command: plan, list and cancel."""
+
+import time
+from getpass import getuser
+from secrets import token_hex
+
+from heathercleat.cli._client import add_client_options, client_of
+from heathercleat.cli._output import instant, show, table
+from heathercleat.version.text import DrainScope
+
+
+def add_drain(commands):
+    """Add the command to the parser."""
+    parser = commands.add_parser(
+        "drain",
+        help="plan, list and cancel drains",
+        description="Take targets, entry VMs or failure domains out of service.",
+    )
+    verbs = parser.add_subparsers(title="verbs", required=True, metavar="VERB")
+    plan = verbs.add_parser("plan", help="show what a drain leaves, and plan it")
+    plan.add_argument("id", help="a new name for the drain")
+    plan.add_argument("scope", choices=[scope.value for scope in DrainScope])
+    plan.add_argument("name", help="the target, entry VM or failure domain")
+    plan.add_argument(
+        "--in", dest="after", type=float, default=0.0, metavar="SECONDS", help="start"
+    )
+    plan.add_argument("--dry-run", action="store_true", help="show the headroom only")
+    plan.set_defaults(run=_plan)
+    listing = verbs.add_parser("list", help="list planned drains")
+    listing.set_defaults(run=_list)
+    cancel = verbs.add_parser("cancel", help="end a drain")
+    cancel.add_argument("id")
+    cancel.set_defaults(run=_cancel)
+    for verb in (plan, listing, cancel):
+        add_client_options(verb)
+
+
+def _plan(args):
+    call = {
+        "id": args.id,
+        "scope": args.scope,
+        "name": args.name,
+        "at": time.time() + args.after,
+        "dry_run": args.dry_run,
+        "edit_id": token_hex(8),
+        "author": getuser(),
+    }
+    show(args, client_of(args).post("/v1/drain/plan", call), _plan_lines)
+
+
+def _plan_lines(result):
+    rows = (
+        [room["service"], room["slots"], room["left"], room["least"], room["enough"]]
+        for room in result["headroom"]
+    )
+    yield from table(["SERVICE", "SLOTS", "LEFT", "LEAST", "ENOUGH"], rows)
+    if "version" in result:
+        yield f"planned in version {result['version']}"
+
+
+def _list(args):
+    show(args, client_of(args).get("/v1/drains"), _list_lines)
+
+
+def _list_lines(drains):
+    rows = (
+        [
+            drain["id"],
+            drain["scope"],
+            drain["name"],
+            instant(drain["at"]),
+            drain["in_force"],
+        ]
+        for drain in drains
+    )
+    return table(["ID", "SCOPE", "NAME", "FROM", "IN FORCE"], rows)
+
+
+def _cancel(args):
+    call = {"id": args.id, "edit_id": token_hex(8), "author": getuser()}
+    result = client_of(args).post("/v1/drain/cancel", call)
+    show(args, result, lambda value: [f"cancelled in version {value['version']}"])
--- /dev/null
+++ b/src/heathercleat/cli/_edit.py
@@ -0,0 +1,118 @@
+"""Commands on the operators' text: check, diff, apply, history, show."""
+
+import sys
+from difflib import unified_diff
+from getpass import getuser
+from pathlib import Path
+from secrets import token_hex
+
+from heathercleat.cli._client import add_client_options, client_of
+from heathercleat.cli._output import instant, show, table
+from heathercleat.codes import ResultCode
+from heathercleat.errors import HeathercleatError
+from heathercleat.version.text import parse_text
+
+DIFFERENT = 1
+
+
+def add_edits(commands):
+    """Add the commands to the parser."""
+    check = _add(commands, "check", "check a text without sending it", _check)
+    check.add_argument("text", metavar="TEXT")
+    diff = _add(commands, "diff", "compare a text with the one in force", _diff)
+    diff.add_argument("text", metavar="TEXT")
+    add_client_options(diff)
+    apply = _add(commands, "apply", "make a text the next version", _apply)
+    apply.add_argument("text", metavar="TEXT")
+    apply.add_argument(
+        "--base",
+        type=int,
+        metavar="VERSION",
+        help="the version that the edit was made from; needed once there is one",
+    )
+    apply.add_argument("--edit-id", help="the id of an earlier try, to repeat it")
+    add_client_options(apply)
+    history = _add(commands, "history", "list the versions", _history)
+    add_client_options(history)
+    version = _add(commands, "show", "print the text of a version", _show)
+    version.add_argument("version", type=int, metavar="VERSION")
+    add_client_options(version)
+
+
+def _add(commands, name, text, run):
+    parser = commands.add_parser(name, help=text, description=f"{text.capitalize()}.")
+    parser.set_defaults(run=run)
+    return parser
+
+
+def _read(path):
+    try:
+        return Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        message = f'cannot read the text "{path}": {error.strerror}'
+        raise HeathercleatError(ResultCode.TEXT_INVALID, message) from None
+
+
+def _check(args):
+    text = parse_text(_read(args.text), args.text)
+    targets = sum(len(service.targets) for service in text.services.values())
+    print(
+        f"{args.text}: {len(text.services)} services, {targets} targets, "
+        f"{len(text.failure_domains)} failure domains, no findings"
+    )
+
+
+def _diff(args):
+    source = _read(args.text)
+    parse_text(source, args.text)
+    current = client_of(args).get("/v1/text")
+    lines = list(
+        unified_diff(
+            current["text"].splitlines(),
+            source.splitlines(),
+            f"version {current['version']}",
+            args.text,
+            lineterm="",
+        )
+    )
+    difference = {"version": current["version"], "difference": lines}
+    show(args, difference, lambda value: value["difference"])
+    if lines:
+        sys.exit(DIFFERENT)
+
+
+def _apply(args):
+    source = _read(args.text)
+    parse_text(source, args.text)
+    client = client_of(args)
+    edit_id = args.edit_id or token_hex(8)
+    call = {
+        "text": source,
+        "edit_id": edit_id,
+        "author": getuser(),
+        "base_version": args.base or 0,
+    }
+    try:
+        result = client.post("/v1/apply", call)
+    except HeathercleatError as error:
+        if error.code is ResultCode.EDIT_UNKNOWN:
+            print(f"repeat with --edit-id {edit_id}", file=sys.stderr)
+        raise
+    show(args, result, lambda value: [f"version {value['version']} is accepted"])
+
+
+def _history(args):
+    show(args, client_of(args).get("/v1/history"), _history_lines)
+
+
+def _history_lines(heads):
+    rows = (
+        [head["version"], instant(head["at"]), head["author"], head["edit_id"]]
+        for head in heads
+    )
+    return table(["VERSION", "AT", "AUTHOR", "EDIT"], rows)
+
+
+def _show(args):
+    result = client_of(args).get("/v1/version", version=args.version)
+    show(args, result, lambda value: [value["text"]])
--- /dev/null
+++ b/src/heathercleat/cli/_main.py
@@ -0,0 +1,50 @@
+"""The parser of the command line, and the one place where errors are shown."""
+
+import sys
+from argparse import ArgumentParser, RawDescriptionHelpFormatter
+
+from heathercleat.cli._drain import add_drain
+from heathercleat.cli._edit import add_edits
+from heathercleat.cli._inspect import add_inspections
+from heathercleat.cli._serve import add_serve
+from heathercleat.errors import FindingsError, HeathercleatError
+
+EPILOG = """\
+examples:
+  heathercleat serve --settings vm.jsonc
+  heathercleat check text.jsonc
+  heathercleat apply text.jsonc --settings vm.jsonc
+  heathercleat drain plan d1 failure_domain north-a --dry-run --settings vm.jsonc
+
+Exit status: 0 done, 2 wrong input, 3 not done and safe to repeat,
+4 outcome unknown, 5 refused because of another edit or too little headroom.
+"""
+
+
+def main(argv=None):
+    """Run one command and exit with the status of its result code.
+
+    :param argv: the arguments, or ``None`` for those of the process.
+    """
+    args = build_parser().parse_args(argv)
+    try:
+        args.run(args)
+    except (HeathercleatError, FindingsError) as error:
+        print(error.render(), file=sys.stderr)
+        sys.exit(error.exit_status)
+
+
+def build_parser():
+    """Return the parser with every command."""
+    parser = ArgumentParser(
+        prog="heathercleat",
+        description="Steer traffic between callers and targets.",
+        epilog=EPILOG,
+        formatter_class=RawDescriptionHelpFormatter,
+    )
+    commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
+    add_serve(commands)
+    add_edits(commands)
+    add_drain(commands)
+    add_inspections(commands)
+    return parser
--- /dev/null
+++ b/src/heathercleat/cli/_serve.py
@@ -0,0 +1,28 @@
+"""The ``serve`` command."""
+
+from curio import run
+
+from heathercleat.process.logs import LogWriter
+from heathercleat.process.settings import load_settings
+from heathercleat.process.vm import EntryVM
+
+
+def add_serve(commands):
+    """Add the command to the parser."""
+    parser = commands.add_parser(
+        "serve",
+        help="run an entry VM",
+        description="Run an entry VM until SIGTERM; no request is cut then.",
+    )
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    parser.set_defaults(run=_serve)
+
+
+def _serve(args):
+    settings = load_settings(args.settings)
+    writer = LogWriter(settings.log_level)
+    writer.start()
+    try:
+        run(EntryVM(settings, log_writer=writer).serve)
+    finally:
+        writer.stop()
--- /dev/null
+++ b/src/heathercleat/connection/operator.py
@@ -0,0 +1,190 @@
+"""The operators' address: metrics, status, the text and drains, and explanations.
+
+Every call but ``/metrics`` carries a token made with a key of the settings.
+"""
+
+from json import dumps, loads
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+
+from heathercleat.codes import ResultCode
+from heathercleat.connection.http import HttpStream, Message, serve_messages
+from heathercleat.connection.peer import sign, verify
+from heathercleat.errors import FindingsError, HeathercleatError
+from heathercleat.process.configuration import Document
+from heathercleat.process.editing import (
+    Edit,
+    cancel_drain,
+    headroom_after,
+    plan_drain,
+    to_drain,
+)
+from heathercleat.process.explain import explain
+from heathercleat.process.status import status_of
+
+MAX_TEXT_BYTES = 16 * 1024 * 1024
+TOKEN_SECONDS = 60
+JSON = {"content-type": "application/json"}
+
+
+def operator_token(key, method, path, body, wall):
+    """Return the Authorization header of an operator's call.
+
+    :param wall: epoch seconds now.
+    """
+    expires_at = int(wall + TOKEN_SECONDS)
+    signature = sign(key, b"operator", method, path, body, expires_at).hex()
+    return f"Heathercleat {expires_at}:{signature}"
+
+
+class OperatorService:
+    """Serves the operators' address of a VM."""
+
+    def __init__(self, vm):
+        self._vm = vm
+        self._routes = {
+            ("GET", "/v1/status"): self._status,
+            ("GET", "/v1/text"): self._text,
+            ("GET", "/v1/history"): self._history,
+            ("GET", "/v1/version"): self._version,
+            ("GET", "/v1/explain"): self._explain,
+            ("GET", "/v1/drains"): self._drains,
+            ("POST", "/v1/apply"): self._apply,
+            ("POST", "/v1/drain/plan"): self._plan,
+            ("POST", "/v1/drain/cancel"): self._cancel,
+        }
+
+    async def serve(self, sock, address):
+        """Answer calls on one connection."""
+        stream = HttpStream(sock, h11.SERVER)
+        await serve_messages(stream, self._handle, MAX_TEXT_BYTES)
+
+    async def _handle(self, message):
+        url = urlsplit(message.path)
+        if url.path == "/metrics":
+            return Message(body=self._vm.metrics.render())
+        try:
+            self._authenticate(message)
+            handler = self._routes.get((message.method, url.path))
+            if handler is None:
+                text = f"no such call: {message.method} {url.path}"
+                raise HeathercleatError(ResultCode.BAD_REQUEST, text)
+            query = {name: each[0] for name, each in parse_qs(url.query).items()}
+            result = await handler(query, message.body)
+        except FindingsError as group:
+            return _failure(group.code, [each.render() for each in group.exceptions])
+        except HeathercleatError as error:
+            return _failure(error.code, [str(error)])
+        except (ValueError, KeyError, TypeError) as error:
+            return _failure(ResultCode.BAD_REQUEST, [f"bad call: {error!r}"])
+        return Message(headers=JSON, body=dumps(result).encode())
+
+    def _authenticate(self, message):
+        scheme, _, token = message.headers.get("authorization", "").partition(" ")
+        expires_at, _, signature = token.partition(":")
+        try:
+            given = bytes.fromhex(signature)
+            fresh = int(expires_at) > self._vm.clock.wall()
+        except ValueError:
+            given, fresh = b"", False
+        parts = (b"operator", message.method, message.path, message.body, expires_at)
+        valid = verify(self._vm.settings.keys, given, *parts)
+        if scheme != "Heathercleat" or not fresh or not valid:
+            text = "the call has no valid key; use one of the VM's settings"
+            raise HeathercleatError(ResultCode.BAD_REQUEST, text)
+
+    async def _status(self, query, body):
+        return status_of(self._vm)
+
+    async def _text(self, query, body):
+        document = self._document()
+        return {"version": self._vm.version, "text": document.source}
+
+    async def _history(self, query, body):
+        return [
+            {
+                "version": head.version,
+                "edit_id": head.edit_id,
+                "author": head.author,
+                "at": head.at,
+            }
+            for head in await self._vm.editor.history()
+        ]
+
+    async def _version(self, query, body):
+        version = int(query["version"])
+        document = await self._vm.editor.show(version)
+        drains = document.drains
+        return {"version": version, "text": document.source, "drains": drains}
+
+    async def _explain(self, query, body):
+        return explain(self._vm, query["service"], query.get("client"))
+
+    async def _drains(self, query, body):
+        now = self._vm.clock.wall()
+        return [
+            {
+                "id": drain.id,
+                "scope": drain.scope.value,
+                "name": drain.name,
+                "at": drain.at,
+                "in_force": drain.at <= now,
+            }
+            for drain in (self._vm.text.drains.values() if self._vm.text else ())
+        ]
+
+    async def _apply(self, query, body):
+        call = loads(body)
+        drains = {}
+        if self._vm.configuration.document is not None:
+            drains = self._vm.configuration.document.drains
+        return await self._edit(call, Document(call["text"], drains))
+
+    async def _plan(self, query, body):
+        call = loads(body)
+        drain = to_drain(call["id"], call["scope"], call["name"], call["at"])
+        now = self._vm.clock.wall()
+        rooms = [
+            {
+                "service": room.service,
+                "slots": room.slots,
+                "left": room.left,
+                "least": room.least,
+                "enough": room.enough,
+            }
+            for room in headroom_after(self._document().parse(), drain, now)
+        ]
+        if call.get("dry_run"):
+            return {"headroom": rooms}
+        document = plan_drain(self._document(), drain, now)
+        return {"headroom": rooms, **await self._edit(call, document)}
+
+    async def _cancel(self, query, body):
+        call = loads(body)
+        return await self._edit(call, cancel_drain(self._document(), call["id"]))
+
+    async def _edit(self, call, document):
+        base = call.get("base_version", self._vm.version)
+        edit = Edit(call["edit_id"], call["author"], int(base), document)
+        version = await self._vm.editor.apply(edit)
+        await self._vm.configuration.read_platform()
+        await self._vm.configuration.announce()
+        return {"version": version}
+
+    def _document(self):
+        document = self._vm.configuration.document
+        if document is None:
+            code = ResultCode.NO_CONFIGURATION
+            raise HeathercleatError(code, "no text is in force here yet")
+        return document
+
+
+def _failure(code, messages):
+    body = {
+        "code": code.number,
+        "name": code.name.lower(),
+        "messages": messages,
+        "next": code.advice,
+    }
+    return Message(status=code.status, headers=JSON, body=dumps(body).encode())
--- /dev/null
+++ b/src/heathercleat/connection/peer.py
@@ -0,0 +1,93 @@
+"""Streams of msgpack messages between VMs, authenticated with a shared key."""
+
+import hmac
+import socket
+
+from curio.errors import CancelledError
+from msgpack import Unpacker
+from msgpack.exceptions import UnpackException
+
+from heathercleat.connection.messages import decode, encode
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+RECEIVE_BYTES = 64 * 1024
+NONCE_BYTES = 16
+
+
+class MessageStream:
+    """Messages over a connected curio socket, with counts of bytes both ways."""
+
+    def __init__(self, sock):
+        self._sock = sock
+        self._unpacker = Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self._bytes_sent = 0
+        self._bytes_received = 0
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @property
+    def bytes_sent(self):
+        """Return the bytes sent so far."""
+        return self._bytes_sent
+
+    @property
+    def bytes_received(self):
+        """Return the bytes received so far."""
+        return self._bytes_received
+
+    async def send(self, item):
+        """Send one message."""
+        data = encode(item)
+        self._bytes_sent += len(data)
+        await self._sock.sendall(data)
+
+    async def receive(self):
+        """Return the next message, or ``None`` when the peer closed.
+
+        :raises ValueError: when the bytes are not a message.
+        """
+        while True:
+            try:
+                for fields in self._unpacker:
+                    return decode(fields)
+            except UnpackException as error:
+                raise ValueError(f"not msgpack: {error}") from None
+            data = await self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                return None
+            self._bytes_received += len(data)
+            self._unpacker.feed(data)
+
+    async def call(self, item):
+        """Send a message and return the answer.
+
+        A call that is cancelled half-way leaves the stream closed, so that a late
+        answer is never taken for the answer to a later call.
+        """
+        try:
+            await self.send(item)
+            answer = await self.receive()
+        except CancelledError:
+            await self.close()
+            raise
+        if answer is None:
+            raise EOFError("the peer closed the connection")
+        return answer
+
+    async def close(self):
+        """Close the connection."""
+        await self._sock.close()
+
+
+def sign(key, *parts):
+    """Return the HMAC-SHA256 of ``parts`` (bytes or str) under ``key`` (str)."""
+    mac = hmac.new(key.encode(), digestmod="sha256")
+    for part in parts:
+        data = part if isinstance(part, bytes) else str(part).encode()
+        mac.update(len(data).to_bytes(4, "big"))
+        mac.update(data)
+    return mac.digest()
+
+
+def verify(keys, signature, *parts):
+    """Return whether ``signature`` was made with any of ``keys``."""
+    return any(hmac.compare_digest(sign(key, *parts), signature) for key in keys)
--- /dev/null
+++ b/src/heathercleat/events.py
@@ -0,0 +1,68 @@
+"""Numbered log events.
+
+The catalogue in ``docs/reference/events.md`` is held against this module by a test.
+"""
+
+from enum import Enum
+from logging import DEBUG, ERROR, INFO, WARNING
+
+
+class Event(Enum):
+    """A kind of log line: its number and its level."""
+
+    VM_STARTED = (100, INFO)
+    VM_LEAVING = (101, INFO)
+    VM_STOPPED = (102, INFO)
+    VM_PAUSED = (103, WARNING)
+    TASK_FAILED = (104, ERROR)
+    SETTINGS_RELOADED = (105, INFO)
+    LOOKUP_ANSWERED = (200, INFO)
+    ROUTE_LOCAL = (210, INFO)
+    ROUTE_LEASED = (211, INFO)
+    ROUTE_QUEUED = (212, INFO)
+    ROUTE_REFUSED = (213, INFO)
+    ROUTE_RETRIED = (214, INFO)
+    REQUEST_DONE = (220, INFO)
+    REQUEST_REFUSED = (221, INFO)
+    REQUEST_CUT = (222, WARNING)
+    CALLER_LEFT = (223, INFO)
+    LEASE_GRANTED = (300, INFO)
+    LEASE_DENIED = (301, INFO)
+    LEASE_TAKEN = (302, INFO)
+    LEASE_ENDED = (303, DEBUG)
+    HOME_ADOPTED = (310, INFO)
+    HOME_HANDED_OVER = (311, INFO)
+    HOMES_DROPPED = (312, WARNING)
+    TARGET_EJECTED = (320, WARNING)
+    TARGET_RETURNED = (321, INFO)
+    TARGET_DRAINING = (322, INFO)
+    MEMBER_JOINED = (400, INFO)
+    MEMBER_LEAVING = (401, INFO)
+    MEMBER_SUSPECT = (402, WARNING)
+    MEMBER_DEAD = (403, WARNING)
+    ACCUSED = (404, WARNING)
+    VM_LIST_READ = (410, INFO)
+    CONFIGURATION_ADOPTED = (500, INFO)
+    CONFIGURATION_IGNORED = (501, WARNING)
+    CONFIGURATION_REJECTED = (502, ERROR)
+    PLATFORM_FAILED = (510, WARNING)
+    PLATFORM_RETURNED = (511, INFO)
+    TICKET_RUN = (600, INFO)
+    TICKET_REPEATED = (601, INFO)
+    TICKET_CLOSED_OUT = (602, INFO)
+    CLAIM_FAILED = (603, WARNING)
+    PEER_REJECTED = (700, WARNING)
+
+    def __init__(self, number, level):
+        self._number = number
+        self._level = level
+
+    @property
+    def number(self):
+        """Return the number of the event."""
+        return self._number
+
+    @property
+    def level(self):
+        """Return the level of the event, as in :mod:`logging`."""
+        return self._level
--- /dev/null
+++ b/src/heathercleat/process/admission.py
@@ -0,0 +1,322 @@
+"""Admission: which target a request goes to, or that there is no room for it now.
+
+The order is: a free slot of a target homed here, a slot under a lease when its round
+trip is shorter than the wait expected here, a short queue by earliest deadline, and
+else a refusal at once with an instant to come back at.
+"""
+
+from dataclasses import dataclass, field
+from random import uniform
+
+from curio import Event as Signal
+from curio import sleep, spawn, timeout_after
+from curio.errors import TaskTimeout
+
+from heathercleat.codes import ResultCode
+from heathercleat.errors import RequestError
+from heathercleat.events import Event
+
+#: Weight of the newest observation in the mean time that a request holds a slot.
+HOLD_WEIGHT = 0.1
+FIRST_HOLD = 0.02
+PUMP_INTERVAL = 0.02
+#: Shortest mean time after which a refused caller is asked to come back, in seconds.
+MIN_RETURN = 1.0
+
+
+@dataclass(slots=True)
+class LocalPermit:
+    """A slot of a target whose home is this VM."""
+
+    use: object
+    target: object
+    taken_at: float
+
+
+@dataclass(slots=True)
+class LeasedPermit:
+    """A slot under a lease; the request goes through the VM that granted it."""
+
+    lease: object
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request in a queue."""
+
+    request: object
+    avoid: frozenset
+    since: float
+    signal: Signal = field(default_factory=Signal)
+    permit: object = None
+    evicted: bool = False
+
+    @property
+    def rank(self):
+        """Return the order of eviction: light and late requests go first."""
+        return self.request.kind.weight, -self.request.deadline
+
+
+class ServiceQueue:
+    """Waiting requests of one service and how long its requests hold a slot."""
+
+    def __init__(self):
+        self._waiters = []
+        self._mean_hold = FIRST_HOLD
+
+    @property
+    def waiters(self):
+        """Return the waiters, the earliest deadline first."""
+        return self._waiters
+
+    @property
+    def mean_hold(self):
+        """Return the mean seconds for which a request holds a slot."""
+        return self._mean_hold
+
+    def observe(self, seconds):
+        """Note how long a request held its slot."""
+        self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
+
+    def push(self, waiter):
+        """Queue a waiter by its deadline."""
+        self._waiters.append(waiter)
+        self._waiters.sort(key=lambda each: each.request.deadline)
+
+    def remove(self, waiter):
+        """Take a waiter out."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+
+
+class Admission:
+    """Decides where each request of this VM goes.
+
+    :param ledger: the slots of the targets homed here.
+    :param holder: the leases held.
+    :param membership: tells whether this VM may act as a home.
+    :param health: orders targets and learns from answers.
+    """
+
+    def __init__(self, vm, ledger, holder, membership, health, clock):
+        self._vm = vm
+        self._ledger = ledger
+        self._holder = holder
+        self._membership = membership
+        self._health = health
+        self._clock = clock
+        self._queues = {}
+        self._on_handed_over = None
+        holder.on_room(self.pump)
+
+    def on_handed_over(self, callback):
+        """Call ``await callback(vm, use)`` when a handed-over request is done."""
+        self._on_handed_over = callback
+
+    def waiting(self, service):
+        """Return the number of requests that wait for a service."""
+        return len(self._queue(service).waiters)
+
+    async def acquire(self, request, avoid=frozenset()):
+        """Return a permit for ``request``.
+
+        :param avoid: names of targets that the request must not go to.
+        :raises RequestError: when there is no room within the queue's limits.
+        """
+        queue = self._queue(request.service.name)
+        if not queue.waiters:
+            permit = self._try(request, avoid, self.expected_wait(request.service))
+            if permit is not None:
+                self._log_permit(request, permit, 0.0)
+                return permit
+        return await self._wait(queue, request, avoid)
+
+    def enter(self, lease_id, deadline):
+        """Return a permit for a request that arrives under a lease, or ``None``."""
+        if not self._membership.may_act():
+            return None
+        use = self._ledger.enter(lease_id, deadline)
+        if use is None:
+            return None
+        target = self._ledger.targets[use.target].target
+        return LocalPermit(use, target, self._clock.now())
+
+    async def release(self, request, permit, certain):
+        """Free the slot of a permit.
+
+        :param certain: whether the target is known to be done with the request.
+        """
+        if isinstance(permit, LeasedPermit):
+            self._holder.release(permit.lease)
+        else:
+            held = self._clock.now() - permit.taken_at
+            self._queue(request.service.name).observe(held)
+            receiver = self._ledger.release(permit.use, certain)
+            if receiver is not None:
+                await spawn(self._on_handed_over, receiver, permit.use, daemon=True)
+        await self.pump(request.service.name)
+
+    async def pump(self, service):
+        """Give free slots to the waiters of a service."""
+        queue = self._queue(service)
+        now = self._clock.now()
+        for waiter in list(queue.waiters):
+            patience = max(
+                now - waiter.since, self.expected_wait(waiter.request.service)
+            )
+            permit = self._try(waiter.request, waiter.avoid, patience)
+            if permit is None:
+                return
+            queue.remove(waiter)
+            waiter.permit = permit
+            await waiter.signal.set()
+
+    async def run(self):
+        """Look for room that appears by the passing of time."""
+        while True:
+            for service, queue in list(self._queues.items()):
+                if queue.waiters:
+                    await self.pump(service)
+                    await self._seek(queue, queue.waiters and queue.waiters[0])
+            await sleep(PUMP_INTERVAL)
+
+    def expected_wait(self, service):
+        """Return the seconds that a request arriving now would wait here."""
+        now = self._clock.now()
+        limit = sum(
+            entry.limit(now)
+            for entry in self._ledger.of_service(service.name)
+            if not entry.blocked
+        )
+        if not limit or not self._membership.may_act():
+            return float("inf")
+        queue = self._queue(service.name)
+        return (len(queue.waiters) + 1) * queue.mean_hold / limit
+
+    def _try(self, request, avoid, patience):
+        permit = self._try_local(request, avoid)
+        if permit is not None:
+            return permit
+        lease = self._holder.take(request.service.name, avoid, patience)
+        return None if lease is None else LeasedPermit(lease)
+
+    def _try_local(self, request, avoid):
+        if not self._membership.may_act():
+            return None
+        now = self._clock.now()
+        entries = [
+            entry
+            for entry in self._ledger.of_service(request.service.name)
+            if entry.target.name not in avoid and entry.free(now)
+        ]
+        entry = min(entries, key=self._health.cost, default=None)
+        if entry is None:
+            return None
+        use = self._ledger.take(entry, request.deadline)
+        return None if use is None else LocalPermit(use, entry.target, now)
+
+    async def _wait(self, queue, request, avoid):
+        waiter = Waiter(request, avoid, self._clock.now())
+        await self._make_place(queue, waiter)
+        self._vm.journal.write(
+            Event.ROUTE_QUEUED,
+            request=request.id,
+            service=request.service.name,
+            queue=len(queue.waiters),
+            expected_wait=self._round(self.expected_wait(request.service)),
+        )
+        limit = min(request.deadline, waiter.since + request.service.queue_wait)
+        try:
+            await self._seek(queue, waiter)
+            await timeout_after(limit - waiter.since, waiter.signal.wait)
+        except TaskTimeout:
+            pass
+        except BaseException:
+            await self._abandon(queue, waiter)
+            raise
+        queue.remove(waiter)
+        if waiter.permit is None:
+            raise self._refusal(request, "evicted" if waiter.evicted else "waited")
+        self._log_permit(request, waiter.permit, self._clock.now() - waiter.since)
+        return waiter.permit
+
+    async def _make_place(self, queue, waiter):
+        """Queue ``waiter``; a full queue loses its lightest and latest request."""
+        queue.push(waiter)
+        if len(queue.waiters) <= waiter.request.service.queue_limit:
+            return
+        victim = min(queue.waiters, key=lambda each: each.rank)
+        queue.remove(victim)
+        if victim is waiter:
+            raise self._refusal(waiter.request, "queue full")
+        victim.evicted = True
+        await victim.signal.set()
+
+    async def _abandon(self, queue, waiter):
+        queue.remove(waiter)
+        if waiter.permit is not None:
+            await self.release(waiter.request, waiter.permit, certain=True)
+
+    async def _seek(self, queue, waiter):
+        if waiter:
+            want = len(queue.waiters)
+            await self._holder.seek(waiter.request.service, want, waiter.avoid)
+
+    def _refusal(self, request, reason):
+        wait = self.expected_wait(request.service)
+        mean = max(MIN_RETURN, 0.0 if wait == float("inf") else wait)
+        retry_at = self._clock.wall() + uniform(0.5 * mean, 1.5 * mean)
+        self._vm.journal.write(
+            Event.ROUTE_REFUSED,
+            request=request.id,
+            service=request.service.name,
+            reason=reason,
+            queue=self.waiting(request.service.name),
+            expected_wait=self._round(wait),
+            retry_at=round(retry_at, 3),
+        )
+        if request.deadline <= self._clock.now():
+            code = ResultCode.DEADLINE_BEFORE_RUN
+            return RequestError(code, "the deadline passed in the queue")
+        message = f'no free slot of "{request.service.name}" within reach'
+        return RequestError(ResultCode.NO_ROOM, message, retry_at)
+
+    def _log_permit(self, request, permit, waited):
+        service = request.service.name
+        common = {
+            "request": request.id,
+            "service": service,
+            "waited": self._round(waited),
+            "queue": self.waiting(service),
+        }
+        if isinstance(permit, LeasedPermit):
+            lease = permit.lease
+            self._vm.journal.write(
+                Event.ROUTE_LEASED,
+                target=lease.target,
+                through=lease.granter,
+                domain=lease.failure_domain,
+                distance=lease.distance,
+                in_use=lease.in_use,
+                slots=lease.slots,
+                **common,
+            )
+            return
+        entry = self._ledger.targets.get(permit.target.name)
+        self._vm.journal.write(
+            Event.ROUTE_LOCAL,
+            target=permit.target.name,
+            used=entry.used(self._clock.now()) if entry else None,
+            limit=permit.target.limit,
+            **common,
+        )
+
+    def _queue(self, service):
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = ServiceQueue()
+        return queue
+
+    @staticmethod
+    def _round(seconds):
+        return None if seconds == float("inf") else round(seconds, 4)
--- /dev/null
+++ b/src/heathercleat/process/budget.py
@@ -0,0 +1,35 @@
+"""A budget that keeps retries to a share of the requests."""
+
+#: Retries earned by each request.
+RETRY_SHARE = 0.1
+#: Retries that may be saved up.
+MAX_SAVED = 10.0
+
+
+class RetryBudget:
+    """Retries allowed for one service.
+
+    :param share: retries earned by each first attempt.
+    :param saved: how many retries may be saved up.
+    """
+
+    def __init__(self, share=RETRY_SHARE, saved=MAX_SAVED):
+        self._share = share
+        self._limit = saved
+        self._balance = saved
+
+    @property
+    def balance(self):
+        """Return the retries left."""
+        return self._balance
+
+    def earn(self):
+        """Note a first attempt."""
+        self._balance = min(self._limit, self._balance + self._share)
+
+    def spend(self):
+        """Take one retry; return whether there was one."""
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
--- /dev/null
+++ b/src/heathercleat/process/directory.py
@@ -0,0 +1,71 @@
+"""The VM list: entry VMs of every failure domain, as far as this VM knows.
+
+The list comes from the platform or from a peer, and lags. It tells whom to ask; whether
+a VM answers is learned by asking.
+"""
+
+from heathercleat.process.platform import VmEntry, VmList
+from heathercleat.version.hashing import assign
+
+
+class Directory:
+    """The latest VM list, indexed by failure domain."""
+
+    def __init__(self):
+        self._list = None
+        self._by_domain = {}
+        self._by_name = {}
+
+    @property
+    def known(self):
+        """Return whether any list was read."""
+        return self._list is not None
+
+    @property
+    def serial(self):
+        """Return the serial number of the list, or -1 when there is none."""
+        return -1 if self._list is None else self._list.serial
+
+    @property
+    def entries(self):
+        """Return every :class:`VmEntry`."""
+        return () if self._list is None else self._list.entries
+
+    def adopt(self, vm_list):
+        """Take a list if it is newer than the one known; return whether it was."""
+        if vm_list is None or vm_list.serial <= self.serial:
+            return False
+        self._list = vm_list
+        self._by_name = {entry.name: entry for entry in vm_list.entries}
+        self._by_domain = {}
+        for entry in vm_list.entries:
+            self._by_domain.setdefault(entry.failure_domain, []).append(entry)
+        return True
+
+    def find(self, name):
+        """Return the :class:`VmEntry` of a VM, or ``None``."""
+        return self._by_name.get(name)
+
+    def vms_in(self, failure_domain):
+        """Return the entries of one failure domain."""
+        return self._by_domain.get(failure_domain, [])
+
+    def homes_in(self, failure_domain, targets):
+        """Return the VMs that should be homes of ``targets``, each once."""
+        names = [
+            entry.name for entry in self.vms_in(failure_domain) if not entry.leaving
+        ]
+        homes = assign([target.name for target in targets], names)
+        return [self._by_name[name] for name in dict.fromkeys(homes.values())]
+
+    def to_fields(self):
+        """Return the list as message fields."""
+        return [
+            [entry.name, entry.host, entry.failure_domain, entry.leaving]
+            for entry in self.entries
+        ]
+
+
+def vm_list(serial, fields):
+    """Return a :class:`VmList` from message fields."""
+    return VmList(serial, tuple(VmEntry(*entry) for entry in fields))
--- /dev/null
+++ b/src/heathercleat/process/explain.py
@@ -0,0 +1,67 @@
+"""Why a caller's request goes where it goes, with the alternatives' figures."""
+
+from heathercleat.codes import ResultCode
+from heathercleat.errors import HeathercleatError
+from heathercleat.request.lookup import answer_lookup
+
+
+def explain(vm, service_name, client):
+    """Return the look-up, the places in order, and what is known of each.
+
+    :param client: the caller's IP number, or ``None`` for this VM's own.
+    :raises HeathercleatError: for an unknown service.
+    """
+    text = vm.text
+    service = text.services.get(service_name) if text is not None else None
+    if service is None:
+        message = f'unknown service "{service_name}"'
+        raise HeathercleatError(ResultCode.UNKNOWN_SERVICE, message)
+    client = client or vm.settings.address
+    lookup = answer_lookup(vm, {"service": service_name, "client": client}, client)
+    wait = vm.admission.expected_wait(service)
+    return {
+        "service": service_name,
+        "client": client,
+        "client_domain": vm.blocks.find(client),
+        "vms": lookup["vms"],
+        "expected_wait": None if wait == float("inf") else wait,
+        "places": list(_places(vm, service)),
+    }
+
+
+def _places(vm, service):
+    """Yield every target of a service, the nearest first."""
+    text, here = vm.text, vm.settings.failure_domain
+    targets = sorted(
+        service.targets.values(),
+        key=lambda target: (text.distance(here, target.failure_domain), target.name),
+    )
+    for target in targets:
+        yield _place(vm, target, text.distance(here, target.failure_domain))
+
+
+def _place(vm, target, distance):
+    now = vm.clock.now()
+    place = {
+        "target": target.name,
+        "failure_domain": target.failure_domain,
+        "distance": distance,
+        "slots": target.limit,
+    }
+    drain = vm.text.draining(target, vm.clock.wall())
+    entry = vm.ledger.targets.get(target.name)
+    leases = [
+        lease
+        for lease in vm.holder.held(target.service)
+        if lease.target == target.name and lease.has_room(now)
+    ]
+    if drain is not None:
+        return {**place, "state": f"drained by {drain.id}", "free": 0}
+    if entry is not None:
+        state = entry.blocked or "homed here"
+        cost = round(vm.health.cost(entry), 6)
+        return {**place, "state": state, "free": entry.free(now), "cost": cost}
+    if leases:
+        free = sum(lease.slots - lease.in_use for lease in leases)
+        return {**place, "state": f"leased from {leases[0].granter}", "free": free}
+    return {**place, "state": "ask its home for a lease", "free": None}
--- /dev/null
+++ b/src/heathercleat/process/homes.py
@@ -0,0 +1,180 @@
+"""Which targets this VM is the home of, and how homes move between VMs.
+
+Rendezvous hashing with bounded loads divides the targets of each service over the live
+VMs of their failure domain. A home moves by a handover, in which the earlier home names
+every slot that is still occupied. When no VM can hand a target over, its new home takes
+every slot as occupied until the longest timeout of the service has passed, since
+requests that the earlier home admitted may run until then.
+"""
+
+from curio import TaskGroup, sleep
+
+from heathercleat.connection.messages import Acquire, Handover, Released
+from heathercleat.errors import PeerError
+from heathercleat.events import Event
+from heathercleat.process.clock import from_wall, to_wall
+from heathercleat.process.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
+from heathercleat.version.hashing import assign
+
+CHECK_INTERVAL = 0.1
+
+
+class Homes:
+    """Keeps the ledger's targets equal to those that this VM is the home of.
+
+    :param vm: the process: settings, text in force, journal.
+    :param membership: who is alive in the failure domain.
+    :param ledger: the slots of the homed targets.
+    :param links: calls to peers.
+    """
+
+    def __init__(self, vm, membership, ledger, links, clock):
+        self._vm = vm
+        self._membership = membership
+        self._ledger = ledger
+        self._links = links
+        self._clock = clock
+        self._acquiring = set()
+        self._contested = set()
+
+    async def run(self):
+        """Acquire targets as the text and the membership change."""
+        while True:
+            if self._vm.text is not None:
+                self._follow_text()
+                # Without a VM list another VM could be the home unknown to this one.
+                if self._vm.directory.known and self._membership.may_act():
+                    await self._acquire_missing()
+            await sleep(CHECK_INTERVAL)
+
+    def drop_all(self):
+        """Stop being the home of every target at once."""
+        self._vm.journal.write(Event.HOMES_DROPPED, targets=len(self._ledger.targets))
+        self._ledger.drop_all()
+
+    def hand_over(self, receiver, names):
+        """Answer an :class:`Acquire` with what is known of the occupied slots.
+
+        :raises PeerError: when this VM is acquiring one of them and goes first.
+        """
+        for name in names:
+            if name in self._acquiring:
+                if self._vm.name < receiver:
+                    raise PeerError(f"{self._vm.name} is acquiring {name}")
+                self._contested.add(name)
+        targets = {}
+        for name in names:
+            uses = self._ledger.hand_over(name, receiver)
+            if uses is None:
+                continue
+            targets[name] = [
+                [use_id, to_wall(self._clock, deadline)] for use_id, deadline in uses
+            ]
+            self._vm.journal.write(
+                Event.HOME_HANDED_OVER, target=name, receiver=receiver, uses=len(uses)
+            )
+        return Handover(targets)
+
+    async def tell_released(self, receiver, use):
+        """Tell the new home of a target that a request handed over with it is done."""
+        member = self._membership.members.get(receiver)
+        if member is None:
+            return
+        try:
+            await self._links.call(member.host, Released(use.target, use.id))
+        except PeerError:
+            pass
+
+    def _follow_text(self):
+        text = self._vm.text
+        known = {
+            name: target
+            for service in text.services.values()
+            for name, target in service.targets.items()
+        }
+        for name, entry in list(self._ledger.targets.items()):
+            if name not in known:
+                self._ledger.hand_over(name, None)
+            elif entry.target is not known[name]:
+                self._ledger.update(known[name], self._links_of(known[name]))
+
+    def _links_of(self, target):
+        """Return the target's part of each link limit of its failure domain."""
+        text = self._vm.text
+        limits = {}
+        for domain in text.failure_domains:
+            limit = text.link_limit(domain, target.failure_domain)
+            if limit is not None and domain != target.failure_domain:
+                limits[domain] = text.link_share(limit, target)
+        return limits
+
+    def _desired(self):
+        if self._membership.leaving:
+            return
+        live = self._membership.live()
+        domain = self._vm.settings.failure_domain
+        for service in self._vm.text.services.values():
+            targets = service.targets_in(domain)
+            homes = assign([target.name for target in targets], live)
+            for target in targets:
+                if homes.get(target.name) == self._vm.name:
+                    yield service, target
+
+    async def _acquire_missing(self):
+        missing = [
+            (service, target)
+            for service, target in self._desired()
+            if target.name not in self._ledger.targets
+        ]
+        if not missing:
+            return
+        names = [target.name for _, target in missing]
+        self._acquiring = set(names)
+        self._contested = set()
+        try:
+            handovers = await self._ask_all(names)
+            if handovers is None or not self._membership.may_act():
+                return
+            for service, target in missing:
+                if target.name not in self._contested:
+                    self._adopt(service, target, handovers)
+        finally:
+            self._acquiring = set()
+
+    async def _ask_all(self, names):
+        """Return the handover of every running VM, or ``None`` if one is missing."""
+        question = Acquire(self._vm.name, names)
+        async with TaskGroup() as group:
+            tasks = [
+                await group.spawn(self._ask, member.host, question)
+                for member in self._membership.running()
+            ]
+        answers = [task.result for task in tasks]
+        return None if None in answers else answers
+
+    async def _ask(self, host, question):
+        try:
+            return await self._links.call(host, question)
+        except PeerError:
+            return None
+
+    def _adopt(self, service, target, handovers):
+        holds = []
+        handed_over = False
+        for handover in handovers:
+            for use_id, wall in handover.targets.get(target.name, ()):
+                until = from_wall(self._clock, wall) + CLOCK_SKEW
+                holds.append(Hold(until, use_id))
+            handed_over = handed_over or target.name in handover.targets
+        if not handed_over:
+            grace = CLOCK_SKEW + CANCEL_GRACE
+            until = self._clock.now() + service.longest_timeout + grace
+            holds = [Hold(until) for _ in range(target.slots)]
+        self._ledger.adopt(target, holds, self._links_of(target))
+        self._vm.journal.write(
+            Event.HOME_ADOPTED,
+            target=target.name,
+            service=service.name,
+            handed_over=handed_over,
+            held=len(holds),
+        )
--- /dev/null
+++ b/src/heathercleat/process/peer_service.py
@@ -0,0 +1,154 @@
+"""Answers the calls of other VMs: one task for each connection, one call at a time."""
+
+from secrets import token_bytes
+
+from curio import TaskTimeout, timeout_after
+
+from heathercleat.codes import ResultCode
+from heathercleat.connection.messages import (
+    Accepted,
+    Acquire,
+    Announcement,
+    Challenge,
+    ClosedOut,
+    CloseOut,
+    Configuration,
+    FetchConfiguration,
+    FetchVms,
+    Heartbeat,
+    HeartbeatAck,
+    Hello,
+    LeaseRenewal,
+    LeaseRequest,
+    LeaseReturn,
+    Refused,
+    Released,
+    ViewExchange,
+    Vms,
+)
+from heathercleat.connection.peer import NONCE_BYTES, MessageStream, verify
+from heathercleat.errors import PeerError
+from heathercleat.events import Event
+from heathercleat.process.once import EntryState
+
+HELLO_SECONDS = 2.0
+
+
+class PeerService:
+    """Serves the peers' address of a VM.
+
+    :param vm: the process, whose parts answer.
+    """
+
+    def __init__(self, vm):
+        self._vm = vm
+        self._handlers = {
+            Heartbeat: self._heartbeat,
+            ViewExchange: self._view_exchange,
+            Acquire: self._acquire,
+            Released: self._released,
+            LeaseRequest: self._lease_request,
+            LeaseRenewal: self._lease_renewal,
+            LeaseReturn: self._lease_return,
+            CloseOut: self._close_out,
+            FetchConfiguration: self._fetch_configuration,
+            FetchVms: self._fetch_vms,
+            Announcement: self._announcement,
+        }
+
+    async def serve(self, sock, address):
+        """Answer calls on one connection until the peer closes it."""
+        stream = MessageStream(sock)
+        try:
+            hello = await timeout_after(HELLO_SECONDS, self._authenticate, stream)
+            if hello is None:
+                self._vm.journal.write(Event.PEER_REJECTED, address=address[0])
+                await stream.send(Refused(ResultCode.BAD_REQUEST.number, "wrong key"))
+                return
+            await stream.send(Accepted())
+            while (item := await stream.receive()) is not None:
+                await stream.send(await self._answer(item, hello))
+        except (OSError, ValueError, TypeError, TaskTimeout) as error:
+            if not isinstance(error, OSError):
+                self._vm.journal.write(
+                    Event.PEER_REJECTED, address=address[0], reason=repr(error)
+                )
+        finally:
+            self._vm.count_peer_bytes(stream.bytes_sent + stream.bytes_received)
+
+    async def _authenticate(self, stream):
+        nonce = token_bytes(NONCE_BYTES)
+        await stream.send(Challenge(nonce))
+        hello = await stream.receive()
+        if not isinstance(hello, Hello):
+            return None
+        parts = (
+            nonce,
+            hello.vm,
+            hello.host,
+            hello.failure_domain,
+            hello.incarnation,
+        )
+        keys = self._vm.settings.keys
+        return hello if verify(keys, hello.signature, *parts) else None
+
+    async def _answer(self, item, hello):
+        handler = self._handlers.get(type(item))
+        if handler is None:
+            return Refused(ResultCode.BAD_REQUEST.number, "not a call")
+        try:
+            return await handler(item, hello)
+        except PeerError as error:
+            return Refused(ResultCode.NOT_HOME.number, str(error))
+
+    async def _heartbeat(self, item, hello):
+        vm = self._vm
+        accused = vm.membership.heard(item)
+        await vm.configuration.hint(hello.host, item.version, item.vm_serial)
+        return HeartbeatAck(
+            item.sequence, accused, vm.membership.digest, vm.version, vm.vm_serial
+        )
+
+    async def _view_exchange(self, item, hello):
+        self._vm.membership.merge(item.members)
+        return ViewExchange(self._vm.membership.records())
+
+    async def _acquire(self, item, hello):
+        return self._vm.homes.hand_over(item.vm, item.targets)
+
+    async def _released(self, item, hello):
+        self._vm.ledger.drop_hold(item.target, item.use_id)
+        return Accepted()
+
+    async def _lease_request(self, item, hello):
+        return self._vm.granter.grant(item, hello.vm, hello.failure_domain)
+
+    async def _lease_renewal(self, item, hello):
+        return self._vm.granter.renew(item.lease_id)
+
+    async def _lease_return(self, item, hello):
+        self._vm.ledger.give_back(item.lease_id)
+        return Accepted()
+
+    async def _close_out(self, item, hello):
+        if item.birth != self._vm.birth:
+            return ClosedOut(EntryState.GONE.value, 0, [], b"")
+        entry = self._vm.once.close_out(item.ticket_id, item.key)
+        outcome = entry.outcome
+        if outcome is None:
+            return ClosedOut(entry.state.value, 0, [], b"")
+        headers = [list(pair) for pair in outcome.headers]
+        return ClosedOut(entry.state.value, outcome.status, headers, outcome.body)
+
+    async def _fetch_configuration(self, item, hello):
+        keeper = self._vm.configuration
+        return Configuration(keeper.version, keeper.data)
+
+    async def _fetch_vms(self, item, hello):
+        directory = self._vm.directory
+        return Vms(directory.serial, directory.to_fields())
+
+    async def _announcement(self, item, hello):
+        vm = self._vm
+        await vm.configuration.hint(hello.host, item.version, item.vm_serial)
+        return Announcement(vm.version, vm.vm_serial)
--- /dev/null
+++ b/src/heathercleat/process/peers.py
@@ -0,0 +1,158 @@
+"""Calls to other VMs: one link each, opened on demand and authenticated."""
+
+from curio import Lock, open_connection
+
+from heathercleat.connection.http import before
+from heathercleat.connection.messages import Accepted, Challenge, Hello, Refused
+from heathercleat.connection.peer import MessageStream, sign
+from heathercleat.errors import PeerError
+
+#: Seconds that a call to a peer may take, one way latency included.
+CALL_TIMEOUT = 0.5
+#: Seconds for which a peer that did not answer is not called again.
+BACKOFF = 0.25
+
+
+class PeerLink:
+    """A link to one VM; calls run one after the other.
+
+    :param vm: the identity of this VM.
+    :param host: IP number of the peer.
+    """
+
+    def __init__(self, vm, host, clock):
+        self._vm = vm
+        self._host = host
+        self._clock = clock
+        self._lock = Lock()
+        self._stream = None
+        self._refused = False
+        self._retry_at = 0.0
+        self._bytes = 0
+
+    @property
+    def refused(self):
+        """Return whether the last attempt to connect was refused."""
+        return self._refused
+
+    @property
+    def reachable(self):
+        """Return whether a call would be tried now."""
+        return self._clock.now() >= self._retry_at
+
+    @property
+    def bytes(self):
+        """Return the bytes sent and received over all connections."""
+        stream = self._stream
+        if stream is None:
+            return self._bytes
+        return self._bytes + stream.bytes_sent + stream.bytes_received
+
+    async def call(self, item, timeout=CALL_TIMEOUT):
+        """Send a message and return the answer.
+
+        :param timeout: seconds, the wait for earlier calls included.
+        :raises PeerError: when the peer cannot be reached or refuses the call.
+        """
+        if not self.reachable:
+            raise PeerError(f"{self._host} did not answer a moment ago")
+        deadline = self._clock.now() + timeout
+        try:
+            answer = await before(deadline, self._clock, self._call(item))
+        except (OSError, EOFError, ValueError) as error:
+            self._refused = isinstance(error, ConnectionRefusedError)
+            self._retry_at = self._clock.now() + BACKOFF
+            raise PeerError(f"{self._host}: {error!r}") from None
+        if isinstance(answer, Refused):
+            raise PeerError(f"{self._host}: {answer.reason}")
+        return answer
+
+    async def close(self):
+        """Close the connection."""
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            self._bytes += stream.bytes_sent + stream.bytes_received
+            await stream.close()
+
+    async def _call(self, item):
+        async with self._lock:
+            done = False
+            try:
+                if self._stream is None:
+                    self._stream = await self._open()
+                answer = await self._stream.call(item)
+                done = True
+            finally:
+                if not done:
+                    await self.close()
+            self._refused = False
+            return answer
+
+    async def _open(self):
+        port = self._vm.settings.ports.peer
+        source = (self._vm.settings.address, 0)
+        sock = await open_connection(self._host, port, source_addr=source)
+        stream = MessageStream(sock)
+        try:
+            answer = await stream.call(await self._hello(stream))
+        except BaseException:
+            await stream.close()
+            raise
+        if not isinstance(answer, Accepted):
+            await stream.close()
+            raise EOFError("the peer refused the key")
+        return stream
+
+    async def _hello(self, stream):
+        challenge = await stream.receive()
+        if not isinstance(challenge, Challenge):
+            raise EOFError("the peer sent no challenge")
+        settings = self._vm.settings
+        signature = sign(
+            settings.keys[0],
+            challenge.nonce,
+            settings.vm,
+            settings.address,
+            settings.failure_domain,
+            self._vm.incarnation,
+        )
+        return Hello(
+            settings.vm,
+            settings.address,
+            settings.failure_domain,
+            self._vm.incarnation,
+            signature,
+        )
+
+
+class PeerLinks:
+    """All links of a process.
+
+    :param vm: the identity of this VM.
+    """
+
+    def __init__(self, vm, clock):
+        self._vm = vm
+        self._clock = clock
+        self._links = {}
+
+    @property
+    def bytes(self):
+        """Return the bytes of control traffic over all links."""
+        return sum(link.bytes for link in self._links.values())
+
+    def to(self, host):
+        """Return the link to the VM on ``host``."""
+        link = self._links.get(host)
+        if link is None:
+            link = self._links[host] = PeerLink(self._vm, host, self._clock)
+        return link
+
+    async def call(self, host, item, timeout=CALL_TIMEOUT):
+        """Call the VM on ``host``; see :meth:`PeerLink.call`."""
+        return await self.to(host).call(item, timeout)
+
+    async def close(self):
+        """Close every link."""
+        for link in self._links.values():
+            await link.close()
--- /dev/null
+++ b/src/heathercleat/process/status.py
@@ -0,0 +1,62 @@
+"""What one VM reports of itself to operators."""
+
+
+def status_of(vm):
+    """Return the state of a VM as a JSON object.
+
+    Instants are epoch seconds, limits and uses are slots.
+    """
+    return {
+        "vm": vm.name,
+        "failure_domain": vm.settings.failure_domain,
+        "version": vm.version,
+        "vm_serial": vm.vm_serial,
+        "incarnation": vm.incarnation,
+        "leaving": vm.leaving,
+        "may_act": vm.membership.may_act(),
+        "platform_answers": vm.configuration.platform_answers,
+        "control_bytes": vm.control_bytes,
+        "members": [
+            {"vm": member.vm, "host": member.host, "state": member.state.value}
+            for member in vm.membership.members.values()
+        ],
+        "vms": [
+            {"vm": entry.name, "host": entry.host, "domain": entry.failure_domain}
+            for entry in vm.directory.entries
+        ],
+        "targets": [_target(entry, vm.clock.now()) for entry in _entries(vm)],
+        "services": [_service(vm, name) for name in _services(vm)],
+    }
+
+
+def _entries(vm):
+    return vm.ledger.targets.values()
+
+
+def _services(vm):
+    return vm.text.services if vm.text is not None else ()
+
+
+def _target(entry, now):
+    return {
+        "target": entry.target.name,
+        "service": entry.target.service,
+        "slots": entry.target.slots,
+        "limit": entry.limit(now),
+        "used": entry.used(now),
+        "free": entry.free(now),
+        "foreign": entry.foreign(now),
+        "blocked": entry.blocked,
+    }
+
+
+def _service(vm, name):
+    now = vm.clock.now()
+    entries = vm.ledger.of_service(name)
+    return {
+        "service": name,
+        "slots": sum(entry.target.limit for entry in entries),
+        "free": sum(entry.free(now) for entry in entries),
+        "waiting": vm.admission.waiting(name),
+        "leased": sum(lease.slots for lease in vm.holder.held(name)),
+    }
--- /dev/null
+++ b/src/heathercleat/process/vm.py
@@ -0,0 +1,446 @@
+"""The daemon of one entry VM: its parts, its listeners and its graceful shutdown."""
+
+import signal
+from contextlib import contextmanager
+from secrets import token_hex
+
+from curio import TaskGroup, sleep, spawn, tcp_server_socket
+from curio.errors import CancelledError
+
+from heathercleat.codes import ResultCode, Run
+from heathercleat.connection.caller import CallerConnection
+from heathercleat.connection.operator import OperatorService
+from heathercleat.connection.peer import sign, verify
+from heathercleat.connection.pool import Pool
+from heathercleat.errors import RequestError
+from heathercleat.events import Event
+from heathercleat.process.admission import Admission
+from heathercleat.process.budget import RetryBudget
+from heathercleat.process.claims import Claims
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.configuration import ConfigurationKeeper
+from heathercleat.process.directory import Directory
+from heathercleat.process.editing import Editor
+from heathercleat.process.health import HealthBoard
+from heathercleat.process.homes import Homes
+from heathercleat.process.leases import LeaseGranter, LeaseHolder
+from heathercleat.process.logs import Journal
+from heathercleat.process.members import Membership, MemberState
+from heathercleat.process.metrics import Metrics
+from heathercleat.process.once import OnceLedger
+from heathercleat.process.peer_service import PeerService
+from heathercleat.process.peers import PeerLinks
+from heathercleat.process.platform import HttpPlatform, VmEntry
+from heathercleat.process.settings import load_settings
+from heathercleat.process.slots import SlotLedger
+from heathercleat.version.blocks import build_blocks
+
+BACKLOG = 1024
+MAX_CALLER_CONNECTIONS = 4096
+TOKEN_SECONDS = 10.0
+#: Seconds added to the life of look-ups before a leaving VM stops listening.
+LEAVE_MARGIN = 1.0
+CHECK_INTERVAL = 0.05
+MILLISECONDS = 1000
+
+
+class EntryVM:
+    """One entry VM.
+
+    :param settings: its :class:`Settings`.
+    :param platform: a platform client, or ``None`` for the one of the settings.
+    :param log_writer: the writer whose dropped lines are counted, or ``None``.
+    """
+
+    def __init__(self, settings, platform=None, log_writer=None, clock=None):
+        self._settings = settings
+        self._log_writer = log_writer
+        self._clock = clock or SystemClock()
+        self._birth = token_hex(8)
+        self._incarnation = int(self._clock.wall() * MILLISECONDS)
+        self._journal = Journal(settings.vm, settings.failure_domain)
+        self._blocks = build_blocks({}, [])
+        self._budgets = {}
+        self._connections = set()
+        self._peer_bytes = 0
+        self._token = ("", 0.0)
+        self._leave_requested = False
+        self._draining_self = False
+        self._platform = platform or HttpPlatform(
+            settings.platform_host,
+            settings.platform_port,
+            self._clock,
+            settings.platform_timeout,
+        )
+        # Claims wait for nobody else's calls: they have a connection of their own.
+        self._claims_platform = platform or HttpPlatform(
+            settings.platform_host,
+            settings.platform_port,
+            self._clock,
+            settings.platform_timeout,
+        )
+        self._build()
+
+    def _build(self):
+        clock = self._clock
+        self.links = PeerLinks(self, clock)
+        self.directory = Directory()
+        self.ledger = SlotLedger(clock)
+        self.once = OnceLedger(clock)
+        self.pool = Pool(clock, self._settings.address)
+        self.membership = Membership(self, self.links, clock)
+        self.configuration = ConfigurationKeeper(
+            self, self._platform, self.links, self.membership, self.directory, clock
+        )
+        self.health = HealthBoard(self, self.ledger, clock)
+        self.homes = Homes(self, self.membership, self.ledger, self.links, clock)
+        self.holder = LeaseHolder(self, self.links, self.directory, clock)
+        self.admission = Admission(
+            self, self.ledger, self.holder, self.membership, self.health, clock
+        )
+        self.granter = LeaseGranter(
+            self, self.ledger, self.membership, self.admission.waiting, clock
+        )
+        self.claims = Claims(self._claims_platform, self._birth)
+        self.editor = Editor(self._claims_platform, clock)
+        self.metrics = Metrics(self)
+        self.membership.on_presumed_dead(self.homes.drop_all)
+        self.admission.on_handed_over(self.homes.tell_released)
+
+    @property
+    def settings(self):
+        """Return the :class:`Settings` in force."""
+        return self._settings
+
+    @property
+    def name(self):
+        """Return the name of this VM."""
+        return self._settings.vm
+
+    @property
+    def clock(self):
+        """Return the clock."""
+        return self._clock
+
+    @property
+    def journal(self):
+        """Return the :class:`Journal`."""
+        return self._journal
+
+    @property
+    def birth(self):
+        """Return the name of this process, as in its tickets."""
+        return self._birth
+
+    @property
+    def incarnation(self):
+        """Return the incarnation of this VM, as its peers know it."""
+        return self._incarnation
+
+    @property
+    def version(self):
+        """Return the version of the text in force here."""
+        return self.configuration.version
+
+    @property
+    def vm_serial(self):
+        """Return the serial number of the VM list known here."""
+        return self.directory.serial
+
+    @property
+    def text(self):
+        """Return the :class:`Text` in force here, or ``None``."""
+        return self.configuration.text
+
+    @property
+    def blocks(self):
+        """Return the :class:`BlockTable` in force here."""
+        return self._blocks
+
+    @property
+    def leaving(self):
+        """Return whether this VM takes no new callers."""
+        return self.membership.leaving
+
+    @property
+    def claims_wanted(self):
+        """Return whether new tickets need a claim: only while the platform answers."""
+        return self.configuration.platform_answers
+
+    @property
+    def control_bytes(self):
+        """Return the bytes of control traffic with other VMs."""
+        return self.links.bytes + self._peer_bytes
+
+    @property
+    def dropped_log_lines(self):
+        """Return the log lines dropped because their reader fell behind."""
+        return self._log_writer.dropped if self._log_writer else 0
+
+    def renew_incarnation(self):
+        """Take a new incarnation after a pause or an accusation."""
+        wall = int(self._clock.wall() * MILLISECONDS)
+        self._incarnation = max(self._incarnation + 1, wall)
+
+    async def hint(self, host, version, vm_serial):
+        """Learn from a peer that a newer version or VM list exists."""
+        await self.configuration.hint(host, version, vm_serial)
+
+    def budget(self, service):
+        """Return the :class:`RetryBudget` of a service."""
+        return self._budgets.setdefault(service, RetryBudget())
+
+    def configuration_changed(self, text):
+        """Take a new version of the text."""
+        self._blocks = build_blocks(text.client_blocks, text.failure_domains)
+        self.health.check(self._clock.now())
+
+    def count_peer_bytes(self, count):
+        """Add the bytes of a closed connection to the control traffic."""
+        self._peer_bytes += count
+
+    def entry_vms(self, domain):
+        """Return the entry VMs of a failure domain that take callers."""
+        now = self._clock.wall()
+        return [
+            entry
+            for entry in self._known_vms(domain)
+            if not self.text.vm_draining(entry.name, domain, now)
+        ]
+
+    def local_homes(self, service):
+        """Return the likely homes of a service's targets in this failure domain."""
+        domain = self._settings.failure_domain
+        entries = {entry.name: entry for entry in self._known_vms(domain)}
+        homes = {
+            entry.name: entry
+            for entry in self.directory.homes_in(domain, service.targets_in(domain))
+        }
+        return [
+            entry for name, entry in {**homes, **entries}.items() if name in entries
+        ]
+
+    def peer_token(self):
+        """Return a token that proves to other VMs that a request comes from a VM."""
+        token, renew_at = self._token
+        now = self._clock.now()
+        if now >= renew_at:
+            expires_at = int(self._clock.wall() + TOKEN_SECONDS)
+            key = self._settings.keys[0]
+            signature = sign(key, b"forward", self.name, expires_at).hex()
+            token = f"{self.name};{expires_at};{signature}"
+            self._token = (token, now + TOKEN_SECONDS / 2)
+        return token
+
+    def is_peer_token(self, token):
+        """Return whether a token was made by a VM a short while ago."""
+        try:
+            name, expires_at, signature = token.split(";")
+            given = bytes.fromhex(signature)
+            fresh = int(expires_at) > self._clock.wall()
+        except ValueError:
+            return False
+        keys = self._settings.keys
+        return fresh and verify(keys, given, b"forward", name, expires_at)
+
+    async def record_outcome(self, ticket, key, outcome):
+        """Keep an outcome in the table without keeping the caller waiting."""
+        await spawn(self.claims.record, ticket, key, outcome, daemon=True)
+
+    @contextmanager
+    def observing(self, call):
+        """Log and count how a call ends; ``done()`` tells that it was answered."""
+        observed = _Observed()
+        code, event = ResultCode.ANSWER_LOST, Event.REQUEST_CUT
+        try:
+            yield observed
+        except RequestError as error:
+            code, event = error.code, Event.REQUEST_REFUSED
+            if not call.stream.can_answer:
+                event = Event.REQUEST_CUT
+            if code is ResultCode.CLAIM_FAILED:
+                self.configuration.note_claim_failure()
+            raise
+        finally:
+            if observed.answered:
+                code, event = ResultCode.OK, Event.REQUEST_DONE
+            self._finish(call, code, event)
+
+    def request_leave(self):
+        """Begin a graceful shutdown."""
+        self._leave_requested = True
+
+    async def serve(self):
+        """Run until a graceful shutdown has ended."""
+        self._journal.write(
+            Event.VM_STARTED, incarnation=self._incarnation, birth=self._birth
+        )
+        signal.signal(signal.SIGTERM, lambda *_: self.request_leave())
+        signal.signal(signal.SIGINT, lambda *_: self.request_leave())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload())
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(self._shut_down)
+            for run in self._loops():
+                await group.spawn(self._guard, run)
+            for port, handle in self._listeners():
+                host = self._settings.address
+                sock = tcp_server_socket(host, port, backlog=BACKLOG)
+                await group.spawn(self._accept, sock, handle)
+        await self.links.close()
+        await self.pool.close()
+        self._journal.write(Event.VM_STOPPED)
+
+    def _loops(self):
+        return (
+            self.membership.run,
+            self.configuration.run,
+            self.homes.run,
+            self.holder.run,
+            self.admission.run,
+            self.health.run,
+            self.claims.run,
+        )
+
+    def _listeners(self):
+        ports = self._settings.ports
+        return (
+            (ports.caller, self._serve_caller),
+            (ports.forward, self._serve_forwarded),
+            (ports.peer, PeerService(self).serve),
+            (ports.operator, OperatorService(self).serve),
+        )
+
+    async def _guard(self, run):
+        """Run a loop; an error in it is logged and the loop starts again."""
+        while True:
+            try:
+                await run()
+            except Exception as error:  # noqa: BLE001
+                self._journal.write(
+                    Event.TASK_FAILED, task=run.__qualname__, reason=repr(error)
+                )
+                await sleep(CHECK_INTERVAL)
+
+    async def _accept(self, sock, handle):
+        async def guarded(client, address):
+            try:
+                await handle(client, address)
+            except CancelledError:
+                raise
+            except Exception as error:  # noqa: BLE001
+                self._journal.write(
+                    Event.TASK_FAILED, task="connection", reason=repr(error)
+                )
+
+        async with sock:
+            async with TaskGroup() as group:
+                while True:
+                    client, address = await sock.accept()
+                    await group.spawn(self._run_client, guarded, client, address)
+
+    async def _run_client(self, handle, client, address):
+        async with client:
+            await handle(client, address)
+
+    async def _serve_caller(self, sock, address):
+        if len(self._connections) >= MAX_CALLER_CONNECTIONS:
+            return
+        await self._track(CallerConnection(self, sock, address))
+
+    async def _serve_forwarded(self, sock, address):
+        await self._track(CallerConnection(self, sock, address, forwarded=True))
+
+    async def _track(self, connection):
+        self._connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self._connections.discard(connection)
+
+    def _reload(self):
+        path = self._settings.path
+        if path is None:
+            return
+        try:
+            self._settings.keys = load_settings(path).keys
+        except Exception as error:  # noqa: BLE001
+            self._journal.write(
+                Event.TASK_FAILED, task="reload settings", reason=repr(error)
+            )
+            return
+        self._token = ("", 0.0)
+        self._journal.write(Event.SETTINGS_RELOADED, keys=len(self._settings.keys))
+
+    async def _shut_down(self):
+        """Wait for a reason to leave, then leave without cutting any request."""
+        while not self._leave_requested:
+            await self._follow_own_drain()
+            await sleep(CHECK_INTERVAL)
+        self._journal.write(
+            Event.VM_LEAVING,
+            connections=len(self._connections),
+            targets=len(self.ledger.targets),
+        )
+        await self.membership.leave()
+        # Callers may use a look-up made before this until it expires.
+        await sleep(self._settings.lookup_ttl + LEAVE_MARGIN)
+        while any(connection.busy for connection in self._connections):
+            await sleep(CHECK_INTERVAL)
+
+    async def _follow_own_drain(self):
+        """Hand the homes over while a planned drain of this VM is in force."""
+        if self.text is None or self._draining_self:
+            return
+        domain = self._settings.failure_domain
+        if self.text.vm_draining(self.name, None, self._clock.wall()):
+            self._draining_self = True
+            self._journal.write(Event.VM_LEAVING, drain=True, domain=domain)
+            await self.membership.leave()
+
+    def _known_vms(self, domain):
+        """Return the VMs of a domain that are live as far as this VM knows."""
+        if domain != self._settings.failure_domain:
+            return [
+                entry for entry in self.directory.vms_in(domain) if not entry.leaving
+            ]
+        return [
+            VmEntry(member.vm, member.host, domain, False)
+            for member in self.membership.members.values()
+            if member.state is MemberState.LIVE
+        ]
+
+    def _finish(self, call, code, event):
+        now = self._clock.now()
+        seconds = now - call.received_at
+        late = now > call.deadline
+        self._journal.write(
+            event,
+            request=call.id,
+            service=call.service.name,
+            kind=call.kind.name,
+            code=code.number,
+            run=code.run.value,
+            seconds=round(seconds, 6),
+            late=late,
+            caller=call.caller,
+            forwarded=call.lease is not None,
+        )
+        if call.lease is None:
+            run = code.run.value if code is not ResultCode.OK else Run.RUN.value
+            self.metrics.count_request(call, code.name.lower(), run, seconds, late)
+
+
+class _Observed:
+    """Notes whether a call was answered."""
+
+    def __init__(self):
+        self._answered = False
+
+    @property
+    def answered(self):
+        """Return whether the whole answer was sent."""
+        return self._answered
+
+    def done(self):
+        """Note that the whole answer was sent."""
+        self._answered = True
--- /dev/null
+++ b/src/heathercleat/request/attempt.py
@@ -0,0 +1,279 @@
+"""One attempt at a request: send it to one place and read the head of the answer."""
+
+from dataclasses import dataclass
+
+import h11
+
+from heathercleat.codes import ResultCode, Run
+from heathercleat.connection.http import CONNECTION_ERRORS, before
+from heathercleat.errors import RequestError
+from heathercleat.request.headers import (
+    CODE,
+    SERVICE_PREFIX,
+    check_framing,
+    end_to_end,
+    find,
+)
+
+#: Statuses with which a target says that it did not run a request.
+REFUSAL_STATUSES = (503,)
+
+
+@dataclass(slots=True, frozen=True)
+class Upstream:
+    """Where an attempt goes.
+
+    :param headers: extra headers, for the VM that granted a lease.
+    :param limit: the most connections to this address, or ``None``.
+    :param is_vm: whether another VM answers, whose result codes can be believed.
+    """
+
+    name: str
+    host: str
+    port: int
+    headers: tuple
+    limit: int | None
+    is_vm: bool
+
+
+class AttemptFailedError(RequestError):
+    """An attempt without a usable answer.
+
+    :param blame: what failed, for the health of the target: ``connect``, ``lost``,
+        ``bad answer`` or ``deadline``; ``None`` for a refusal, or when the caller left.
+    """
+
+    def __init__(self, code, message, blame=None, retry_at=None):
+        super().__init__(code, message, retry_at)
+        self._blame = blame
+
+    @property
+    def blame(self):
+        """Return what failed, or ``None``."""
+        return self._blame
+
+    @property
+    def not_run(self):
+        """Return whether the request certainly did not run."""
+        return self.code.run is Run.NOT_RUN
+
+
+class CallerLeftError(Exception):
+    """The caller closed its connection before its answer was complete."""
+
+
+class Attempt:
+    """An exchange with one upstream.
+
+    :param call: the request.
+    :param upstream: where to send it.
+    :param pool: connections to use.
+    """
+
+    def __init__(self, call, upstream, pool, clock):
+        self._call = call
+        self._upstream = upstream
+        self._pool = pool
+        self._clock = clock
+        self._stream = None
+        self._sent_before = 0
+        self._response = None
+
+    @property
+    def response(self):
+        """Return the head of the answer, an ``h11.Response``."""
+        return self._response
+
+    @property
+    def stream(self):
+        """Return the connection to the upstream."""
+        return self._stream
+
+    async def start(self, fresh=False):
+        """Send the request and read the head of the answer.
+
+        :param fresh: use a new connection.
+        :raises AttemptFailedError: when there is no usable answer.
+        :raises CallerLeftError: when the caller left while its body was sent on.
+        """
+        await self._connect(fresh)
+        try:
+            await self._send()
+            self._response = await self._before(self._read_head())
+        except TimeoutError:
+            raise self._failed(ResultCode.DEADLINE_IN_RUN, "deadline") from None
+        except h11.ProtocolError as error:
+            raise self._failed(ResultCode.BAD_ANSWER, "bad answer", error) from None
+        except (OSError, EOFError) as error:
+            raise self._failed(ResultCode.ANSWER_LOST, "lost", error) from None
+        self._check_head()
+
+    async def next_event(self):
+        """Return the next event of the answer's body.
+
+        :raises AttemptFailedError: when the answer is cut short.
+        """
+        try:
+            event = await self._before(self._stream.next_event())
+        except TimeoutError:
+            raise self._failed(ResultCode.DEADLINE_IN_RUN, "deadline") from None
+        except CONNECTION_ERRORS as error:
+            raise self._failed(ResultCode.ANSWER_LOST, "lost", error) from None
+        if isinstance(event, h11.Data | h11.EndOfMessage):
+            return event
+        raise self._failed(ResultCode.ANSWER_LOST, "lost")
+
+    def abort(self):
+        """Cancel the request at the upstream."""
+        if self._stream is not None:
+            self._stream.abort()
+
+    async def finish(self, whole):
+        """Keep the connection if the exchange was whole, else close it."""
+        stream, self._stream = self._stream, None
+        if stream is None:
+            return
+        place = self._upstream.host, self._upstream.port
+        if whole:
+            await self._pool.give_back(*place, stream)
+        else:
+            await self._pool.discard(*place, stream)
+
+    async def _connect(self, fresh):
+        upstream = self._upstream
+        try:
+            self._stream = await self._pool.checkout(
+                upstream.host, upstream.port, self._call.deadline, upstream.limit, fresh
+            )
+        except TimeoutError:
+            code = ResultCode.DEADLINE_BEFORE_RUN
+            raise AttemptFailedError(code, "no connection in time", "connect") from None
+        except OSError as error:
+            code = ResultCode.TARGETS_UNREACHABLE
+            message = f"{upstream.name}: {error}"
+            raise AttemptFailedError(code, message, "connect") from None
+        self._sent_before = self._stream.bytes_sent
+
+    async def _send(self):
+        # A VM that was paused since the permit must not start lapsed work.
+        if self._clock.now() >= self._call.deadline:
+            code = ResultCode.DEADLINE_BEFORE_RUN
+            raise AttemptFailedError(code, "the deadline passed before the run")
+        head = self._head()
+        if self._call.body is not None:
+            events = [head]
+            if self._call.body:
+                events.append(h11.Data(data=self._call.body))
+            await self._before(self._stream.send(*events, h11.EndOfMessage()))
+            return
+        await self._before(self._stream.send(head))
+        await self._send_body()
+
+    def _head(self):
+        call = self._call
+        headers = [
+            (name, value)
+            for name, value in end_to_end(call.headers)
+            if name != b"content-length"
+        ]
+        headers.extend(self._upstream.headers)
+        headers.append(("heathercleat-deadline", f"{call.wall_deadline:.3f}"))
+        headers.append(("heathercleat-request", call.id))
+        length = find(call.headers, "content-length")
+        if call.body is not None:
+            if call.body or length is not None:
+                headers.append(("content-length", str(len(call.body))))
+        elif length is not None:
+            headers.append(("content-length", length))
+        else:
+            headers.append(("transfer-encoding", "chunked"))
+        path = call.path
+        if self._upstream.is_vm:
+            path = f"{SERVICE_PREFIX}{call.service.name}{path}"
+        return h11.Request(method=call.method, target=path, headers=headers)
+
+    async def _send_body(self):
+        """Send the caller's body on as it arrives."""
+        limit, size = self._call.kind.body_limit, 0
+        while True:
+            event = await self._next_from_caller()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limit:
+                    code = ResultCode.BODY_TOO_LARGE
+                    message = f"the body is larger than {limit} bytes"
+                    self.abort()
+                    raise AttemptFailedError(code, message)
+            elif not isinstance(event, h11.EndOfMessage):
+                raise CallerLeftError
+            if not await self._send_part(event):
+                return
+            if isinstance(event, h11.EndOfMessage):
+                return
+
+    async def _next_from_caller(self):
+        try:
+            return await self._before(self._call.stream.next_event())
+        except TimeoutError:
+            # The caller's own sending ran out of time: no fault of the target.
+            code = ResultCode.DEADLINE_IN_RUN
+            raise AttemptFailedError(code, "the upload was too slow") from None
+        except CONNECTION_ERRORS:
+            raise CallerLeftError from None
+
+    async def _send_part(self, event):
+        """Send a part of the body; return whether the upstream still takes it."""
+        try:
+            await self._before(self._stream.send(event))
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                raise
+            # It may have answered early and closed: the answer is read next.
+            return False
+        return True
+
+    async def _read_head(self):
+        event = await self._stream.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            event = await self._stream.next_event()
+        if not isinstance(event, h11.Response):
+            raise EOFError("closed before the answer")
+        return event
+
+    def _check_head(self):
+        headers = self._response.headers
+        if self._upstream.is_vm:
+            self._raise_code_of_vm(headers)
+        try:
+            check_framing(headers, ResultCode.BAD_ANSWER)
+        except RequestError as error:
+            raise self._failed(ResultCode.BAD_ANSWER, "bad answer", error) from None
+        if self._is_close_delimited(headers):
+            error = "an answer without a length cannot be told from a cut one"
+            raise self._failed(ResultCode.BAD_ANSWER, "bad answer", error)
+
+    def _raise_code_of_vm(self, headers):
+        number = find(headers, CODE)
+        if number is None:
+            return
+        code = ResultCode.from_number(int(number))
+        if code is not ResultCode.OK:
+            raise AttemptFailedError(code, f"{self._upstream.name} answered {number}")
+
+    def _is_close_delimited(self, headers):
+        status = self._response.status_code
+        if self._call.method == "HEAD" or status in (204, 304):
+            return False
+        return (
+            find(headers, "content-length") is None
+            and find(headers, "transfer-encoding") is None
+        )
+
+    async def _before(self, coroutine):
+        return await before(self._call.deadline, self._clock, coroutine)
+
+    def _failed(self, code, blame, error=""):
+        if self._stream is None or self._stream.bytes_sent == self._sent_before:
+            code = ResultCode.TARGETS_UNREACHABLE
+        message = f"{self._upstream.name}: {blame} {error}".rstrip()
+        return AttemptFailedError(code, message, blame)
--- /dev/null
+++ b/src/heathercleat/request/carry.py
@@ -0,0 +1,249 @@
+"""Carrying a request: permits, attempts, retries and the answer to the caller."""
+
+import h11
+from curio import spawn
+
+from heathercleat.codes import ResultCode, Run
+from heathercleat.connection.http import CONNECTION_ERRORS
+from heathercleat.errors import RequestError
+from heathercleat.events import Event
+from heathercleat.process.admission import LeasedPermit
+from heathercleat.request.attempt import (
+    REFUSAL_STATUSES,
+    Attempt,
+    AttemptFailedError,
+    CallerLeftError,
+    Upstream,
+)
+from heathercleat.request.call import Outcome
+from heathercleat.request.headers import (
+    LEASE,
+    PEER,
+    REQUEST_ID,
+    SERVED_BY,
+    end_to_end,
+)
+from heathercleat.version.text import Semantics
+
+#: Attempts at one request, the first included.
+MAX_ATTEMPTS = 3
+#: Largest answer to an at-most-once request, in bytes; it is read whole before it is
+#: sent on, so that a caller that left gets it with its repeat.
+MAX_KEPT_ANSWER = 1 << 20
+SERVER_ERRORS = (500, 502, 503, 504)
+
+
+async def carry(vm, call, extra_headers):
+    """Run a request and stream its answer to the caller.
+
+    :param extra_headers: headers to add to the answer.
+    :raises RequestError: with the final answer when there is none from a target.
+    :raises CallerLeftError: when the caller left; its request is cancelled.
+    """
+
+    async def deliver(attempt, target):
+        await _stream_answer(call, attempt, target, extra_headers)
+
+    await _attempts(vm, call, deliver)
+
+
+async def carry_whole(vm, call):
+    """Run a request and return its answer as an :class:`Outcome`.
+
+    :raises RequestError: when there is no answer from a target.
+    """
+    return await _attempts(vm, call, _read_answer)
+
+
+async def _attempts(vm, call, deliver):
+    """Try permits until one attempt is delivered or no further one is allowed."""
+    tried = set()
+    uncertain = None
+    budget = vm.budget(call.service.name)
+    budget.earn()
+    for number in range(1, MAX_ATTEMPTS + 1):
+        target = None
+        try:
+            permit = await _permit(vm, call, frozenset(tried))
+            target = _target_name(permit)
+            return await _attempt(vm, call, permit, deliver)
+        except RequestError as error:
+            # Once an attempt may have run, no later refusal may say "not run".
+            if uncertain is None and error.code.run is not Run.NOT_RUN:
+                uncertain = error
+            last = number == MAX_ATTEMPTS or target is None
+            if last or not _may_retry(vm, call, error) or not budget.spend():
+                raise uncertain or error from None
+            tried.add(target)
+            _log_retry(vm, call, target, error, budget)
+
+
+def _log_retry(vm, call, target, error, budget):
+    vm.journal.write(
+        Event.ROUTE_RETRIED,
+        request=call.id,
+        service=call.service.name,
+        after=target,
+        code=error.code.number,
+        reason=str(error),
+        budget=round(budget.balance, 1),
+    )
+
+
+async def _permit(vm, call, tried):
+    if call.lease is None:
+        return await vm.admission.acquire(call, tried)
+    permit = None if tried else vm.admission.enter(call.lease, call.deadline)
+    if permit is None:
+        raise RequestError(ResultCode.NO_ROOM, "the lease has no room here")
+    return permit
+
+
+async def _attempt(vm, call, permit, deliver):
+    attempt = Attempt(call, _upstream(vm, call, permit), vm.pool, vm.clock)
+    started_at = vm.clock.now()
+    whole = False
+    certain = False
+    try:
+        fresh = call.kind.semantics is Semantics.AT_MOST_ONCE
+        await attempt.start(fresh)
+        _check_status(vm, call, permit, attempt.response)
+        result = await deliver(attempt, _target_name(permit))
+        whole = certain = True
+        _note_success(vm, permit, attempt, vm.clock.now() - started_at)
+        return result
+    except AttemptFailedError as error:
+        certain = error.not_run
+        _note_failure(vm, permit, error)
+        raise
+    finally:
+        await attempt.finish(whole)
+        await vm.admission.release(call, permit, certain)
+
+
+def _upstream(vm, call, permit):
+    if not isinstance(permit, LeasedPermit):
+        target = permit.target
+        limit = target.connections
+        return Upstream(target.name, target.host, target.port, (), limit, False)
+    lease = permit.lease
+    headers = ((LEASE, str(lease.id)), (PEER, vm.peer_token()))
+    port = vm.settings.ports.forward
+    return Upstream(lease.granter, lease.host, port, headers, None, True)
+
+
+def _target_name(permit):
+    if isinstance(permit, LeasedPermit):
+        return permit.lease.target
+    return permit.target.name
+
+
+def _check_status(vm, call, permit, response):
+    """Turn refusals and server errors that may be retried into failures."""
+    if isinstance(permit, LeasedPermit):
+        return
+    status = response.status_code
+    if status in REFUSAL_STATUSES:
+        vm.health.refused(permit.target)
+        trusted = call.service.trust_refusals
+        if trusted or call.kind.semantics is Semantics.IDEMPOTENT:
+            code = ResultCode.TARGET_REFUSED if trusted else ResultCode.ANSWER_LOST
+            raise AttemptFailedError(code, f"{permit.target.name} answered {status}")
+    if status in SERVER_ERRORS:
+        vm.health.failed(permit.target, "status")
+        if call.kind.semantics is Semantics.IDEMPOTENT and status != 500:
+            code = ResultCode.ANSWER_LOST
+            raise AttemptFailedError(code, f"{permit.target.name} answered {status}")
+
+
+def _note_success(vm, permit, attempt, seconds):
+    if isinstance(permit, LeasedPermit):
+        return
+    if attempt.response.status_code not in SERVER_ERRORS:
+        vm.health.succeeded(permit.target, seconds)
+
+
+def _note_failure(vm, permit, error):
+    if isinstance(permit, LeasedPermit):
+        # The granter refused, or could not be reached: the lease is worth nothing.
+        vm.holder.end(permit.lease)
+    elif error.blame is not None:
+        vm.health.failed(permit.target, error.blame)
+
+
+def _may_retry(vm, call, error):
+    """Return whether another attempt can neither double the work nor lose a part."""
+    if call.lease is not None or vm.clock.now() >= call.deadline:
+        return False
+    if not call.stream.can_answer:
+        return False
+    if call.body is None and call.stream.body_started:
+        return False
+    if error.code.run is Run.NOT_RUN:
+        return error.code is not ResultCode.BODY_TOO_LARGE
+    return call.kind.semantics is Semantics.IDEMPOTENT
+
+
+async def _stream_answer(call, attempt, target, extra_headers):
+    """Send an answer on as it arrives; cancel the request if the caller leaves."""
+    watcher = await spawn(_watch_caller, call, attempt)
+    try:
+        headers = list(end_to_end(attempt.response.headers))
+        headers.append((SERVED_BY, target))
+        headers.append((REQUEST_ID, call.id))
+        headers.extend(extra_headers.items())
+        response = h11.Response(
+            status_code=attempt.response.status_code, headers=headers
+        )
+        await _send_answer(call, attempt, response)
+    except AttemptFailedError:
+        if watcher.terminated and watcher.result:
+            raise CallerLeftError from None
+        raise
+    finally:
+        await watcher.cancel()
+
+
+async def _send_answer(call, attempt, response):
+    """Send head and body; the last event of a whole answer is its end."""
+    pending = [response]
+    while True:
+        event = await attempt.next_event()
+        pending.append(event)
+        try:
+            await call.stream.send(*pending)
+        except CONNECTION_ERRORS:
+            raise CallerLeftError from None
+        pending = []
+        if isinstance(event, h11.EndOfMessage):
+            return
+
+
+async def _watch_caller(call, attempt):
+    """Return whether the caller left, after cancelling its request."""
+    if not call.stream.request_complete:
+        return False
+    if not await call.stream.wait_closed():
+        return False
+    attempt.abort()
+    return True
+
+
+async def _read_answer(attempt, target):
+    parts, size = [], 0
+    while True:
+        event = await attempt.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            break
+        size += len(event.data)
+        if size > MAX_KEPT_ANSWER:
+            code = ResultCode.BAD_ANSWER
+            raise AttemptFailedError(code, "the answer is too large", "bad answer")
+        parts.append(bytes(event.data))
+    headers = [
+        (name, value)
+        for name, value in end_to_end(attempt.response.headers)
+        if name != b"content-length"
+    ]
+    headers.append((SERVED_BY.encode(), target.encode()))
+    return Outcome(attempt.response.status_code, headers, b"".join(parts))
--- /dev/null
+++ b/src/heathercleat/request/lookup.py
@@ -0,0 +1,120 @@
+"""Look-ups: which entry VMs a caller uses for a service, and until when."""
+
+from ipaddress import AddressValueError, IPv4Address
+
+from heathercleat.codes import ResultCode
+from heathercleat.errors import RequestError
+from heathercleat.events import Event
+from heathercleat.request.ticket import issue
+from heathercleat.version.hashing import ranked
+from heathercleat.version.text import Semantics
+
+#: Entry VMs in an answer: the nearest ones first, then others to fall back on.
+MAX_NEAR = 3
+MAX_FAR = 3
+
+
+def answer_lookup(vm, query, caller):
+    """Answer a look-up.
+
+    :param query: ``service``, and ``client`` when the caller asks for another address.
+    :param caller: the IP number that the look-up came from.
+    :return: a JSON object; see ``docs/reference/callers.md``.
+    :raises RequestError: for an unknown service, or when nothing is known here yet.
+    """
+    if vm.text is None:
+        code = ResultCode.NO_CONFIGURATION
+        raise RequestError(code, "no configuration is known here yet")
+    service = vm.text.services.get(query.get("service"))
+    if service is None:
+        message = f'unknown service "{query.get("service", "")}"'
+        raise RequestError(ResultCode.UNKNOWN_SERVICE, message)
+    client = _client(query, caller)
+    domain = vm.blocks.find(client) or vm.settings.failure_domain
+    domains = _domains(vm, service, domain)
+    near = _vms(vm, domains[0], service, client)[:MAX_NEAR]
+    far = (
+        entry for other in domains[1:] for entry in _vms(vm, other, service, client)[:1]
+    )
+    chosen = [*near, *(entry for entry, _ in zip(far, range(MAX_FAR), strict=False))]
+    now = vm.clock.wall()
+    answer = {
+        "service": service.name,
+        "version": vm.version,
+        "vms": [
+            {
+                "vm": entry.name,
+                "address": entry.host,
+                "port": vm.settings.ports.caller,
+                "failure_domain": entry.failure_domain,
+            }
+            for entry in chosen
+        ],
+        "expires_at": now + vm.settings.lookup_ttl,
+        **_ticket(vm, service, domains[0], now),
+    }
+    vm.journal.write(
+        Event.LOOKUP_ANSWERED,
+        service=service.name,
+        client=client,
+        domain=domains[0],
+        vms=[entry.name for entry in chosen],
+    )
+    return answer
+
+
+def _client(query, caller):
+    client = query.get("client", caller)
+    try:
+        return str(IPv4Address(client))
+    except AddressValueError:
+        message = f'"{client[:40]}" is not an IPv4 address'
+        raise RequestError(ResultCode.BAD_REQUEST, message) from None
+
+
+def _domains(vm, service, domain):
+    """Return failure domains with entry VMs, the best one for the caller first.
+
+    A domain without a target of the service in use comes after all that have one.
+    """
+    text, now = vm.text, vm.clock.wall()
+
+    def has_targets(other):
+        return any(
+            not text.draining(target, now) for target in service.targets_in(other)
+        )
+
+    serving = [other for other in text.failure_domains if vm.entry_vms(other)]
+    order = sorted(
+        serving,
+        key=lambda other: (not has_targets(other), text.distance(domain, other), other),
+    )
+    return order or [vm.settings.failure_domain]
+
+
+def _vms(vm, domain, service, client):
+    """Return the entry VMs of a domain for a client, by rendezvous weight."""
+    entries = {entry.name: entry for entry in vm.entry_vms(domain)}
+    names = ranked(f"{client} {service.name}", entries)
+    return [entries[name] for name in names]
+
+
+def _ticket(vm, service, domain, now):
+    """Return ticket fields when non-idempotent requests may be sent here."""
+    needed = any(kind.semantics is Semantics.AT_MOST_ONCE for kind in service.kinds)
+    if not needed or vm.leaving or domain != vm.settings.failure_domain:
+        return {"ticket": None}
+    expires_at = now + vm.settings.ticket_ttl
+    settings = vm.settings
+    ticket = issue(
+        settings.keys, vm.name, vm.birth, service.name, vm.claims_wanted, expires_at
+    )
+    return {
+        "ticket": ticket,
+        "ticket_expires_at": expires_at,
+        "ticket_vm": {
+            "vm": vm.name,
+            "address": settings.address,
+            "port": settings.ports.caller,
+        },
+    }
--- /dev/null
+++ b/src/heathercleat/request/run_once.py
@@ -0,0 +1,171 @@
+"""Requests that run at most once: tickets, keys, claims, repeats and closing out."""
+
+from hashlib import sha256
+
+from heathercleat.codes import ResultCode, Run
+from heathercleat.connection.http import before
+from heathercleat.connection.messages import CloseOut
+from heathercleat.errors import PeerError, PlatformError, RequestError
+from heathercleat.events import Event
+from heathercleat.process.claims import RowState
+from heathercleat.process.once import EntryState
+from heathercleat.request.call import Outcome
+from heathercleat.request.carry import carry_whole
+
+
+async def run_once(vm, call):
+    """Run a non-idempotent request at most once and return its :class:`Outcome`.
+
+    A request without a ticket and key is sent to a target at most once by this system;
+    a repeat of it is another request.
+
+    :raises RequestError: with what is known about the run.
+    """
+    if call.ticket is None:
+        return await carry_whole(vm, call)
+    if call.key is None:
+        raise RequestError(ResultCode.KEY_MISSING, "a ticket needs an Idempotency-Key")
+    if call.ticket.service != call.service.name:
+        message = f'the ticket is for "{call.ticket.service}"'
+        raise RequestError(ResultCode.TICKET_INVALID, message)
+    if call.ticket.birth != vm.birth:
+        return await _ask_owner(vm, call)
+    return await _run_as_owner(vm, call)
+
+
+async def _run_as_owner(vm, call):
+    entry, first = vm.once.begin(call.ticket, call.key, _digest(call))
+    if not first:
+        return await _repeat(vm, call, entry)
+    state, outcome = EntryState.UNKNOWN, None
+    try:
+        await _claim(vm, call, entry)
+        outcome = await carry_whole(vm, call)
+        state = EntryState.DONE
+    except RequestError as error:
+        if error.code is ResultCode.TICKET_CLOSED:
+            state = EntryState.CLOSED
+        elif error.code.run is Run.NOT_RUN:
+            state = EntryState.NOT_RUN
+        raise
+    finally:
+        await vm.once.finish(entry, state, outcome)
+    vm.journal.write(
+        Event.TICKET_RUN,
+        request=call.id,
+        ticket=call.ticket.id,
+        key=call.key,
+        claims=call.ticket.claims,
+        status=outcome.status,
+    )
+    if call.ticket.claims:
+        await vm.record_outcome(call.ticket, call.key, outcome)
+    return outcome
+
+
+async def _claim(vm, call, entry):
+    """Write the claim that the ticket asks for.
+
+    :raises RequestError: when the request must not run.
+    """
+    if not call.ticket.claims or entry.claimed:
+        return
+    try:
+        claim = vm.claims.claim(call.ticket, call.key)
+        row = await before(call.deadline, vm.clock, claim)
+    except (PlatformError, TimeoutError) as error:
+        vm.journal.write(Event.CLAIM_FAILED, request=call.id, reason=str(error))
+        message = "the claim could not be written, so the request was not run"
+        raise RequestError(ResultCode.CLAIM_FAILED, message) from None
+    if row.state is RowState.CLAIMED and row.writer == vm.birth:
+        entry.claimed = True
+        return
+    message = "another VM closed this ticket and key"
+    raise RequestError(ResultCode.TICKET_CLOSED, message)
+
+
+async def _repeat(vm, call, entry):
+    """Answer a repeat with the outcome of the first run."""
+    if entry.state is EntryState.RUNNING:
+        try:
+            await before(call.deadline, vm.clock, entry.finished.wait())
+        except TimeoutError:
+            raise RequestError(
+                ResultCode.STILL_RUNNING, "the first run has not ended"
+            ) from None
+    vm.journal.write(
+        Event.TICKET_REPEATED,
+        request=call.id,
+        ticket=call.ticket.id,
+        key=call.key,
+        state=entry.state.value,
+    )
+    if entry.state is EntryState.DONE:
+        return entry.outcome
+    if entry.state is EntryState.NOT_RUN:
+        raise RequestError(ResultCode.NO_ROOM, "the first request was not run")
+    raise RequestError(ResultCode.OUTCOME_UNKNOWN, "the first run had no answer")
+
+
+async def _ask_owner(vm, call):
+    """Find out what became of a key whose ticket names another process."""
+    state, outcome = await _state_at_owner(vm, call)
+    vm.journal.write(
+        Event.TICKET_CLOSED_OUT,
+        request=call.id,
+        ticket=call.ticket.id,
+        key=call.key,
+        owner=call.ticket.vm,
+        state=state.value,
+    )
+    if state is EntryState.DONE:
+        if outcome is None:
+            message = "the request has run; its answer was not kept"
+            raise RequestError(ResultCode.ANSWER_NOT_KEPT, message)
+        return outcome
+    if state is EntryState.CLOSED:
+        message = f'"{call.ticket.vm}" did not run the request and never will'
+        raise RequestError(ResultCode.TICKET_CLOSED, message)
+    if state is EntryState.RUNNING:
+        message = f'"{call.ticket.vm}" runs the request'
+        raise RequestError(ResultCode.STILL_RUNNING, message)
+    message = f'"{call.ticket.vm}" cannot be asked whether it ran the request'
+    raise RequestError(ResultCode.OUTCOME_UNKNOWN, message)
+
+
+async def _state_at_owner(vm, call):
+    """Return ``(EntryState, Outcome or None)`` from the owner or from the table."""
+    state, outcome = await _ask_process(vm, call.ticket, call.key)
+    if state is not EntryState.GONE or not call.ticket.claims:
+        return state, outcome
+    try:
+        row = await vm.claims.close_out(call.ticket, call.key)
+    except PlatformError:
+        return EntryState.UNKNOWN, None
+    if row.state is RowState.CLOSED:
+        return EntryState.CLOSED, None
+    if row.state is RowState.DONE:
+        return EntryState.DONE, row.outcome
+    return EntryState.UNKNOWN, None
+
+
+async def _ask_process(vm, ticket, key):
+    entry = vm.directory.find(ticket.vm)
+    if entry is None or entry.name == vm.name:
+        return EntryState.GONE, None
+    try:
+        question = CloseOut(ticket.id, key, ticket.birth)
+        answer = await vm.links.call(entry.host, question)
+    except PeerError:
+        return EntryState.GONE, None
+    outcome = None
+    if answer.status:
+        headers = [tuple(pair) for pair in answer.headers]
+        outcome = Outcome(answer.status, headers, answer.body)
+    return EntryState(answer.state), outcome
+
+
+def _digest(call):
+    parts = sha256(f"{call.method} {call.path}\n".encode())
+    parts.update(call.body)
+    return parts.digest()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,274 @@
+"""Starts a platform, targets and entry VMs as separate processes on loopback.
+
+Each entry VM has an IP number of its own (``127.10.D.V`` for VM ``V`` of failure domain
+``D``) and the same ports. Used by the demo, the tests and the benchmarks.
+"""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import suppress
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+import msgpack
+
+KEY = "a-shared-key-for-tests"
+PORTS = {"caller": 8080, "forward": 8081, "peer": 8082, "operator": 8083}
+PLATFORM = ("127.10.200.1", 7000)
+TARGET_PORT = 9000
+START_SECONDS = 20.0
+STOP_SECONDS = 20.0
+MSGPACK = {"content-type": "application/msgpack"}
+
+
+class Vm:
+    """One entry VM of the fleet."""
+
+    def __init__(self, name, host, domain, settings):
+        self.name = name
+        self.host = host
+        self.domain = domain
+        self.settings = settings
+        self.process = None
+
+
+class Fleet:
+    """The processes of one deployment.
+
+    :param text: the operators' text as a JSON object; targets get addresses here.
+    :param vms: ``{failure domain: number of entry VMs}``.
+    :param program: how to run the command line.
+    :param subnet: the second number of every IP, to keep fleets apart.
+    """
+
+    def __init__(self, text, vms, program=None, subnet=10, settings=None):
+        self._folder = tempfile.TemporaryDirectory(prefix="heathercleat-")
+        self._program = program or [sys.executable, "-m", "heathercleat"]
+        self._subnet = subnet
+        self._settings = settings or {}
+        self._processes = []
+        self.platform = (f"127.{subnet}.200.1", PLATFORM[1])
+        self.text = text
+        self.targets = self._place_targets(text)
+        self.vms = self._place_vms(vms)
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    @property
+    def folder(self):
+        """Return the folder of settings and logs."""
+        return Path(self._folder.name)
+
+    def start(self):
+        """Start everything and wait until each VM has a version in force."""
+        self._spawn("platform", ["standins.platform", *map(str, self.platform)])
+        specs = [
+            f"{name}={host}:{port}:{slots}"
+            for name, (host, port, slots) in self.targets.items()
+        ]
+        if specs:
+            self._spawn("targets", ["standins.target", *specs])
+        wait_for(lambda: self.platform_call("POST", "/switch", {}) is not None)
+        for vm in self.vms.values():
+            self.list_vm(vm)
+        for vm in self.vms.values():
+            self.start_vm(vm)
+        for vm in self.vms.values():
+            wait_for(lambda vm=vm: self.status(vm))
+        if self.text is not None:
+            self.apply(self.text, 0)
+            wait_for(lambda: all(self.version(vm) == 1 for vm in self.vms.values()))
+
+    def wait_ready(self):
+        """Wait until every slot of the text is free at its home."""
+        expected = sum(slots for _, _, slots in self.targets.values())
+        wait_for(lambda: self.free_slots() == expected)
+
+    def free_slots(self):
+        """Return the free slots over all VMs that answer."""
+        samples = (self.metrics(vm) or {} for vm in self.vms.values())
+        return sum(
+            value
+            for sample in samples
+            for name, value in sample.items()
+            if name.startswith("heathercleat_free_slots")
+        )
+
+    def stop(self):
+        """Kill every process that was started, and wait for it."""
+        for process in self._processes:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait(STOP_SECONDS)
+        self._folder.cleanup()
+
+    def start_vm(self, vm):
+        """Start the process of an entry VM."""
+        command = [*self._program, "serve", "--settings", vm.settings]
+        vm.process = self._popen(vm.name, command)
+
+    def list_vm(self, vm, leaving=False):
+        """Put a VM on the platform's list; ``leaving`` of ``None`` removes it."""
+        self.platform_call("POST", "/vm", [vm.name, vm.host, vm.domain, leaving])
+
+    def switch_platform(self, **switches):
+        """Set faults of the platform."""
+        self.platform_call("POST", "/switch", switches)
+
+    def switch_target(self, name, **switches):
+        """Set faults of a target."""
+        host, port, _ = self.targets[name]
+        call(host, port, "POST", "/switch", msgpack.packb(switches), MSGPACK)
+
+    def record(self, name):
+        """Return what a target ran."""
+        host, port, _ = self.targets[name]
+        return msgpack.unpackb(call(host, port, "GET", "/record")[2])
+
+    def runs(self):
+        """Return ``[method, path, key, digest]`` of every run at any target."""
+        return [run for name in self.targets for run in self.record(name)["runs"]]
+
+    def platform_call(self, method, path, body):
+        """Return the status of a call to the platform, or ``None``."""
+        try:
+            packed = msgpack.packb(body)
+            return call(*self.platform, method, path, packed, MSGPACK)[0]
+        except (OSError, HTTPException):
+            return None
+
+    def status(self, vm):
+        """Return the status of a VM, or ``None``."""
+        result = self.run("status", "--json", vm=vm, check=False)
+        if result.returncode:
+            return None
+        statuses = json.loads(result.stdout)["vms"]
+        return next(status for status in statuses if status["vm"] == vm.name)
+
+    def version(self, vm):
+        """Return the version in force at a VM, or ``None``."""
+        metrics = self.metrics(vm)
+        return None if metrics is None else int(metrics["heathercleat_version"])
+
+    def metrics(self, vm):
+        """Return ``{sample: value}`` of a VM's metrics, or ``None``."""
+        try:
+            _, _, body = call(vm.host, PORTS["operator"], "GET", "/metrics")
+        except (OSError, HTTPException):
+            return None
+        lines = (line for line in body.decode().splitlines() if line[0] != "#")
+        pairs = (line.rpartition(" ") for line in lines)
+        return {name: float(value) for name, _, value in pairs}
+
+    def apply(self, text, base, vm=None):
+        """Apply a text through a VM and return its version."""
+        path = self.folder / "text.jsonc"
+        path.write_text(json.dumps(text, indent=1))
+        result = self.run("apply", path, "--base", base, "--json", vm=vm)
+        return json.loads(result.stdout)["version"]
+
+    def run(self, *args, vm=None, check=True):
+        """Run a command of the command line against a VM."""
+        vm = vm or next(iter(self.vms.values()))
+        command = [*self._program, *map(str, args), "--settings", vm.settings]
+        result = subprocess.run(command, capture_output=True, text=True, env=_env())
+        if check and result.returncode:
+            raise RuntimeError(f"{args} failed: {result.stderr}{result.stdout}")
+        return result
+
+    def log(self, vm):
+        """Return the log lines of a VM as objects."""
+        lines = (self.folder / f"{vm.name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def _place_targets(self, text):
+        targets = {}
+        services = text["services"].values() if text else ()
+        for service in services:
+            for name, target in service["targets"].items():
+                number = len(targets)
+                host = f"127.{self._subnet}.{100 + number // 200}.{1 + number % 200}"
+                target["address"] = f"{host}:{TARGET_PORT}"
+                targets[name] = (host, TARGET_PORT, target["slots"])
+        return targets
+
+    def _place_vms(self, counts):
+        vms = {}
+        for index, (domain, count) in enumerate(counts.items(), start=1):
+            for number in range(1, count + 1):
+                name = f"{domain}-{number}"
+                host = f"127.{self._subnet}.{index}.{number}"
+                vms[name] = Vm(
+                    name, host, domain, self._write_settings(name, host, domain)
+                )
+        return vms
+
+    def _write_settings(self, name, host, domain):
+        settings = {
+            "vm": name,
+            "address": host,
+            "failure_domain": domain,
+            "platform": {"address": self.platform[0], "port": self.platform[1]},
+            "keys": [KEY],
+            "ports": PORTS,
+            **self._settings,
+        }
+        path = self.folder / f"{name}.jsonc"
+        path.write_text(json.dumps(settings, indent=1))
+        return str(path)
+
+    def _spawn(self, name, module_args):
+        self._popen(name, [sys.executable, "-m", *module_args])
+
+    def _popen(self, name, command):
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=_env()
+            )
+        self._processes.append(process)
+        return process
+
+
+def call(host, port, method, path, body=None, headers=None, timeout=10.0, source=None):
+    """Make one HTTP call and return ``(status, headers, body)``."""
+    address = (source, 0) if source else None
+    connection = HTTPConnection(host, port, timeout=timeout, source_address=address)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, dict(answer.getheaders()), answer.read()
+    finally:
+        connection.close()
+
+
+def wait_for(condition, seconds=START_SECONDS, interval=0.05):
+    """Wait until ``condition()`` is true and return its value.
+
+    :raises TimeoutError: when it is not true in time.
+    """
+    deadline = time.monotonic() + seconds
+    while not (value := condition()):
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"not true within {seconds} s")
+        time.sleep(interval)
+    return value
+
+
+def _env():
+    return {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build."""
