Prove slot limits and homes under kills, pauses and handovers

Not seen to fail in the process tests: taking out the pause check alone or the acknowledgement check alone; each covers for the other. Their unit tests in test_members.py are what holds them.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -q
+	$(BIN)/python -m pytest -q -n 4 --dist loadfile
 
 demo: $(STAMP)
 	$(BIN)/python -m standins.demo
--- a/src/heathercleat/cli/_client.py
+++ b/src/heathercleat/cli/_client.py
@@ -22,6 +22,8 @@
 
 KEY_VARIABLE = "HEATHERCLEAT_KEY"
 CALL_SECONDS = 20.0
+#: Seconds to wait for each further VM that one call leads to.
+FOLLOW_UP_SECONDS = 2.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
 
 
@@ -40,12 +42,14 @@
     :param host: its IP number.
     :param port: the operators' port.
     :param key: a shared key.
+    :param timeout: seconds that a call may take.
     """
 
-    def __init__(self, host, port, key):
+    def __init__(self, host, port, key, timeout=CALL_SECONDS):
         self._host = host
         self._port = port
         self._key = key
+        self._timeout = timeout
         self._clock = SystemClock()
 
     def get(self, path, **query):
@@ -59,7 +63,7 @@
 
     def at(self, host):
         """Return a client of another VM with the same key and port."""
-        return OperatorClient(host, self._port, self._key)
+        return OperatorClient(host, self._port, self._key, FOLLOW_UP_SECONDS)
 
     def _call(self, method, path, body=b""):
         token = operator_token(self._key, method, path, body, self._clock.wall())
@@ -81,7 +85,7 @@
         return result
 
     async def _exchange(self, message):
-        deadline = self._clock.now() + CALL_SECONDS
+        deadline = self._clock.now() + self._timeout
         stream = await connect(self._host, self._port, deadline, self._clock)
         try:
             exchanged = exchange(stream, message, MAX_ANSWER_BYTES)
--- a/src/heathercleat/connection/pool.py
+++ b/src/heathercleat/connection/pool.py
@@ -18,11 +18,13 @@
     """Connections by address; one is only kept when nothing on it is uncertain.
 
     :param source_ip: the local IP number to connect from.
+    :param fence: returns the :class:`Fence` in force.
     """
 
-    def __init__(self, clock, source_ip=None):
+    def __init__(self, clock, source_ip, fence):
         self._clock = clock
         self._source_ip = source_ip
+        self._fence = fence
         self._idle = {}
         self._open = {}
 
@@ -38,6 +40,7 @@
             that the other side is just closing.
         :raises OSError: when no connection can be made.
         """
+        await self._fence().pass_through(host)
         address = (host, port)
         idle = self._idle.setdefault(address, deque())
         await self._drop_old(address, idle)
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/peer_service.py
@@ -67,6 +67,8 @@
                 return
             await stream.send(Accepted())
             while (item := await stream.receive()) is not None:
+                if self._vm.fence.covers(address[0]):
+                    return
                 await stream.send(await self._answer(item, hello))
         except (OSError, ValueError, TypeError, TaskTimeout) as error:
             if not isinstance(error, OSError):
--- a/src/heathercleat/process/peers.py
+++ b/src/heathercleat/process/peers.py
@@ -75,6 +75,7 @@
             await stream.close()
 
     async def _call(self, item):
+        await self._vm.fence.pass_through(self._host)
         async with self._lock:
             done = False
             try:
--- a/src/heathercleat/process/platform.py
+++ b/src/heathercleat/process/platform.py
@@ -116,13 +116,15 @@
     :param port: TCP port.
     :param clock: source of instants.
     :param timeout: seconds that one call may take.
+    :param fence: returns the :class:`Fence` in force.
     """
 
-    def __init__(self, host, port, clock, timeout):
+    def __init__(self, host, port, clock, timeout, fence):
         self._host = host
         self._port = port
         self._clock = clock
         self._timeout = timeout
+        self._fence = fence
         self._lock = Lock()
         self._stream = None
 
@@ -184,6 +186,7 @@
         return answer
 
     async def _exchange(self, message):
+        await self._fence().pass_through(self._host)
         async with self._lock:
             stream, self._stream = self._stream, None
             if stream is not None and not stream.is_clean():
--- a/src/heathercleat/process/settings.py
+++ b/src/heathercleat/process/settings.py
@@ -48,6 +48,10 @@
             "properties": dict.fromkeys(DEFAULT_PORTS, _PORT),
         },
         "seeds": {"type": "array", "items": _IP},
+        "fenced": {
+            "type": "array",
+            "items": {"type": "string", "pattern": r"^\d{1,3}(\.\d{1,3}){3}/\d{1,2}$"},
+        },
         "lookup_ttl_ms": {"type": "integer", "minimum": 100, "maximum": 60_000},
         "ticket_ttl_s": {"type": "integer", "minimum": 1, "maximum": 3600},
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
@@ -85,6 +89,7 @@
     lookup_ttl: float
     ticket_ttl: float
     log_level: str
+    fenced: list
     path: str | None = None
 
 
@@ -125,6 +130,7 @@
         lookup_ttl=document.get("lookup_ttl_ms", DEFAULT_LOOKUP_TTL_MS) / 1000,
         ticket_ttl=document.get("ticket_ttl_s", DEFAULT_TICKET_TTL_S),
         log_level=document.get("log_level", "INFO"),
+        fenced=document.get("fenced", []),
     )
 
 
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -21,6 +21,7 @@
 from heathercleat.process.configuration import ConfigurationKeeper
 from heathercleat.process.directory import Directory
 from heathercleat.process.editing import Editor
+from heathercleat.process.fence import Fence
 from heathercleat.process.health import HealthBoard
 from heathercleat.process.homes import Homes
 from heathercleat.process.leases import LeaseGranter, LeaseHolder
@@ -65,12 +66,14 @@
         self._peer_bytes = 0
         self._token = ("", 0.0)
         self._leave_requested = False
+        self._fence = Fence(settings.fenced)
         self._draining_self = False
         self._platform = platform or HttpPlatform(
             settings.platform_host,
             settings.platform_port,
             self._clock,
             settings.platform_timeout,
+            self._get_fence,
         )
         # Claims wait for nobody else's calls: they have a connection of their own.
         self._claims_platform = platform or HttpPlatform(
@@ -78,6 +81,7 @@
             settings.platform_port,
             self._clock,
             settings.platform_timeout,
+            self._get_fence,
         )
         self._build()
 
@@ -87,7 +91,7 @@
         self.directory = Directory()
         self.ledger = SlotLedger(clock)
         self.once = OnceLedger(clock)
-        self.pool = Pool(clock, self._settings.address)
+        self.pool = Pool(clock, self._settings.address, self._get_fence)
         self.membership = Membership(self, self.links, clock)
         self.configuration = ConfigurationKeeper(
             self, self._platform, self.links, self.membership, self.directory, clock
@@ -157,6 +161,11 @@
         """Return the :class:`BlockTable` in force here."""
         return self._blocks
 
+    @property
+    def fence(self):
+        """Return the :class:`Fence` in force."""
+        return self._fence
+
     @property
     def leaving(self):
         """Return whether this VM takes no new callers."""
@@ -177,6 +186,9 @@
         """Return the log lines dropped because their reader fell behind."""
         return self._log_writer.dropped if self._log_writer else 0
 
+    def _get_fence(self):
+        return self._fence
+
     def renew_incarnation(self):
         """Take a new incarnation after a pause or an accusation."""
         wall = int(self._clock.wall() * MILLISECONDS)
@@ -362,12 +374,14 @@
         if path is None:
             return
         try:
-            self._settings.keys = load_settings(path).keys
+            settings = load_settings(path)
         except Exception as error:  # noqa: BLE001
             self._journal.write(
                 Event.TASK_FAILED, task="reload settings", reason=repr(error)
             )
             return
+        self._settings.keys = settings.keys
+        self._fence = Fence(settings.fenced)
         self._token = ("", 0.0)
         self._journal.write(Event.SETTINGS_RELOADED, keys=len(self._settings.keys))
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,12 +17,17 @@
 
 import msgpack
 
+from heathercleat.connection.operator import operator_token
+
 KEY = "a-shared-key-for-tests"
 PORTS = {"caller": 8080, "forward": 8081, "peer": 8082, "operator": 8083}
 PLATFORM = ("127.10.200.1", 7000)
 TARGET_PORT = 9000
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
+#: Added to every subnet, so that two runs on one machine keep apart.
+SUBNET_VARIABLE = "FLEET_SUBNET_OFFSET"
+ROOT = Path(__file__).parent.parent
 MSGPACK = {"content-type": "application/msgpack"}
 
 
@@ -49,7 +54,7 @@
     def __init__(self, text, vms, program=None, subnet=10, settings=None):
         self._folder = tempfile.TemporaryDirectory(prefix="heathercleat-")
         self._program = program or [sys.executable, "-m", "heathercleat"]
-        self._subnet = subnet
+        self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._settings = settings or {}
         self._processes = []
         self.platform = (f"127.{subnet}.200.1", PLATFORM[1])
@@ -129,6 +134,32 @@
         command = [*self._program, "serve", "--settings", vm.settings]
         vm.process = self._popen(vm.name, command)
 
+    def cut(self, domain, others):
+        """Cut the VMs of a failure domain off from others, and the others from it.
+
+        :param others: failure domains, or ``platform``.
+        """
+        for vm in self.vms.values():
+            if vm.domain == domain:
+                self._fence(vm, others)
+            elif vm.domain in others:
+                self._fence(vm, [domain])
+
+    def mend(self):
+        """Undo every cut."""
+        for vm in self.vms.values():
+            self._fence(vm, [])
+
+    def _fence(self, vm, places):
+        hosts = [other.host for other in self.vms.values() if other.domain in places]
+        if "platform" in places:
+            hosts.append(self.platform[0])
+        path = Path(vm.settings)
+        settings = json.loads(path.read_text())
+        settings["fenced"] = [f"{host}/32" for host in hosts]
+        path.write_text(json.dumps(settings, indent=1))
+        vm.process.send_signal(signal.SIGHUP)
+
     def list_vm(self, vm, leaving=False):
         """Put a VM on the platform's list; ``leaving`` of ``None`` removes it."""
         self.platform_call("POST", "/vm", [vm.name, vm.host, vm.domain, leaving])
@@ -161,11 +192,14 @@
 
     def status(self, vm):
         """Return the status of a VM, or ``None``."""
-        result = self.run("status", "--json", vm=vm, check=False)
-        if result.returncode:
+        path = "/v1/status"
+        token = operator_token(KEY, "GET", path, b"", time.time())
+        headers = {"authorization": token}
+        try:
+            _, _, body = call(vm.host, PORTS["operator"], "GET", path, None, headers)
+        except (OSError, HTTPException):
             return None
-        statuses = json.loads(result.stdout)["vms"]
-        return next(status for status in statuses if status["vm"] == vm.name)
+        return json.loads(body)
 
     def version(self, vm):
         """Return the version in force at a VM, or ``None``."""
@@ -277,4 +311,5 @@
 
 
 def _env():
-    return {**os.environ, "PYTHONDONTWRITEBYTECODE": "1"}
+    path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+    return {**os.environ, "PYTHONPATH": path, "PYTHONDONTWRITEBYTECODE": "1"}
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,135 @@
+"""Small fakes at the interfaces."""
+
+from heathercleat.errors import PeerError, PlatformError
+from heathercleat.process.platform import ABSENT, Commit, Row
+from heathercleat.process.settings import parse_settings
+
+SETTINGS = """{
+  "vm": "north-a-1", "address": "127.0.0.1", "failure_domain": "north-a",
+  "platform": {"address": "127.0.0.9", "port": 7000},
+  "keys": ["a-shared-key-for-tests"],
+}"""
+
+
+class ManualClock:
+    """A clock that tests move by hand."""
+
+    def __init__(self):
+        self.time = 100.0
+
+    def now(self):
+        return self.time
+
+    def wall(self):
+        return self.time
+
+
+class FakePlatform:
+    """A table in memory whose next writes can fail before or after their effect."""
+
+    def __init__(self):
+        self.rows = {}
+        self.objects = {}
+        self.fail_before = 0
+        self.fail_after = 0
+        self.down = False
+        self.transactions = 0
+
+    async def transact(self, conditions, writes):
+        self.transactions += 1
+        if self.down or self._take("fail_before"):
+            raise PlatformError("no effect")
+        conflicts = tuple(
+            each.key for each in conditions if self._version(each.key) != each.version
+        )
+        if not conflicts:
+            for write in writes:
+                version = self._version(write.key) + 1
+                self.rows[write.key] = Row(write.key, write.value, version)
+        if self._take("fail_after"):
+            raise PlatformError("the reply was lost")
+        return Commit(conflicts)
+
+    async def read(self, key):
+        if self.down:
+            raise PlatformError("down")
+        return self.rows.get(key)
+
+    async def read_range(self, prefix):
+        return [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
+
+    async def put_object(self, key, data):
+        if self.down:
+            raise PlatformError("down")
+        self.objects[key] = data
+
+    async def get_object(self, key):
+        return self.objects.get(key)
+
+    async def list_vms(self, since):
+        return None
+
+    def _version(self, key):
+        return self.rows[key].version if key in self.rows else ABSENT
+
+    def _take(self, name):
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return left > 0
+
+
+class FakeLink:
+    refused = False
+    reachable = True
+
+
+class FakeLinks:
+    """Calls to peers answered by a function, or by nobody."""
+
+    def __init__(self, answer=None):
+        self._answer = answer
+        self.calls = []
+
+    def to(self, host):
+        return FakeLink()
+
+    async def call(self, host, item, timeout=None):
+        self.calls.append((host, item))
+        answer = self._answer(host, item) if self._answer else None
+        if answer is None:
+            raise PeerError(f"{host} does not answer")
+        return answer
+
+
+class FakeJournal:
+    """Keeps the events that were logged."""
+
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, **inputs):
+        self.events.append((event, inputs))
+
+
+class FakeVm:
+    """The identity of a VM, for parts that are tested alone."""
+
+    def __init__(self):
+        self.settings = parse_settings(SETTINGS)
+        self.name = self.settings.vm
+        self.incarnation = 1
+        self.version = 0
+        self.vm_serial = 0
+        self.text = None
+        self.journal = FakeJournal()
+        self.changes = []
+
+    def renew_incarnation(self):
+        self.incarnation += 1
+
+    def configuration_changed(self, text):
+        self.changes.append(text)
+
+    async def hint(self, host, version, vm_serial):
+        return None
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,77 @@
+import os
+import threading
+import time
+from hashlib import sha256
+
+import pytest
+
+from standins.demo import demo_text
+from standins.fleet import PORTS, Fleet, call, wait_for
+from standins.load import Load
+
+PARTS = 20
+PART = os.urandom(20_000)
+
+
+@pytest.fixture
+def fleet():
+    vms = {"north-a": 2, "north-b": 2}
+    with Fleet(demo_text(), vms, subnet=22) as running:
+        running.wait_ready()
+        yield running
+
+
+def slow_upload(host, results):
+    def parts():
+        for _ in range(PARTS):
+            time.sleep(0.15)
+            yield PART
+
+    results.append(
+        call(host, PORTS["caller"], "PUT", "/s/intake/uploads/slow", parts())
+    )
+
+
+def test_every_vm_stopped_one_after_another_loses_nothing(fleet):
+    hosts = [vm.host for vm in fleet.vms.values()]
+    with Load(hosts, "style-lookup", rate=60) as load:
+        time.sleep(0.5)
+        for vm in fleet.vms.values():
+            vm.process.terminate()
+            assert vm.process.wait(timeout=15) == 0
+            fleet.start_vm(vm)
+            wait_for(lambda vm=vm: fleet.version(vm) == 1)
+            time.sleep(1.0)
+    assert set(load.count()) == {200}
+
+
+def test_planned_stop_does_not_cut_an_upload(fleet):
+    vm = fleet.vms["north-a-1"]
+    results = []
+    thread = threading.Thread(target=slow_upload, args=(vm.host, results))
+    thread.start()
+    time.sleep(0.5)
+    vm.process.terminate()
+    thread.join()
+    assert vm.process.wait(timeout=15) == 0
+    status, _, body = results[0]
+    assert status == 200
+    assert body.decode().split()[-1] == sha256(PART * PARTS).hexdigest()
+
+
+def test_stopping_vm_is_not_named_in_look_ups(fleet):
+    leaving, other = fleet.vms["north-a-1"], fleet.vms["north-a-2"]
+    leaving.process.terminate()
+
+    def named():
+        path = "/lookup?service=style-lookup"
+        _, _, body = call(other.host, PORTS["caller"], "GET", path)
+        return leaving.host.encode() in body
+
+    wait_for(lambda: not named(), seconds=2.0)
+
+
+def test_vm_announced_as_leaving_by_the_list_leaves_by_itself(fleet):
+    vm = fleet.vms["north-a-1"]
+    fleet.list_vm(vm, leaving=True)
+    assert vm.process.wait(timeout=20) == 0
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,141 @@
+import pytest
+from curio import run
+
+from heathercleat.connection.messages import Heartbeat, HeartbeatAck, MemberRecord
+from heathercleat.process.members import DEAD_AFTER, LEASE, SETTLE, Membership
+from tests.fakes import FakeLinks, FakeVm, ManualClock
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def vm():
+    return FakeVm()
+
+
+def acknowledge(host, item):
+    if isinstance(item, Heartbeat):
+        return HeartbeatAck(item.sequence, False, 0, 0, 0)
+    return None
+
+
+def make_membership(vm, clock, answer=acknowledge):
+    membership = Membership(vm, FakeLinks(answer), clock)
+    clock.time += SETTLE
+    tick(membership)
+    return membership
+
+
+def tick(membership):
+    membership._check_pause()
+
+
+def record(vm="north-a-2", incarnation=1, state="live"):
+    return MemberRecord(vm, "127.0.0.2", "north-a", incarnation, state)
+
+
+def heartbeat(vm="north-a-2", incarnation=1):
+    return Heartbeat(vm, incarnation, 1, 0, 0, 0)
+
+
+def acknowledged(membership):
+    run(membership._send_heartbeat, "north-a-2", "127.0.0.2")
+
+
+def test_vm_alone_may_act_once_it_has_settled(vm, clock):
+    membership = Membership(vm, FakeLinks(), clock)
+    assert not membership.may_act()
+    clock.time += SETTLE
+    tick(membership)
+    assert membership.may_act()
+
+
+def test_right_to_act_lapses_without_acknowledgements(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record())
+    acknowledged(membership)
+    assert membership.may_act()
+    for _ in range(5):
+        clock.time += LEASE / 4
+        tick(membership)
+    assert not membership.may_act()
+
+
+def test_paused_vm_may_not_act_before_it_has_looked_around(vm, clock):
+    membership = make_membership(vm, clock)
+    dropped = []
+    membership.on_presumed_dead(lambda: dropped.append(True))
+    clock.time += DEAD_AFTER
+    assert not membership.may_act()
+    tick(membership)
+    assert dropped
+    assert vm.incarnation == 2
+    assert not membership.may_act()
+
+
+def test_lease_lapses_before_a_monitor_presumes_death():
+    assert LEASE < DEAD_AFTER
+
+
+def test_silent_member_is_presumed_dead_only_by_its_monitor_and_in_time(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record())
+
+    def judge_after(seconds):
+        clock.time += seconds
+        tick(membership)
+        run(membership._judge)
+        return membership.live()
+
+    assert "north-a-2" in judge_after(0.7)
+    assert "north-a-2" in judge_after(0.7)
+    assert "north-a-2" not in judge_after(0.2)
+
+
+def test_pause_of_the_monitor_starts_its_observation_again(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record())
+    clock.time += 10
+    tick(membership)
+    clock.time += SETTLE
+    tick(membership)
+    run(membership._judge)
+    assert "north-a-2" in membership.live()
+
+
+def test_record_that_presumes_this_vm_dead_is_refuted(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record(vm="north-a-1", incarnation=1, state="dead"))
+    assert vm.incarnation == 2
+    assert "north-a-1" in membership.live()
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "state", "live"),
+    [(1, "live", False), (0, "live", False), (2, "live", True), (1, "leaving", False)],
+)
+def test_only_a_later_incarnation_returns_from_death(
+    vm, clock, incarnation, state, live
+):
+    membership = make_membership(vm, clock)
+    membership.record(record(state="dead"))
+    membership.record(record(incarnation=incarnation, state=state))
+    assert ("north-a-2" in membership.live()) is live
+
+
+def test_heartbeat_of_a_dead_incarnation_is_accused(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record(state="dead"))
+    assert membership.heard(heartbeat()) is True
+    assert membership.heard(heartbeat(incarnation=2)) is False
+    assert "north-a-2" in membership.live()
+
+
+def test_heartbeats_go_to_at_most_three_monitors(vm, clock):
+    membership = make_membership(vm, clock)
+    for number in range(2, 165):
+        membership.record(record(vm=f"north-a-{number}"))
+    assert len(membership._monitors()) == 3
--- /dev/null
+++ b/tests/test_slots.py
@@ -0,0 +1,168 @@
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from heathercleat.process.slots import CANCEL_GRACE, Hold, ShiftWindow, SlotLedger
+from heathercleat.version.text import ShiftCap, Target
+from tests.fakes import ManualClock
+
+LIMIT = 4
+CAP = 2
+WINDOW = 10.0
+HOME = "north-a"
+DOMAINS = (HOME, "north-b", "south-a")
+
+
+def make_target(slots=LIMIT, cap=CAP):
+    return Target(
+        name="t",
+        service="s",
+        host="127.0.0.1",
+        port=1,
+        failure_domain=HOME,
+        slots=slots,
+        connections=400,
+        region_share=slots,
+        shift_cap=ShiftCap(cap, WINDOW) if cap is not None else None,
+    )
+
+
+class SlotsMachine(RuleBasedStateMachine):
+    """Drives a ledger the way its own VM, lease holders and time do.
+
+    ``running`` counts what the target really carries: a cancelled request keeps its
+    slot for up to ``CANCEL_GRACE`` seconds.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.ledger = SlotLedger(self.clock)
+        self.entry = self.ledger.adopt(make_target(), [Hold(self.clock.time + 5.0)])
+        self.uses = []
+        self.leases = []
+        self.lingering = [self.clock.time + 5.0]
+        self.foreign_levels = [(self.clock.time, 0)]
+
+    @rule()
+    def take(self):
+        use = self.ledger.take(self.entry, self.clock.time + 30)
+        if use is not None:
+            self.uses.append(use)
+
+    @rule(
+        domain=st.sampled_from(DOMAINS),
+        want=st.integers(1, LIMIT),
+        life=st.floats(0.1, 3),
+    )
+    def grant(self, domain, want, life):
+        expires_at = self.clock.time + life
+        lease = self.ledger.grant(self.entry, "vm", domain, want, expires_at)
+        if lease is not None:
+            self.leases.append(lease)
+        self.note_foreign()
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data())
+    def enter(self, data):
+        lease = data.draw(st.sampled_from(self.leases))
+        use = self.ledger.enter(lease.id, self.clock.time + 30)
+        if use is not None:
+            self.uses.append(use)
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data(), life=st.floats(0.1, 3))
+    def renew(self, data, life):
+        lease = data.draw(st.sampled_from(self.leases))
+        self.ledger.renew(lease.id, self.clock.time + life)
+        self.note_foreign()
+
+    @precondition(lambda self: self.leases)
+    @rule(data=st.data())
+    def give_back(self, data):
+        lease = data.draw(st.sampled_from(self.leases))
+        self.leases.remove(lease)
+        self.ledger.give_back(lease.id)
+        self.note_foreign()
+
+    @precondition(lambda self: self.uses)
+    @rule(data=st.data(), certain=st.booleans())
+    def release(self, data, certain):
+        use = data.draw(st.sampled_from(self.uses))
+        self.uses.remove(use)
+        self.ledger.release(use, certain)
+        self.note_foreign()
+        if not certain:
+            self.lingering.append(self.clock.time + CANCEL_GRACE)
+
+    @rule(seconds=st.floats(0.01, 4))
+    def wait(self, seconds):
+        self.clock.time += seconds
+        self.note_foreign()
+
+    @rule()
+    def hand_over_and_adopt(self):
+        """The home moves to another VM, which knows only what it is told."""
+        uses = self.ledger.hand_over("t", "other")
+        holds = [Hold(until, use_id) for use_id, until in uses]
+        self.entry = self.ledger.adopt(make_target(), holds)
+        self.leases = []
+        self.foreign_levels = [(self.clock.time, 0)]
+
+    def note_foreign(self):
+        level = self.entry.foreign(self.clock.time)
+        self.foreign_levels.append((self.clock.time, level))
+
+    @invariant()
+    def target_is_never_pushed_past_its_slots(self):
+        self.lingering = [at for at in self.lingering if at > self.clock.time]
+        assert len(self.uses) + len(self.lingering) <= LIMIT
+
+    @invariant()
+    def spill_never_rises_by_more_than_the_cap_within_a_window(self):
+        now, level = self.foreign_levels[-1]
+        recent = [each for at, each in self.foreign_levels if at >= now - WINDOW]
+        assert level - min(recent) <= CAP
+
+
+TestSlots = SlotsMachine.TestCase
+TestSlots.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def test_shift_window_lets_the_level_rise_again_after_the_window():
+    window = ShiftWindow(cap=2, window=10.0)
+    assert window.room(0, now=0.0) == 2
+    window.record(2, now=0.0)
+    assert window.room(2, now=9.9) == 0
+    assert window.room(2, now=10.1) == 2
+
+
+def test_link_limit_holds_for_its_failure_domain_only():
+    ledger = SlotLedger(ManualClock())
+    entry = ledger.adopt(make_target(cap=None), [], {"south-a": 1})
+    assert entry.grantable("south-a", 100.0) == 1
+    assert entry.grantable("north-b", 100.0) == LIMIT
+
+
+def test_warm_up_raises_the_limit_from_one_slot():
+    clock = ManualClock()
+    entry = SlotLedger(clock).adopt(make_target(), [])
+    entry.start_warm_up(clock.time, 4.0)
+    limits = [entry.limit(clock.time + seconds) for seconds in (0, 1, 2, 3, 4)]
+    assert limits == [1, 1, 2, 3, 4]
+
+
+def test_blocked_target_honours_no_lease():
+    clock = ManualClock()
+    ledger = SlotLedger(clock)
+    entry = ledger.adopt(make_target(), [])
+    lease = ledger.grant(entry, "vm", HOME, 2, clock.time + 1)
+    entry.blocked = "drain d1"
+    assert ledger.enter(lease.id, clock.time + 1) is None
+    assert ledger.renew(lease.id, clock.time + 9) is None
