Bound the queue's delay, cancel for callers that leave, prove whole answers

Cause 1: at 3 times the capacity p50 of the served requests was 0.491 s, all of it queue, goodput 104 of 120/s, and refusals came after the whole queue time. Change: a queue that has not been empty for its whole time lets requests wait 1.5 holding times (controlled delay), and a request whose turn would come later than that is refused at once.

Cause 2: a caller that left while its answer's head was awaited was not noticed; the target worked on to the end. The watch now starts when the request has been sent (test_caller_that_leaves_cancels_its_request, first red).

--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -107,9 +107,18 @@
         except BlockingIOError:
             return True
         except OSError:
-            return False
+            pass
         return False
 
+    def is_closed(self):
+        """Return whether the other side has closed, as far as the kernel knows."""
+        try:
+            return not self._sock._socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def abort(self):
         """Shut the connection down at once, also for a task that waits on it."""
         try:
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -19,6 +19,8 @@
 #: Weight of the newest observation in the mean time that a request holds a slot.
 HOLD_WEIGHT = 0.1
 FIRST_HOLD = 0.02
+#: Holding times that a request may wait in a queue that does not empty.
+STANDING_HOLDS = 1.5
 PUMP_INTERVAL = 0.02
 #: Shortest mean time after which a refused caller is asked to come back, in seconds.
 MIN_RETURN = 1.0
@@ -63,6 +65,7 @@
     def __init__(self):
         self._waiters = []
         self._mean_hold = FIRST_HOLD
+        self._empty_at = 0.0
 
     @property
     def waiters(self):
@@ -78,6 +81,19 @@
         """Note how long a request held its slot."""
         self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
 
+    def longest_wait(self, service, now):
+        """Return how long a request may wait here, in seconds.
+
+        A queue that empties now and then absorbs a burst, and may take its whole time.
+        One that has not been empty for a while only adds delay, so its requests wait
+        hardly longer than one takes (controlled delay: Nichols and Jacobson, 2012).
+        """
+        if not self._waiters:
+            self._empty_at = now
+        if now - self._empty_at <= service.queue_wait:
+            return service.queue_wait
+        return min(service.queue_wait, STANDING_HOLDS * self._mean_hold)
+
     def push(self, waiter):
         """Queue a waiter by its deadline."""
         self._waiters.append(waiter)
@@ -182,16 +198,28 @@
 
     def expected_wait(self, service):
         """Return the seconds that a request arriving now would wait here."""
+        return self._wait_with(service, self._local_slots(service))
+
+    def _drain_time(self, service):
+        """Return the seconds until a new last waiter has its turn, leases included."""
+        leased = sum(lease.slots for lease in self._holder.held(service.name))
+        return self._wait_with(service, self._local_slots(service) + leased)
+
+    def _local_slots(self, service):
+        if not self._membership.may_act():
+            return 0
         now = self._clock.now()
-        limit = sum(
+        return sum(
             entry.limit(now)
             for entry in self._ledger.of_service(service.name)
             if not entry.blocked
         )
-        if not limit or not self._membership.may_act():
-            return float("inf")
+
+    def _wait_with(self, service, slots):
         queue = self._queue(service.name)
-        return (len(queue.waiters) + 1) * queue.mean_hold / limit
+        if not slots:
+            return float("inf")
+        return (len(queue.waiters) + 1) * queue.mean_hold / slots
 
     def _try(self, request, avoid, patience):
         permit = self._try_local(request, avoid)
@@ -217,6 +245,9 @@
 
     async def _wait(self, queue, request, avoid):
         waiter = Waiter(request, avoid, self._clock.now())
+        longest = queue.longest_wait(request.service, waiter.since)
+        if queue.waiters and self._drain_time(request.service) > longest:
+            raise self._refusal(request, "wait too long")
         await self._make_place(queue, waiter)
         self._vm.journal.write(
             Event.ROUTE_QUEUED,
@@ -225,7 +256,7 @@
             queue=len(queue.waiters),
             expected_wait=self._round(self.expected_wait(request.service)),
         )
-        limit = min(request.deadline, waiter.since + request.service.queue_wait)
+        limit = min(request.deadline, waiter.since + longest)
         try:
             await self._seek(queue, waiter)
             await timeout_after(limit - waiter.since, waiter.signal.wait)
--- a/src/heathercleat/request/attempt.py
+++ b/src/heathercleat/request/attempt.py
@@ -96,17 +96,26 @@
         """Return the connection to the upstream."""
         return self._stream
 
-    async def start(self, fresh=False):
-        """Send the request and read the head of the answer.
+    async def send(self, fresh=False):
+        """Send the whole request.
 
         :param fresh: use a new connection.
-        :raises AttemptFailedError: when there is no usable answer.
+        :raises AttemptFailedError: when it could not be sent.
         :raises CallerLeftError: when the caller left while its body was sent on.
         """
         await self._connect(fresh)
         try:
             await self._send()
-            self._response = await self._read_head()
+        except (OSError, EOFError) as error:
+            raise self._failed(ResultCode.ANSWER_LOST, "lost", error) from None
+
+    async def read_head(self):
+        """Read the head of the answer.
+
+        :raises AttemptFailedError: when there is no usable answer.
+        """
+        try:
+            self._response = await self._read_response()
             self._headers = list(self._response.headers)
         except h11.ProtocolError as error:
             raise self._failed(ResultCode.BAD_ANSWER, "bad answer", error) from None
@@ -241,7 +250,7 @@
             return False
         return True
 
-    async def _read_head(self):
+    async def _read_response(self):
         event = await self._stream.next_event()
         while isinstance(event, h11.InformationalResponse):
             event = await self._stream.next_event()
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -123,8 +123,26 @@
 
 
 async def _exchange(vm, call, permit, attempt, deliver):
-    fresh = call.kind.semantics is Semantics.AT_MOST_ONCE
-    await attempt.start(fresh)
+    once = call.kind.semantics is Semantics.AT_MOST_ONCE
+    if not once and call.stream.request_complete and call.stream.is_closed():
+        raise CallerLeftError
+    await attempt.send(fresh=once)
+    if once and call.lease is None:
+        # The run goes on without its caller, who gets the outcome with a repeat.
+        return await _receive(vm, call, permit, attempt, deliver)
+    watcher = await spawn(_watch_caller, call, attempt)
+    try:
+        return await _receive(vm, call, permit, attempt, deliver)
+    except AttemptFailedError:
+        if watcher.terminated and watcher.result:
+            raise CallerLeftError from None
+        raise
+    finally:
+        await watcher.cancel()
+
+
+async def _receive(vm, call, permit, attempt, deliver):
+    await attempt.read_head()
     _check_status(vm, call, permit, attempt.response)
     return await deliver(attempt, _target_name(permit))
 
@@ -194,22 +212,12 @@
 
 async def _stream_answer(call, attempt, target, extra_headers):
     """Send an answer on as it arrives; cancel the request if the caller leaves."""
-    watcher = await spawn(_watch_caller, call, attempt)
-    try:
-        headers = list(end_to_end(attempt.headers))
-        headers.append((SERVED_BY, target))
-        headers.append((REQUEST_ID, call.id))
-        headers.extend(extra_headers.items())
-        response = h11.Response(
-            status_code=attempt.response.status_code, headers=headers
-        )
-        await _send_answer(call, attempt, response)
-    except AttemptFailedError:
-        if watcher.terminated and watcher.result:
-            raise CallerLeftError from None
-        raise
-    finally:
-        await watcher.cancel()
+    headers = list(end_to_end(attempt.headers))
+    headers.append((SERVED_BY, target))
+    headers.append((REQUEST_ID, call.id))
+    headers.extend(extra_headers.items())
+    response = h11.Response(status_code=attempt.response.status_code, headers=headers)
+    await _send_answer(call, attempt, response)
 
 
 async def _send_answer(call, attempt, response):
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,204 @@
+import pytest
+from curio import run, sleep, spawn
+
+from heathercleat import HeathercleatError, ResultCode, parse_text
+from heathercleat.process.admission import STANDING_HOLDS, Admission, ServiceQueue
+from heathercleat.process.budget import RetryBudget
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.health import MAX_FAILURES, HealthBoard
+from heathercleat.process.leases import LeaseHolder
+from heathercleat.process.slots import SlotLedger
+from heathercleat.request.call import Call
+from tests.fakes import FakeLinks, FakeVm, ManualClock
+from tests.test_text import make_text
+
+
+class FakeMembership:
+    acts = True
+
+    def may_act(self):
+        return self.acts
+
+
+class FakeDirectory:
+    def homes_in(self, domain, targets):
+        return []
+
+
+def make_parts(clock=None, **service):
+    clock = clock or SystemClock()
+    vm = FakeVm()
+    vm.text = parse_text(to_source(make_text(**service)))
+    vm.local_homes = lambda service: []
+    ledger = SlotLedger(clock)
+    holder = LeaseHolder(vm, FakeLinks(), FakeDirectory(), clock)
+    health = HealthBoard(vm, ledger, clock)
+    admission = Admission(vm, ledger, holder, FakeMembership(), health, clock)
+    target = vm.text.services["lookup"].targets["t2"]
+    ledger.adopt(target, [])
+    return vm, ledger, health, admission
+
+
+def to_source(document):
+    import json
+
+    return json.dumps(document)
+
+
+def make_call(vm, seconds=5.0, weight=None):
+    service = vm.text.services["lookup"]
+    now = SystemClock().now()
+    return Call(
+        id="c",
+        service=service,
+        kind=service.kinds[0],
+        method="GET",
+        path="/",
+        headers=[],
+        deadline=now + seconds,
+        wall_deadline=0.0,
+        stream=None,
+        received_at=now,
+    )
+
+
+def code_of(caught):
+    return caught.value.code
+
+
+def test_requests_beyond_the_slots_wait_and_get_them_in_turn():
+    vm, _, _, admission = make_parts()
+
+    async def act():
+        permits = [await admission.acquire(make_call(vm)) for _ in range(2)]
+        waiting = await spawn(admission.acquire, make_call(vm))
+        await sleep(0.01)
+        assert admission.waiting("lookup") == 1
+        await admission.release(make_call(vm), permits[0], True)
+        return await waiting.join()
+
+    assert run(act).target.name == "t2"
+
+
+def test_earliest_deadline_goes_first():
+    vm, _, _, admission = make_parts()
+    order = []
+
+    async def wait(name, seconds):
+        await admission.acquire(make_call(vm, seconds))
+        order.append(name)
+
+    async def act():
+        permits = [await admission.acquire(make_call(vm)) for _ in range(2)]
+        late = await spawn(wait, "late", 5.0)
+        early = await spawn(wait, "early", 1.0)
+        await sleep(0.01)
+        for permit in permits:
+            await admission.release(make_call(vm), permit, True)
+        await late.join()
+        await early.join()
+
+    run(act)
+    assert order == ["early", "late"]
+
+
+def test_refusal_comes_at_once_with_an_instant_to_return_at():
+    vm, _, _, admission = make_parts(queue={"limit": 0, "wait_ms": 400})
+
+    async def act():
+        for _ in range(2):
+            await admission.acquire(make_call(vm))
+        started = SystemClock().now()
+        with pytest.raises(HeathercleatError) as caught:
+            await admission.acquire(make_call(vm))
+        assert SystemClock().now() - started < 0.2
+        return caught
+
+    caught = run(act)
+    assert code_of(caught) is ResultCode.NO_ROOM
+    assert caught.value.retry_at > SystemClock().wall()
+
+
+def test_returns_of_refused_callers_are_spread():
+    vm, _, _, admission = make_parts(queue={"limit": 0, "wait_ms": 400})
+
+    async def act():
+        for _ in range(2):
+            await admission.acquire(make_call(vm))
+        instants = []
+        for _ in range(50):
+            with pytest.raises(HeathercleatError) as caught:
+                await admission.acquire(make_call(vm))
+            instants.append(caught.value.retry_at)
+        return instants
+
+    instants = run(act)
+    assert max(instants) - min(instants) > 0.5
+
+
+def test_vm_that_may_not_act_admits_nothing_locally():
+    vm, ledger, _, admission = make_parts(queue={"limit": 0, "wait_ms": 400})
+    FakeMembership.acts = False
+    try:
+        with pytest.raises(HeathercleatError) as caught:
+            run(admission.acquire, make_call(vm))
+    finally:
+        FakeMembership.acts = True
+    assert code_of(caught) is ResultCode.NO_ROOM
+
+
+def test_cancelled_waiter_leaves_no_slot_behind():
+    vm, ledger, _, admission = make_parts()
+
+    async def act():
+        permits = [await admission.acquire(make_call(vm)) for _ in range(2)]
+        waiting = await spawn(admission.acquire, make_call(vm))
+        await sleep(0.01)
+        await waiting.cancel()
+        for permit in permits:
+            await admission.release(make_call(vm), permit, True)
+
+    run(act)
+    assert ledger.targets["t2"].free(SystemClock().now()) == 2
+
+
+def test_standing_queue_shortens_the_wait():
+    service = parse_text(to_source(make_text())).services["lookup"]
+    queue = ServiceQueue()
+    assert queue.longest_wait(service, now=100.0) == service.queue_wait
+    queue.push(type("Waiting", (), {"request": type("R", (), {"deadline": 1.0})})())
+    assert queue.longest_wait(service, now=100.1) == service.queue_wait
+    shorter = queue.longest_wait(service, now=101.0)
+    assert shorter == pytest.approx(STANDING_HOLDS * queue.mean_hold)
+
+
+def test_failing_target_is_ejected_and_returns_with_one_slot():
+    clock = ManualClock()
+    vm, ledger, health, _ = make_parts(clock, warm_up_s=4)
+    target = ledger.targets["t2"].target
+    for _ in range(MAX_FAILURES):
+        health.failed(target, "lost")
+    assert ledger.targets["t2"].blocked == "ejected"
+    clock.time += 2.0
+    health.check(clock.time)
+    assert ledger.targets["t2"].blocked is None
+    assert ledger.targets["t2"].limit(clock.time) == 1
+
+
+def test_probe_that_says_ready_does_not_end_an_ejection():
+    clock = ManualClock()
+    vm, ledger, health, _ = make_parts(clock)
+    for _ in range(MAX_FAILURES):
+        health.failed(ledger.targets["t2"].target, "lost")
+    health.of("t2").probe_state = "ready"
+    health.check(clock.time + 0.1)
+    assert ledger.targets["t2"].blocked == "ejected"
+
+
+def test_retries_are_a_share_of_the_requests():
+    budget = RetryBudget()
+    allowed = 0
+    for _ in range(1000):
+        budget.earn()
+        allowed += budget.spend()
+    assert 100 <= allowed <= 111
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,163 @@
+import socket
+import threading
+import time
+from contextlib import contextmanager
+
+import pytest
+
+from heathercleat.process.health import MAX_FAILURES
+from standins.demo import demo_text
+from standins.fleet import PORTS, Fleet, call, wait_for
+
+SERVICE = "style-lookup"
+TARGETS = [f"style-{domain}" for domain in ("north-a", "north-b", "south-a", "south-b")]
+
+
+@pytest.fixture
+def fleet():
+    vms = {"north-a": 1, "north-b": 1}
+    with Fleet(demo_text(), vms, subnet=26) as running:
+        running.wait_ready()
+        yield running
+
+
+@pytest.fixture
+def vm(fleet):
+    return fleet.vms["north-a-1"]
+
+
+def get(vm, path="/x", **headers):
+    place = vm.host, PORTS["caller"]
+    return call(*place, "GET", f"/s/{SERVICE}{path}", headers=headers)
+
+
+@contextmanager
+def raw_target(answer, host):
+    """Serve ``answer`` (bytes) to every connection on ``host``."""
+    listener = socket.create_server((host, 9000))
+    listener.settimeout(0.1)
+    stopping = threading.Event()
+
+    def serve():
+        while not stopping.is_set():
+            try:
+                sock, _ = listener.accept()
+            except TimeoutError:
+                continue
+            with sock:
+                sock.recv(65536)
+                sock.sendall(answer)
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+        thread.join()
+        listener.close()
+
+
+def text_with_raw_target():
+    text = demo_text()
+    targets = {"raw": {"failure_domain": "north-a", "slots": 4}}
+    text["services"] = {
+        SERVICE: {**text["services"][SERVICE], "targets": targets},
+    }
+    return text
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nno length at all",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 9\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"nonsense\r\n\r\n",
+        b"",
+    ],
+    ids=["short", "cut chunks", "no length", "two lengths", "both", "garbage", "none"],
+)
+def test_a_cut_or_malformed_answer_never_looks_whole(answer):
+    fleet = Fleet(text_with_raw_target(), {"north-a": 1}, subnet=27)
+    host = fleet.targets["raw"][0]
+    fleet.targets.clear()
+    with raw_target(answer, host), fleet:
+        time.sleep(1.6)
+        vm = next(iter(fleet.vms.values()))
+        with socket.create_connection((vm.host, PORTS["caller"]), timeout=5) as sock:
+            sock.sendall(f"GET /s/{SERVICE}/x HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+            got = b""
+            while part := sock.recv(65536):
+                got += part
+                if b"\r\n\r\n" in got and b'"code"' in got:
+                    break
+    whole_success = got.startswith(b"HTTP/1.1 200") and (
+        got.endswith(b"0\r\n\r\n") or b"content-length: 5\r\n\r\nhello" in got
+    )
+    assert not whole_success
+    if got.startswith(b"HTTP/1.1 200"):
+        assert b"content-length: 100" in got or not got.endswith(b"0\r\n\r\n")
+
+
+def test_idempotent_request_is_retried_at_another_target(fleet, vm):
+    fleet.switch_target("style-north-a", shed=True)
+    answers = [get(vm) for _ in range(10)]
+    assert {answer[0] for answer in answers} == {200}
+    assert {answer[1]["heathercleat-target"] for answer in answers} == {"style-north-b"}
+    assert not fleet.record("style-north-a")["runs"]
+
+
+def test_target_that_fails_its_work_but_not_its_probe_is_found(fleet, vm):
+    fleet.switch_target("style-north-a", fail=True, lie=True)
+    for _ in range(MAX_FAILURES):
+        get(vm)
+    answers = [get(vm) for _ in range(5)]
+    assert {answer[0] for answer in answers} == {200}
+    assert {answer[1]["heathercleat-target"] for answer in answers} == {"style-north-b"}
+
+
+def test_draining_target_gets_no_new_work_after_seconds(fleet, vm):
+    fleet.switch_target("style-north-a", health="draining")
+    time.sleep(2.5)
+    before = len(fleet.record("style-north-a")["runs"])
+    answers = [get(vm) for _ in range(10)]
+    assert {answer[0] for answer in answers} == {200}
+    assert len(fleet.record("style-north-a")["runs"]) == before
+
+
+def test_caller_that_leaves_cancels_its_request(fleet, vm):
+    fleet.switch_target("style-north-a", service_s=0.9)
+    with socket.create_connection((vm.host, PORTS["caller"])) as sock:
+        sock.sendall(f"GET /s/{SERVICE}/x HTTP/1.1\r\nhost: x\r\n\r\n".encode())
+        wait_for(lambda: fleet.record("style-north-a")["in_flight"] == 1)
+    wait_for(lambda: fleet.record("style-north-a")["in_flight"] == 0, seconds=0.6)
+
+
+def test_late_answer_never_reaches_the_next_caller(fleet, vm):
+    fleet.switch_target("style-north-a", service_s=1.2)
+    fleet.switch_target("style-north-b", service_s=1.2)
+    status, headers, _ = get(vm, "/late")
+    assert status == 504
+    assert headers["heathercleat-run"] == "unknown"
+    for name in ("style-north-a", "style-north-b"):
+        fleet.switch_target(name, service_s=0.0)
+    for number in range(20):
+        status, _, body = get(vm, f"/{number}")
+        assert (status, body.split()[1]) == (200, b"GET")
+
+
+def test_pipelined_requests_get_their_own_answers_in_order(fleet, vm):
+    request = (
+        "PUT /s/intake/uploads/{0} HTTP/1.1\r\nhost: x\r\ncontent-length: {0}\r\n\r\n"
+    )
+    data = b"".join(request.format(size).encode() + b"a" * size for size in (3, 5, 7))
+    with socket.create_connection((vm.host, PORTS["caller"]), timeout=5) as sock:
+        sock.sendall(data)
+        got = b""
+        while got.count(b"\n", 0) < 3 or got.count(b"PUT ") < 3:
+            got += sock.recv(65536)
+    sizes = [int(part.split()[0]) for part in got.split(b"PUT ")[1:]]
+    assert sizes == [3, 5, 7]
