--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -34,7 +34,11 @@
     assert (ticket.vm, ticket.birth, ticket.claims) == ("vm", "birth", True)
 
 
-@pytest.mark.parametrize("text", ["", "x", "!!", issue(OTHER_KEYS, "", "", "", 0, 1)])
+@pytest.mark.parametrize(
+    "text",
+    ["", "x", "!!", issue(OTHER_KEYS, "", "", "", 0, 1)],
+    ids=["empty", "short", "not base64", "other key"],
+)
 def test_ticket_of_a_stranger_is_refused(text):
     with pytest.raises(HeathercleatError) as caught:
         read(KEYS, text)
