--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements with regression bounds."""
--- /dev/null
+++ b/bench/baseline.py
@@ -0,0 +1,66 @@
+"""The simplest schemes that the system is measured against.
+
+:class:`LaggingChoice` is power of two choices (Mitzenmacher, 2001) over reported loads
+that lag, as several balancers without shared state would do it.
+"""
+
+import msgpack
+from curio import sleep, spawn
+
+from heathercleat.connection.http import (
+    CONNECTION_ERRORS,
+    Message,
+    before,
+    connect,
+    exchange,
+)
+from standins.load import MAX_ANSWER_BYTES, Load
+
+POLL_SECONDS = 0.2
+BALANCERS = 12
+
+
+class LaggingChoice(Load):
+    """Sends straight to targets: two at random, the one that reported less load.
+
+    :param targets: ``{name: (host, port, slots)}``.
+    """
+
+    def __init__(self, targets, rate, seed=1, timeout=10.0):
+        super().__init__([], "", rate, seed=seed, timeout=timeout)
+        self._targets = targets
+        self._views = [dict.fromkeys(targets, 0) for _ in range(BALANCERS)]
+        self._polling = False
+
+    async def _try_places(self, method, path, body, headers):
+        if not self._polling:
+            self._polling = True
+            for view in self._views:
+                await spawn(self._poll, view, daemon=True)
+        view = self._random.choice(self._views)
+        names = self._random.sample(sorted(self._targets), 2)
+        name = min(names, key=view.__getitem__)
+        view[name] += 1
+        host, port, _ = self._targets[name]
+        return await self._send(
+            {"address": host, "port": port}, method, path, body, headers
+        )
+
+    async def _poll(self, view):
+        while not self._stopping:
+            for name, (host, port, _) in self._targets.items():
+                view[name] = await self._load_of(host, port, view[name])
+            await sleep(POLL_SECONDS)
+
+    async def _load_of(self, host, port, known):
+        deadline = self._clock.now() + 1.0
+        try:
+            stream = await connect(host, port, deadline, self._clock)
+            try:
+                asking = exchange(stream, Message(path="/load"), MAX_ANSWER_BYTES)
+                answer = await before(deadline, self._clock, asking)
+            finally:
+                await stream.close()
+        except (TimeoutError, *CONNECTION_ERRORS):
+            return known
+        return msgpack.unpackb(answer.body)["in_flight"]
