--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,259 @@
+"""Slopes for docs/CAPACITY.md, measured at three or more sizes: ``make capacity``.
+
+Each row is a quantity at several sizes with its least-squares line and the largest
+deviation from it, as a share of the largest value.
+"""
+
+import json
+import logging
+import time
+import tracemalloc
+from functools import partial
+from random import Random
+from statistics import linear_regression
+
+from curio import run
+
+from bench.report import FOLDER
+from bench.run import lookup_text
+from heathercleat.connection.messages import (
+    Heartbeat,
+    HeartbeatAck,
+    MemberRecord,
+    ViewExchange,
+    Vms,
+    encode,
+)
+from heathercleat.process.configuration import Document
+from heathercleat.process.directory import Directory
+from heathercleat.process.members import SETTLE, Membership
+from heathercleat.process.platform import VmEntry, VmList
+from heathercleat.process.settings import parse_settings
+from heathercleat.process.vm import EntryVM
+from heathercleat.request.lookup import answer_lookup
+from heathercleat.version.blocks import BlockTable
+from heathercleat.version.text import parse_text
+from standins.fleet import Fleet
+from tests.fakes import SETTINGS, FakeLinks, FakePlatform, FakeVm, ManualClock
+
+DOMAINS = 46
+BLOCKS = (300_000, 1_000_000, 2_700_000)
+VMS = (750, 2_500, 7_500)
+TARGETS = (200, 600, 1_900)
+MEMBERS = (20, 80, 163)
+PROCESSES = (2, 8, 24)
+IDLE_SECONDS = 8.0
+PLAN = {"blocks": 2_700_000, "vms": 7_500, "targets": 1_900, "members": 163}
+
+
+class Slopes:
+    """Collects measurements by size and fits a line to each."""
+
+    def __init__(self):
+        self._values = {}
+
+    def add(self, what, unit, size, value):
+        """Note one measurement."""
+        self._values.setdefault((what, unit), []).append((size, value))
+
+    def rows(self):
+        """Yield ``(what, unit, points, slope, intercept, error)``."""
+        for (what, unit), points in self._values.items():
+            sizes, values = zip(*points, strict=True)
+            slope, intercept = linear_regression(sizes, values)
+            errors = (
+                abs(value - slope * size - intercept)
+                for size, value in zip(sizes, values, strict=True)
+            )
+            largest = max(abs(value) for value in values) or 1.0
+            yield what, unit, points, slope, intercept, max(errors) / largest
+
+    def write(self):
+        """Print the rows as a Markdown table and keep them as JSON."""
+        print("| quantity | at sizes | slope | at 0 | error |")
+        print("| --- | --- | --- | --- | --- |")
+        for what, unit, points, slope, intercept, error in self.rows():
+            at = ", ".join(f"{size}: {value:.4g}" for size, value in points)
+            print(
+                f"| {what}, {unit} | {at} | {slope:.3g} | {intercept:.3g} | "
+                f"{100 * error:.0f}% |"
+            )
+        FOLDER.mkdir(parents=True, exist_ok=True)
+        rows = [list(row) for row in self.rows()]
+        (FOLDER / "capacity.json").write_text(json.dumps(rows, indent=1))
+
+
+def timed(act, count):
+    """Return the processor seconds of one call, over ``count`` calls."""
+    started = time.process_time()
+    for _ in range(count):
+        act()
+    return (time.process_time() - started) / count
+
+
+def measure_blocks(slopes):
+    """Measure the client-block table."""
+    random = Random(1)
+    names = [f"fd-{number}" for number in range(DOMAINS)]
+    for size in BLOCKS:
+        step = (1 << 32) // size
+        runs = ((index * step, index % DOMAINS) for index in range(size))
+        started = time.process_time()
+        table = BlockTable(names, runs)
+        slopes.add("block table: build", "s", size, time.process_time() - started)
+        slopes.add("block table: memory", "MB", size, table.size_bytes / 1e6)
+        addresses = [random.randrange(1 << 32) for _ in range(100_000)]
+        started = time.process_time()
+        for address in addresses:
+            table.find_number(address)
+        seconds = (time.process_time() - started) / len(addresses)
+        slopes.add("block table: look-up", "us", size, seconds * 1e6)
+
+        def change(table=table):
+            first = random.randrange(1 << 31)
+            table.replace(first, first + 255, "fd-1")
+
+        slopes.add("block table: delta", "us", size, timed(change, 100) * 1e6)
+
+
+def make_vm(targets, vms):
+    """Return an entry VM, not started, that knows a text and a VM list."""
+    text = lookup_text(targets=targets, domains=DOMAINS)
+    service = text["services"]["lookup"]
+    for number, target in enumerate(service["targets"].values()):
+        target["address"] = f"10.1.{number // 250}.{number % 250 + 1}:9000"
+    source = SETTINGS.replace('"north-a"', '"fd-0"').replace("north-a-1", "vm-0")
+    vm = EntryVM(parse_settings(source), platform=FakePlatform())
+    vm.configuration.adopt(1, Document(json.dumps(text), {}).pack(), "bench")
+    vm.configuration.adopt_vms(make_list(vms))
+    return vm
+
+
+def make_list(vms):
+    """Return a VM list of a size."""
+    entries = (
+        VmEntry(f"vm-{n}", f"10.2.{n // 250}.{n % 250}", f"fd-{n % DOMAINS}", False)
+        for n in range(vms)
+    )
+    return VmList(1, tuple(entries))
+
+
+def measure_lookups(slopes):
+    """Measure the VM list and look-ups over it."""
+    for vms, targets in zip(VMS, TARGETS, strict=True):
+        tracemalloc.start()
+        vm = make_vm(targets, vms)
+        memory = tracemalloc.get_traced_memory()[0]
+        slopes.add(
+            "VM list and text: memory",
+            "MB",
+            vms,
+            memory / 1e6,
+        )
+        tracemalloc.stop()
+        fields = vm.directory.to_fields()
+        slopes.add("VM list: message", "KB", vms, len(encode(Vms(1, fields))) / 1e3)
+        seconds = timed(partial(adopt, make_list(vms)), 20)
+        slopes.add("VM list: adopt", "ms", vms, seconds * 1e3)
+        query = {"service": "lookup"}
+        service = vm.text.services["lookup"]
+
+        def answer(vm=vm, query=query):
+            answer_lookup(vm, query, "10.0.0.1")
+
+        def rebuild(vm=vm, service=service):
+            vm.candidates._candidates.clear()
+            vm.candidates.find(service, "fd-0")
+
+        answer()
+        slopes.add("look-up: candidates", "ms", vms, timed(rebuild, 20) * 1e3)
+        vm.candidates.find(service, "fd-0")
+        slopes.add("look-up: answer", "us", vms, timed(answer, 500) * 1e6)
+
+
+def adopt(vms):
+    """Let a new directory take a VM list."""
+    assert Directory().adopt(vms)
+
+
+def measure_text(slopes):
+    """Measure reading a text."""
+    for size in TARGETS:
+        text = lookup_text(targets=size, domains=DOMAINS)
+        for number, target in enumerate(text["services"]["lookup"]["targets"].values()):
+            target["address"] = f"10.1.{number // 250}.{number % 250 + 1}:9000"
+        source = json.dumps(text)
+        slopes.add("text: size", "KB", size, len(source) / 1e3)
+        seconds = timed(lambda source=source: parse_text(source), 3)
+        slopes.add("text: read and check", "ms", size, seconds * 1e3)
+
+
+def measure_members(slopes):
+    """Measure heartbeats and views in a failure domain."""
+    for size in MEMBERS:
+        vm, clock = FakeVm(), ManualClock()
+        links = FakeLinks(lambda host, item: HeartbeatAck(1, False, 0, 0, 0))
+        membership = Membership(vm, links, clock)
+        for number in range(2, size + 1):
+            record = MemberRecord(f"north-a-{number}", "10.0.0.1", "north-a", 1, "live")
+            membership.record(record)
+        beat = Heartbeat("north-a-2", 1, 1, 0, 0, 0)
+        slopes.add("heartbeat: message", "bytes", size, len(encode(beat)))
+        view = len(encode(ViewExchange(membership.records())))
+        slopes.add("view exchange: message", "KB", size, view / 1e3)
+        clock.time += SETTLE
+        membership._check_pause()
+        assert size == len(membership.running()) + 1
+        seconds = timed(partial(membership.heard, beat), 2000)
+        slopes.add("heartbeat: taken", "us", size, seconds * 1e6)
+        seconds = timed(membership.may_act, 2000)
+        slopes.add("right to act: checked", "us", size, seconds * 1e6)
+
+        def judge(membership=membership):
+            run(membership._judge)
+
+        slopes.add("monitors: judged", "us", size, timed(judge, 20) * 1e6)
+
+
+def measure_processes(slopes):
+    """Measure idle entry VMs of one failure domain as processes."""
+    for size in PROCESSES:
+        text = lookup_text(targets=8, domains=2)
+        for target in text["services"]["lookup"]["targets"].values():
+            target["failure_domain"] = "fd-0"
+        with Fleet(text, {"fd-0": size}, subnet=36) as fleet:
+            fleet.wait_ready()
+            before = [fleet.metrics(vm) for vm in fleet.vms.values()]
+            time.sleep(IDLE_SECONDS)
+            after = [fleet.metrics(vm) for vm in fleet.vms.values()]
+
+        def rate(name, before=before, after=after):
+            gains = (b[name] - a[name] for a, b in zip(before, after, strict=True))
+            return sum(gains) / len(before) / IDLE_SECONDS
+
+        cpu = rate("process_cpu_seconds_total")
+        slopes.add("idle VM: processor", "% of a core", size, 100 * cpu)
+        slopes.add(
+            "idle VM: traffic", "KB/s", size, rate("heathercleat_control_bytes") / 1e3
+        )
+        memory = sum(each["process_resident_memory_bytes"] for each in after)
+        slopes.add("idle VM: memory", "MB", size, memory / len(after) / 1e6)
+
+
+def main():
+    """Measure everything and print the fits."""
+    logging.getLogger("heathercleat").setLevel("ERROR")
+    slopes = Slopes()
+    for measure in (
+        measure_blocks,
+        measure_lookups,
+        measure_text,
+        measure_members,
+        measure_processes,
+    ):
+        measure(slopes)
+    slopes.write()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -19,6 +19,8 @@
 #: Weight of the newest observation in the mean time that a request holds a slot.
 HOLD_WEIGHT = 0.1
 FIRST_HOLD = 0.02
+#: The expected wait where there is no slot: a lease may still come.
+NEVER = float("inf")
 #: Holding times that a request may wait in a queue that does not empty.
 STANDING_HOLDS = 1.5
 PUMP_INTERVAL = 0.02
@@ -218,7 +220,7 @@
     def _wait_with(self, service, slots):
         queue = self._queue(service.name)
         if not slots:
-            return float("inf")
+            return NEVER
         return (len(queue.waiters) + 1) * queue.mean_hold / slots
 
     def _try(self, request, avoid, patience):
@@ -246,7 +248,7 @@
     async def _wait(self, queue, request, avoid):
         waiter = Waiter(request, avoid, self._clock.now())
         longest = queue.longest_wait(request.service, waiter.since)
-        if queue.waiters and self._drain_time(request.service) > longest:
+        if queue.waiters and longest < self._drain_time(request.service) < NEVER:
             raise self._refusal(request, "wait too long")
         await self._make_place(queue, waiter)
         self._vm.journal.write(
@@ -295,7 +297,7 @@
 
     def _refusal(self, request, reason):
         wait = self.expected_wait(request.service)
-        mean = max(MIN_RETURN, 0.0 if wait == float("inf") else wait)
+        mean = max(MIN_RETURN, 0.0 if wait == NEVER else wait)
         retry_at = self._clock.wall() + uniform(0.5 * mean, 1.5 * mean)
         self._vm.journal.write(
             Event.ROUTE_REFUSED,
@@ -350,4 +352,4 @@
 
     @staticmethod
     def _round(seconds):
-        return None if seconds == float("inf") else round(seconds, 4)
+        return None if seconds == NEVER else round(seconds, 4)
--- a/src/heathercleat/process/homes.py
+++ b/src/heathercleat/process/homes.py
@@ -36,6 +36,9 @@
         self._clock = clock
         self._acquiring = set()
         self._contested = set()
+        self._followed = None
+        self._desired_state = None
+        self._desired_pairs = []
 
     async def run(self):
         """Acquire targets as the text and the membership change."""
@@ -87,6 +90,9 @@
 
     def _follow_text(self):
         text = self._vm.text
+        if text is self._followed:
+            return
+        self._followed = text
         known = {
             name: target
             for service in text.services.values()
@@ -109,6 +115,14 @@
         return limits
 
     def _desired(self):
+        """Return ``(service, target)`` pairs that this VM should be the home of."""
+        state = self._vm.version, self._membership.digest
+        if state != self._desired_state:
+            self._desired_state = state
+            self._desired_pairs = list(self._assigned())
+        return self._desired_pairs
+
+    def _assigned(self):
         if self._membership.leaving:
             return
         live = self._membership.live()
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -16,6 +16,7 @@
 from heathercleat.events import Event
 from heathercleat.process.admission import Admission
 from heathercleat.process.budget import RetryBudget
+from heathercleat.process.candidates import CandidateCache
 from heathercleat.process.claims import Claims
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.configuration import ConfigurationKeeper
@@ -107,6 +108,7 @@
         )
         self.claims = Claims(self._claims_platform, self._birth)
         self.editor = Editor(self._claims_platform, clock)
+        self.candidates = CandidateCache(self, clock)
         self.metrics = Metrics(self)
         self.membership.on_presumed_dead(self.homes.drop_all)
         self.admission.on_handed_over(self.homes.tell_released)
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -1,5 +1,6 @@
 """Look-ups: which entry VMs a caller uses for a service, and until when."""
 
+from heapq import nlargest
 from ipaddress import AddressValueError, IPv4Address
 from itertools import islice
 from random import random
@@ -8,7 +9,6 @@
 from heathercleat.errors import RequestError
 from heathercleat.events import Event
 from heathercleat.request.ticket import issue
-from heathercleat.version.hashing import assign
 from heathercleat.version.text import Semantics
 
 #: Entry VMs in an answer: the nearest ones first, then others to fall back on.
@@ -35,10 +35,9 @@
         raise RequestError(ResultCode.UNKNOWN_SERVICE, message)
     client = _client(query, caller)
     domain = vm.blocks.find(client) or vm.settings.failure_domain
-    domains = _domains(vm, service, domain)
-    near = _vms(vm, domains[0], service)[:MAX_NEAR]
-    far = (pair for other in domains[1:] for pair in _vms(vm, other, service)[:1])
-    chosen = [*near, *islice(far, MAX_FAR)]
+    candidates = vm.candidates.find(service, domain)
+    nearest = candidates[0].domain if candidates else vm.settings.failure_domain
+    chosen = _choose(candidates)
     now = vm.clock.wall()
     answer = {
         "service": service.name,
@@ -54,13 +53,13 @@
             for entry, weight in chosen
         ],
         "expires_at": now + vm.settings.lookup_ttl,
-        **_ticket(vm, service, domains[0], now),
+        **_ticket(vm, service, nearest, now),
     }
     vm.journal.write(
         Event.LOOKUP_ANSWERED,
         service=service.name,
         client=client,
-        domain=domains[0],
+        domain=nearest,
         vms=[entry.name for entry, _ in chosen],
     )
     return answer
@@ -75,44 +74,27 @@
         raise RequestError(ResultCode.BAD_REQUEST, message) from None
 
 
-def _domains(vm, service, domain):
-    """Return failure domains with entry VMs, the best one for the caller first.
-
-    A domain without a target of the service in use comes after all that have one.
-    """
-    text, now = vm.text, vm.clock.wall()
-
-    def has_targets(other):
-        return any(
-            not text.draining(target, now) for target in service.targets_in(other)
-        )
-
-    serving = [other for other in text.failure_domains if vm.entry_vms(other)]
-    order = sorted(
-        serving,
-        key=lambda other: (not has_targets(other), text.distance(domain, other), other),
-    )
-    return order or [vm.settings.failure_domain]
+def _choose(candidates):
+    """Return ``(entry VM, weight)`` pairs: near ones, then one of each next domain."""
+    if not candidates:
+        return []
+    near = _pick(candidates[0], MAX_NEAR)
+    far = (pair for other in candidates[1:] for pair in _pick(other, 1))
+    return [*near, *islice(far, MAX_FAR)]
 
 
-def _vms(vm, domain, service):
-    """Return ``(entry VM, weight)`` of a domain in a random order by weight.
+def _pick(domain, count):
+    """Return pairs of a domain in a random order by weight, the heaviest likeliest.
 
     The weight is the number of slots of the service that the VM is the home of: a
     request that arrives there needs no lease. The order is that of Efraimidis and
     Spirakis (2006).
     """
-    entries = {entry.name: entry for entry in vm.entry_vms(domain)}
-    weights = dict.fromkeys(entries, 0)
-    targets = {target.name: target for target in service.targets_in(domain)}
-    for name, home in assign(list(targets), list(entries)).items():
-        weights[home] += targets[name].limit
-    order = sorted(
-        entries,
-        key=lambda name: random() ** (1 / (weights[name] or LEAST_WEIGHT)),
-        reverse=True,
+    return nlargest(
+        count,
+        domain.weighted,
+        key=lambda pair: random() ** (1 / (pair[1] or LEAST_WEIGHT)),
     )
-    return [(entries[name], weights[name]) for name in order]
 
 
 def _ticket(vm, service, domain, now):
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,3 +1,5 @@
+import json
+
 import pytest
 from curio import run, sleep, spawn
 
@@ -40,8 +42,6 @@
 
 
 def to_source(document):
-    import json
-
     return json.dumps(document)
 
 
@@ -147,6 +147,20 @@
     assert code_of(caught) is ResultCode.NO_ROOM
 
 
+def test_requests_wait_for_a_lease_where_no_slot_is_homed():
+    vm, ledger, _, admission = make_parts()
+    ledger.drop_all()
+
+    async def act():
+        waiting = [await spawn(admission.acquire, make_call(vm)) for _ in range(3)]
+        await sleep(0.05)
+        assert admission.waiting("lookup") == 3
+        for task in waiting:
+            await task.cancel()
+
+    run(act)
+
+
 def test_cancelled_waiter_leaves_no_slot_behind():
     vm, ledger, _, admission = make_parts()
 
