--- a/src/heathercleat/codes.py
+++ b/src/heathercleat/codes.py
@@ -32,7 +32,6 @@
     NO_ROOM = (2001, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     DEADLINE_BEFORE_RUN = (2002, 504, Run.NOT_RUN, 3, "Repeat with a later deadline.")
     NO_CONFIGURATION = (2003, 503, Run.NOT_RUN, 3, "Ask another entry VM.")
-    LEAVING = (2004, 503, Run.NOT_RUN, 3, "Look up again and use another entry VM.")
     TARGETS_UNREACHABLE = (2005, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     TARGET_REFUSED = (2006, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     NOT_HOME = (2007, 503, Run.NOT_RUN, 3, "Between VMs: ask the home of the target.")
--- a/src/heathercleat/events.py
+++ b/src/heathercleat/events.py
@@ -4,7 +4,7 @@
 """
 
 from enum import Enum
-from logging import DEBUG, ERROR, INFO, WARNING
+from logging import ERROR, INFO, WARNING
 
 
 class Event(Enum):
@@ -29,7 +29,6 @@
     LEASE_GRANTED = (300, INFO)
     LEASE_DENIED = (301, INFO)
     LEASE_TAKEN = (302, INFO)
-    LEASE_ENDED = (303, DEBUG)
     HOME_ADOPTED = (310, INFO)
     HOME_HANDED_OVER = (311, INFO)
     HOMES_DROPPED = (312, WARNING)
@@ -38,7 +37,6 @@
     TARGET_DRAINING = (322, INFO)
     MEMBER_JOINED = (400, INFO)
     MEMBER_LEAVING = (401, INFO)
-    MEMBER_SUSPECT = (402, WARNING)
     MEMBER_DEAD = (403, WARNING)
     ACCUSED = (404, WARNING)
     VM_LIST_READ = (410, INFO)
--- a/src/heathercleat/process/candidates.py
+++ b/src/heathercleat/process/candidates.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from itertools import accumulate
 
 from heathercleat.version.hashing import assign
 
@@ -13,14 +14,20 @@
 KEPT_SECONDS = 0.2
 #: Failure domains that a look-up falls back on.
 MAX_FAR_DOMAINS = 3
+#: Weight of a VM that is the home of no target, against one slot.
+LEAST_WEIGHT = 0.01
 
 
 @dataclass(slots=True)
 class DomainVms:
-    """The entry VMs of one failure domain, each with the slots it is the home of."""
+    """The entry VMs of one failure domain, each with the slots it is the home of.
+
+    ``cumulative`` has the running sums of the weights, for draws.
+    """
 
     domain: str
     weighted: list
+    cumulative: list
 
 
 @dataclass(slots=True)
@@ -81,7 +88,9 @@
             entries = self._vm.entry_vms(other)
             if not entries:
                 continue
-            yield DomainVms(other, self._weigh(service, other, entries))
+            weighted = self._weigh(service, other, entries)
+            sums = accumulate(weight or LEAST_WEIGHT for _, weight in weighted)
+            yield DomainVms(other, weighted, list(sums))
             found += 1
             if found > MAX_FAR_DOMAINS:
                 return
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -1,9 +1,8 @@
 """Look-ups: which entry VMs a caller uses for a service, and until when."""
 
-from heapq import nlargest
 from ipaddress import AddressValueError, IPv4Address
 from itertools import islice
-from random import random
+from random import choices
 
 from heathercleat.codes import ResultCode
 from heathercleat.errors import RequestError
@@ -14,8 +13,8 @@
 #: Entry VMs in an answer: the nearest ones first, then others to fall back on.
 MAX_NEAR = 3
 MAX_FAR = 3
-#: Weight of a VM that is the home of no target, against one slot.
-LEAST_WEIGHT = 0.01
+#: Draws for each VM that an answer names, since a draw may repeat one.
+DRAWS_EACH = 4
 
 
 def answer_lookup(vm, query, caller):
@@ -84,17 +83,20 @@
 
 
 def _pick(domain, count):
-    """Return pairs of a domain in a random order by weight, the heaviest likeliest.
+    """Return up to ``count`` pairs of a domain, drawn by weight.
 
     The weight is the number of slots of the service that the VM is the home of: a
-    request that arrives there needs no lease. The order is that of Efraimidis and
-    Spirakis (2006).
+    request that arrives there needs no lease.
     """
-    return nlargest(
-        count,
-        domain.weighted,
-        key=lambda pair: random() ** (1 / (pair[1] or LEAST_WEIGHT)),
+    drawn = choices(
+        domain.weighted, cum_weights=domain.cumulative, k=DRAWS_EACH * count
     )
+    # Those that were not drawn fill up a small domain.
+    distinct = {entry.name: (entry, weight) for entry, weight in drawn}
+    if len(distinct) < count:
+        for entry, weight in domain.weighted[: DRAWS_EACH * count]:
+            distinct.setdefault(entry.name, (entry, weight))
+    return list(distinct.values())[:count]
 
 
 def _ticket(vm, service, domain, now):
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -13,6 +13,7 @@
 UPLOAD_BYTES = 8 * 1024 * 1024
 IN_FORCE_SECONDS = 5.0
 DRAIN_SECONDS = 5.0
+LOG_SECONDS = 0.3
 DOMAINS = ("north-a", "north-b", "south-a", "south-b")
 
 
@@ -83,8 +84,8 @@
         self.show_upload()
         self.show_new_text()
         self.show_drain()
-        self.show_killed_vm()
         self.show_log_lines()
+        self.show_killed_vm()
 
     def show_each_kind(self):
         """Serve one request of each kind, and count the runs of those run once."""
@@ -176,6 +177,8 @@
 
     def show_log_lines(self):
         """Every request at a target has a numbered routing decision in a log."""
+        # Lines are written in batches; a VM that is killed would lose the last one.
+        time.sleep(LOG_SECONDS)
         logs = [line for vm in self._fleet.vms.values() for line in self._fleet.log(vm)]
         decided = {line["request"] for line in logs if line.get("event") in (210, 211)}
         done = {line["request"] for line in logs if line.get("event") == 220}
--- /dev/null
+++ b/tests/test_catalogues.py
@@ -0,0 +1,73 @@
+import re
+from pathlib import Path
+
+import pytest
+
+from heathercleat import ResultCode
+from heathercleat.events import Event
+from heathercleat.process.metrics import Metrics
+from standins.fleet import ROOT
+
+DOCS = ROOT / "docs" / "reference"
+SOURCES = [path.read_text() for path in (ROOT / "src").rglob("*.py")]
+
+
+def rows(name):
+    lines = (DOCS / name).read_text().splitlines()
+    cells = [line.strip("|").split("|") for line in lines if re.match(r"\| \d", line)]
+    return [[cell.strip(" `") for cell in row] for row in cells]
+
+
+def test_result_codes_and_their_table_agree():
+    documented = [
+        (row[0], row[1], row[2], row[3], row[5]) for row in rows("result-codes.md")
+    ]
+    coded = [
+        (
+            str(code.number),
+            code.name,
+            str(code.status),
+            code.run.value,
+            str(code.exit_status),
+        )
+        for code in ResultCode
+    ]
+    assert documented == coded
+
+
+def test_events_and_their_catalogue_agree():
+    documented = [(row[0], row[1]) for row in rows("events.md")]
+    assert documented == [(str(event.number), event.name.lower()) for event in Event]
+
+
+@pytest.mark.parametrize("kind", [Event, ResultCode])
+def test_numbers_are_unique(kind):
+    numbers = [each.number for each in kind]
+    assert len(numbers) == len(set(numbers))
+
+
+@pytest.mark.parametrize("event", Event, ids=lambda event: event.name)
+def test_every_event_is_written_somewhere(event):
+    assert any(f"Event.{event.name}" in source for source in SOURCES)
+
+
+@pytest.mark.parametrize("code", ResultCode, ids=lambda code: code.name)
+def test_every_code_is_used_somewhere(code):
+    assert any(f"ResultCode.{code.name}" in source for source in SOURCES)
+
+
+def test_metrics_and_their_page_agree():
+    documented = set(
+        re.findall(r"`(heathercleat_\w+)`", (DOCS / "metrics.md").read_text())
+    )
+    metrics = Metrics(None)
+    known = {metric.name for metric in metrics._registry.collect()}
+    own = {name for name in known if name.startswith("heathercleat_")}
+    assert documented == own
+
+
+def test_links_between_pages_lead_somewhere():
+    pages = [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")]
+    for page in pages:
+        for target in re.findall(r"\]\(([^)#]+)", page.read_text()):
+            assert (page.parent / Path(target)).exists(), (page.name, target)
