Prove drains, a slow platform and cut answers; let a cancelled drain return a VM

A VM drained by plan stayed out of service when the drain was cancelled: it now joins again as a new incarnation (test_drained_vm_leaves_... covers both ways).

Two tests proved nothing and were made stricter: the malformed-answer test ran before the home had opened its slots, so every request was refused; it now waits, answers probes, and checks that a caller can see the cut.

--- a/src/heathercleat/process/members.py
+++ b/src/heathercleat/process/members.py
@@ -211,6 +211,12 @@
         self._changed()
         await self.announce()
 
+    async def rejoin(self):
+        """Announce that this VM takes targets and callers again, as a new life."""
+        self._vm.renew_incarnation()
+        self._add_self(MemberState.LIVE)
+        await self.announce()
+
     async def run(self):
         """Send heartbeats and judge the VMs that this one monitors."""
         while True:
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -68,7 +68,6 @@
         self._token = ("", 0.0)
         self._leave_requested = False
         self._fence = Fence(settings.fenced)
-        self._draining_self = False
         self._platform = platform or HttpPlatform(
             settings.platform_host,
             settings.platform_port,
@@ -404,14 +403,15 @@
             await sleep(CHECK_INTERVAL)
 
     async def _follow_own_drain(self):
-        """Hand the homes over while a planned drain of this VM is in force."""
-        if self.text is None or self._draining_self:
+        """Leave the domain's work while a planned drain of this VM is in force."""
+        if self.text is None:
             return
-        domain = self._settings.failure_domain
-        if self.text.vm_draining(self.name, None, self._clock.wall()):
-            self._draining_self = True
-            self._journal.write(Event.VM_LEAVING, drain=True, domain=domain)
+        drain = self.text.vm_draining(self.name, None, self._clock.wall())
+        if drain is not None and not self.leaving:
+            self._journal.write(Event.VM_LEAVING, drain=drain.id)
             await self.membership.leave()
+        elif drain is None and self.leaving:
+            await self.membership.rejoin()
 
     def _known_vms(self, domain):
         """Return the VMs of a domain that are live as far as this VM knows."""
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -3,6 +3,7 @@
 import time
 from contextlib import contextmanager
 
+import msgpack
 import pytest
 
 from heathercleat.process.health import MAX_FAILURES
@@ -10,6 +11,8 @@
 from standins.fleet import PORTS, Fleet, call, wait_for
 
 SERVICE = "style-lookup"
+STATE = msgpack.packb({"state": "ready"})
+READY = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(STATE), STATE)
 TARGETS = [f"style-{domain}" for domain in ("north-a", "north-b", "south-a", "south-b")]
 
 
@@ -33,7 +36,7 @@
 
 @contextmanager
 def raw_target(answer, host):
-    """Serve ``answer`` (bytes) to every connection on ``host``."""
+    """Serve ``answer`` (bytes) to every request on ``host`` but probes."""
     listener = socket.create_server((host, 9000))
     listener.settimeout(0.1)
     stopping = threading.Event()
@@ -45,8 +48,8 @@
             except TimeoutError:
                 continue
             with sock:
-                sock.recv(65536)
-                sock.sendall(answer)
+                asked = sock.recv(65536)
+                sock.sendall(READY if b"/health" in asked else answer)
 
     thread = threading.Thread(target=serve)
     thread.start()
@@ -85,21 +88,30 @@
     host = fleet.targets["raw"][0]
     fleet.targets.clear()
     with raw_target(answer, host), fleet:
-        time.sleep(1.6)
+        fleet.wait_ready()
         vm = next(iter(fleet.vms.values()))
-        with socket.create_connection((vm.host, PORTS["caller"]), timeout=5) as sock:
-            sock.sendall(f"GET /s/{SERVICE}/x HTTP/1.1\r\nhost: x\r\n\r\n".encode())
-            got = b""
-            while part := sock.recv(65536):
-                got += part
-                if b"\r\n\r\n" in got and b'"code"' in got:
-                    break
-    whole_success = got.startswith(b"HTTP/1.1 200") and (
-        got.endswith(b"0\r\n\r\n") or b"content-length: 5\r\n\r\nhello" in got
-    )
-    assert not whole_success
-    if got.startswith(b"HTTP/1.1 200"):
-        assert b"content-length: 100" in got or not got.endswith(b"0\r\n\r\n")
+        got = read_all(vm)
+    assert b'"code"' in got or is_cut(got)
+
+
+def read_all(vm):
+    """Return what comes for one request until the connection closes."""
+    request = f"GET /s/{SERVICE}/x HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n"
+    with socket.create_connection((vm.host, PORTS["caller"]), timeout=5) as sock:
+        sock.sendall(request.encode())
+        got = b""
+        while part := sock.recv(65536):
+            got += part
+    return got
+
+
+def is_cut(answer):
+    """Return whether a caller can see that an answer is not whole."""
+    head, _, body = answer.partition(b"\r\n\r\n")
+    head = head.lower()
+    if b"content-length: 100" in head:
+        return len(body) < 100
+    return b"transfer-encoding: chunked" in head and not body.endswith(b"0\r\n\r\n")
 
 
 def test_idempotent_request_is_retried_at_another_target(fleet, vm):
--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,112 @@
+import json
+import time
+
+import pytest
+
+from standins.demo import demo_text
+from standins.fleet import PORTS, Fleet, call, wait_for
+from standins.load import Load
+
+NO_NEW_WORK_SECONDS = 3.0
+
+
+@pytest.fixture
+def fleet():
+    vms = {"north-a": 2, "north-b": 1}
+    with Fleet(demo_text(), vms, subnet=29) as running:
+        running.wait_ready()
+        yield running
+
+
+def named_hosts(vm):
+    path = "/lookup?service=style-lookup"
+    _, _, body = call(vm.host, PORTS["caller"], "GET", path)
+    return {each["address"] for each in json.loads(body)["vms"]}
+
+
+def homes_of(fleet, vm):
+    status = fleet.status(vm)
+    return len(status["targets"]) if status else None
+
+
+def drain(fleet, *args):
+    return fleet.run("drain", "plan", *args, "--json", check=False)
+
+
+def test_drained_vm_leaves_look_ups_and_homes_and_returns_when_cancelled(fleet):
+    drained, other = fleet.vms["north-a-1"], fleet.vms["north-a-2"]
+    hosts = [vm.host for vm in fleet.vms.values()]
+    with Load(hosts, "style-lookup", rate=50) as load:
+        assert drain(fleet, "d1", "vm", drained.name).returncode == 0
+        wait_for(lambda: drained.host not in named_hosts(other), NO_NEW_WORK_SECONDS)
+        wait_for(lambda: homes_of(fleet, drained) == 0)
+        fleet.run("drain", "cancel", "d1")
+        wait_for(lambda: drained.host in named_hosts(other))
+        wait_for(lambda: homes_of(fleet, drained) > 0)
+    assert set(load.count()) == {200}
+
+
+def test_drained_domain_gets_no_new_work_and_no_request_fails(fleet):
+    hosts = [vm.host for vm in fleet.vms.values() if vm.domain == "north-a"]
+    with Load(hosts, "style-lookup", rate=50) as load:
+        time.sleep(0.5)
+        assert drain(fleet, "d1", "failure_domain", "north-a").returncode == 0
+        time.sleep(NO_NEW_WORK_SECONDS)
+        before = len(fleet.record("style-north-a")["runs"])
+        time.sleep(1.0)
+        assert len(fleet.record("style-north-a")["runs"]) == before
+    assert set(load.count()) == {200}
+
+
+def test_drain_starts_at_its_instant(fleet):
+    vm = fleet.vms["north-a-1"]
+    assert drain(fleet, "d1", "target", "style-north-a", "--in", 3).returncode == 0
+    answer = call(vm.host, PORTS["caller"], "GET", "/s/style-lookup/x")
+    assert answer[1]["heathercleat-target"] == "style-north-a"
+    time.sleep(4.0)
+    answer = call(vm.host, PORTS["caller"], "GET", "/s/style-lookup/x")
+    assert answer[1]["heathercleat-target"] == "style-north-b"
+
+
+def test_drain_that_leaves_too_little_is_refused_with_the_figures(fleet):
+    assert drain(fleet, "d1", "failure_domain", "north-a").returncode == 0
+    assert drain(fleet, "d2", "failure_domain", "north-b").returncode == 0
+    result = drain(fleet, "d3", "failure_domain", "south-a")
+    assert result.returncode == 5
+    assert "would keep 4 of 16 slots" in result.stderr
+
+
+def test_dry_run_shows_the_headroom_and_plans_nothing(fleet):
+    result = drain(fleet, "d1", "failure_domain", "north-a", "--dry-run")
+    rooms = {room["service"]: room for room in json.loads(result.stdout)["headroom"]}
+    assert rooms["style-lookup"]["left"] == 12
+    assert json.loads(fleet.run("drain", "list", "--json").stdout) == []
+
+
+def test_requests_go_on_while_the_platform_is_slow(fleet):
+    hosts = [vm.host for vm in fleet.vms.values()]
+    fleet.switch_platform(slow_s=5.0)
+    with Load(hosts, "style-lookup", rate=50) as load:
+        time.sleep(3.0)
+    assert set(load.count()) == {200}
+    assert load.latency(0.9) < 1.0
+
+
+def test_edits_of_callers_go_on_without_claims_while_the_platform_is_slow(fleet):
+    fleet.switch_platform(slow_s=5.0)
+    vm = fleet.vms["north-a-1"]
+    words = []
+    for number in range(10):
+        path = "/lookup?service=rule-editing"
+        _, _, body = call(vm.host, PORTS["caller"], "GET", path)
+        headers = {
+            "heathercleat-ticket": json.loads(body)["ticket"],
+            "idempotency-key": f"slow-{number}",
+        }
+        path = "/s/rule-editing/rules"
+        _, given, _ = call(vm.host, PORTS["caller"], "POST", path, b"{}", headers)
+        words.append(given["heathercleat-run"])
+    runs = [run[2] for run in fleet.runs() if run[2].startswith("slow-")]
+    assert words[-1] == "run"
+    assert set(words) <= {"run", "not-run"}
+    assert len(runs) == len(set(runs)) == words.count("run")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,7 +9,8 @@
 from standins.fleet import PORTS, Fleet, call, wait_for
 from standins.load import Load
 
-PARTS = 20
+#: The upload must outlast the life of look-ups and the margin, 3 s, after the stop.
+PARTS = 30
 PART = os.urandom(20_000)
 
 
