Announce covers, so that the slots of a dead VM return before the longest timeout

Cause: a new home held every slot for the longest timeout of the service, 60 s for uploads in the examples, for each VM that died, though its targets were mostly idle. Ruled out: asking the target for its load, which may lag or mislead; trusting that a closed connection ends the work. Change: a home announces to its monitors until when a target may be occupied before it admits a request that ends more than 2 s ahead; a monitor that heard it to its end vouches for that. Price: one call to each monitor before a long request, once in 5 s.

--- a/bench/run.py
+++ b/bench/run.py
@@ -27,6 +27,7 @@
 from standins.fleet import Fleet, wait_for
 from standins.load import Load
 from tests.fakes import FakePlatform
+from tests.test_covers import LONG_MS, SLOTS, long_text
 from tests.test_once_failures import kill_and_restart as kill_one
 from tests.test_once_failures import pause_and_resume as pause_one
 from tests.test_once_failures import sweep
@@ -338,6 +339,29 @@
     )
 
 
+def bench_takeover(report):
+    """Seconds until the idle slots of a killed VM are in use again."""
+    with Fleet(long_text(), {"north-a": 2}, subnet=37) as fleet:
+        slots = 2 * SLOTS
+        wait_for(lambda: fleet.free_slots() == slots, seconds=2 * LONG_MS / 1000)
+        time.sleep(1.0)
+        first, _ = fleet.vms.values()
+        first.process.kill()
+        started = time.monotonic()
+        wait_for(lambda: fleet.free_slots() == slots, seconds=2 * LONG_MS / 1000)
+        seconds = time.monotonic() - started
+    report.add(
+        Row(
+            "idle slots of a killed VM back",
+            seconds,
+            LONG_MS / 1000,
+            "s",
+            "the longest timeout",
+            0.5,
+        )
+    )
+
+
 def bench_drain(report):
     """Seconds from a drain planned for now to the last run at its target."""
     with Fleet(demo_text(), {"north-a": 2, "north-b": 1}, subnet=35) as fleet:
@@ -415,6 +439,7 @@
     "once": bench_once,
     "configuration": bench_configuration,
     "drain": bench_drain,
+    "takeover": bench_takeover,
     "log": bench_log,
     "text": bench_text,
 }
--- a/src/heathercleat/connection/messages.py
+++ b/src/heathercleat/connection/messages.py
@@ -125,9 +125,13 @@
 
 @message(10)
 class Handover:
-    """The receiver's part: ``{target: [[use id, deadline], ...]}`` it was home of."""
+    """The receiver's part: ``{target: [[use id, deadline], ...]}`` it was home of.
+
+    ``covers`` holds ``{target: instant}`` that it vouches for as a monitor.
+    """
 
     targets: dict
+    covers: dict
 
 
 @message(11)
@@ -225,6 +229,15 @@
     entries: list
 
 
+@message(23)
+class Cover:
+    """The sender's targets: ``{target: instant}`` until which each may be occupied."""
+
+    vm: str
+    incarnation: int
+    covers: dict
+
+
 def fields_of(item):
     """Return the fields of a message as a list, to nest it in another one."""
     return list(astuple(item))
--- a/src/heathercleat/process/homes.py
+++ b/src/heathercleat/process/homes.py
@@ -13,6 +13,7 @@
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
 from heathercleat.process.clock import from_wall, to_wall
+from heathercleat.process.covers import SHORT, occupied_until
 from heathercleat.process.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
 from heathercleat.version.hashing import assign
 
@@ -26,10 +27,14 @@
     :param membership: who is alive in the failure domain.
     :param ledger: the slots of the homed targets.
     :param links: calls to peers.
+    :param records: the covers that this VM vouches for.
+    :param publisher: announces the covers of this VM.
     """
 
-    def __init__(self, vm, membership, ledger, links, clock):
+    def __init__(self, vm, membership, ledger, links, records, publisher, clock):
         self._vm = vm
+        self._records = records
+        self._publisher = publisher
         self._membership = membership
         self._ledger = ledger
         self._links = links
@@ -48,6 +53,7 @@
                 # Without a VM list another VM could be the home unknown to this one.
                 if self._vm.directory.known and self._membership.may_act():
                     await self._acquire_missing()
+                    await self._publisher.follow(dict(self._long_holds()))
             await sleep(CHECK_INTERVAL)
 
     def drop_all(self):
@@ -76,7 +82,7 @@
             self._vm.journal.write(
                 Event.HOME_HANDED_OVER, target=name, receiver=receiver, uses=len(uses)
             )
-        return Handover(targets)
+        return Handover(targets, self._records.vouched(names))
 
     async def tell_released(self, receiver, use):
         """Tell the new home of a target that a request handed over with it is done."""
@@ -181,8 +187,8 @@
                 holds.append(Hold(until, use_id))
             handed_over = handed_over or target.name in handover.targets
         if not handed_over:
-            grace = CLOCK_SKEW + CANCEL_GRACE
-            until = self._clock.now() + service.longest_timeout + grace
+            until = self._occupied_until(service, target, handovers)
+            until += CLOCK_SKEW + CANCEL_GRACE
             holds = [Hold(until) for _ in range(target.slots)]
         self._ledger.adopt(target, holds, self._links_of(target))
         self._vm.journal.write(
@@ -191,4 +197,24 @@
             service=service.name,
             handed_over=handed_over,
             held=len(holds),
+            seconds=round(self._held_for(holds), 3),
         )
+
+    def _occupied_until(self, service, target, handovers):
+        covers = [self._records.vouched([target.name])]
+        covers.extend(handover.covers for handover in handovers)
+        walls = [each[target.name] for each in covers if target.name in each]
+        return occupied_until(self._clock, service, walls)
+
+    def _held_for(self, holds):
+        now = self._clock.now()
+        return max((hold.until - now for hold in holds), default=0.0)
+
+    def _long_holds(self):
+        """Yield each homed target with long requests, and until when it is occupied."""
+        services = self._vm.text.services
+        for name, entry in self._ledger.targets.items():
+            service = services.get(entry.target.service)
+            if service is None or service.longest_timeout <= SHORT:
+                continue
+            yield name, max((hold.until for hold in entry.holds), default=0.0)
--- a/src/heathercleat/process/members.py
+++ b/src/heathercleat/process/members.py
@@ -37,6 +37,7 @@
 SETTLE = 0.5
 #: Seconds for which the record of a dead VM is kept against late news of its life.
 DEAD_KEPT = 3600.0
+NEVER = float("-inf")
 MONITORS = 3
 
 
@@ -56,7 +57,9 @@
     """A VM of this failure domain.
 
     ``heard_at`` is when its last heartbeat came; ``acked_at`` is when the last
-    heartbeat that it acknowledged was sent; both are instants of this process.
+    heartbeat that it acknowledged was sent. ``beat_at`` is when its last heartbeat
+    came, and ``died_at`` when it was found dead. All are instants of this process.
+    ``heard_before`` is the incarnation before this one, if it was heard to its end.
     """
 
     vm: str
@@ -66,6 +69,14 @@
     heard_at: float
     acked_at: float
     silent_from: float
+    beat_at: float = NEVER
+    died_at: float = NEVER
+    heard_before: int | None = None
+
+    @property
+    def heard_to_the_end(self):
+        """Return whether heartbeats came until a monitor would have noticed the end."""
+        return self.died_at - self.beat_at <= DEAD_AFTER + LEASE
 
     @property
     def rank(self):
@@ -91,6 +102,7 @@
         self._settled_at = clock.now() + SETTLE
         self._last_tick = clock.now()
         self._on_presumed_dead = None
+        self._on_pause = None
         self._tasks = {}
         self._add_self(MemberState.LIVE)
 
@@ -109,6 +121,10 @@
         """Return whether this VM has announced that it leaves."""
         return self._members[self._vm.name].state is MemberState.LEAVING
 
+    def on_pause(self, callback):
+        """Call ``callback()`` when this VM did not run for a while."""
+        self._on_pause = callback
+
     def on_presumed_dead(self, callback):
         """Call ``callback()`` when this VM was paused or presumed dead."""
         self._on_presumed_dead = callback
@@ -135,11 +151,29 @@
         if now < self._settled_at or now - self._last_tick > PAUSE_GAP:
             return False
         return all(
-            member.acked_at + LEASE > now
-            for member in self._monitors()
-            if not self._is_silent(member, now)
+            member.acked_at + LEASE > now for member in self.answering_monitors()
         )
 
+    def answering_monitors(self):
+        """Return the monitors whose acknowledgement this VM needs."""
+        now = self._clock.now()
+        return [
+            member for member in self._monitors() if not self._is_silent(member, now)
+        ]
+
+    def heard_until_end(self, name, incarnation):
+        """Return whether this VM had the heartbeats of an ended life up to its end.
+
+        A life ends by death or by a later incarnation. A VM that was no longer a
+        monitor then has heard nothing for longer than a monitor would wait.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return False
+        if member.incarnation == incarnation:
+            return member.state is MemberState.DEAD and member.heard_to_the_end
+        return member.heard_before == incarnation
+
     def record(self, item):
         """Take a :class:`MemberRecord` from a peer or the VM list.
 
@@ -156,6 +190,10 @@
         )
         if known is not None and fresh.rank <= known.rank:
             return False
+        if known is not None:
+            self._carry_over(known, fresh, now)
+        if fresh.state is MemberState.DEAD:
+            fresh.died_at = now
         self._members[item.vm] = fresh
         self._changed()
         self._vm.journal.write(
@@ -176,12 +214,11 @@
         if member is None or heartbeat.incarnation < member.incarnation:
             return member is not None
         if heartbeat.incarnation > member.incarnation:
-            member.incarnation = heartbeat.incarnation
-            member.state = MemberState.LIVE
-            self._changed()
+            self.record(self._next_life(member, heartbeat.incarnation))
+            member = self._members[heartbeat.vm]
         if member.state is MemberState.DEAD:
             return True
-        member.heard_at = self._clock.now()
+        member.heard_at = member.beat_at = self._clock.now()
         member.silent_from = member.heard_at
         return False
 
@@ -225,6 +262,22 @@
             await self._judge()
             await sleep(HEARTBEAT_INTERVAL)
 
+    def _carry_over(self, known, fresh, now):
+        """Keep what the next record of a VM does not say."""
+        if known.incarnation == fresh.incarnation:
+            fresh.beat_at = known.beat_at
+            fresh.heard_before = known.heard_before
+            return
+        if known.state is not MemberState.DEAD:
+            known.died_at = now
+        if known.heard_to_the_end:
+            fresh.heard_before = known.incarnation
+
+    def _next_life(self, member, incarnation):
+        domain = self._vm.settings.failure_domain
+        state = MemberState.LIVE.value
+        return MemberRecord(member.vm, member.host, domain, incarnation, state)
+
     def _monitors(self):
         return self._neighbours(+1)
 
@@ -254,6 +307,8 @@
         for member in self._members.values():
             member.heard_at = member.silent_from = now
         self._vm.journal.write(Event.VM_PAUSED, gap=round(gap, 3))
+        if self._on_pause is not None:
+            self._on_pause()
         if gap > LEASE:
             self._presumed_dead()
 
@@ -336,6 +391,7 @@
 
     def _declare_dead(self, member):
         member.state = MemberState.DEAD
+        member.died_at = self._clock.now()
         self._changed()
         self._vm.journal.write(
             Event.MEMBER_DEAD,
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/peer_service.py
@@ -13,6 +13,7 @@
     ClosedOut,
     CloseOut,
     Configuration,
+    Cover,
     FetchConfiguration,
     FetchVms,
     Heartbeat,
@@ -47,6 +48,7 @@
             ViewExchange: self._view_exchange,
             Acquire: self._acquire,
             Released: self._released,
+            Cover: self._cover,
             LeaseRequest: self._lease_request,
             LeaseRenewal: self._lease_renewal,
             LeaseReturn: self._lease_return,
@@ -122,6 +124,10 @@
         self._vm.ledger.drop_hold(item.target, item.use_id)
         return Accepted()
 
+    async def _cover(self, item, hello):
+        self._vm.cover_records.record(item.vm, item.incarnation, item.covers)
+        return Accepted()
+
     async def _lease_request(self, item, hello):
         return self._vm.granter.grant(item, hello.vm, hello.failure_domain)
 
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -20,6 +20,7 @@
 from heathercleat.process.claims import Claims
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.configuration import ConfigurationKeeper
+from heathercleat.process.covers import CoverPublisher, CoverRecords
 from heathercleat.process.directory import Directory
 from heathercleat.process.editing import Editor
 from heathercleat.process.fence import Fence
@@ -97,7 +98,17 @@
             self, self._platform, self.links, self.membership, self.directory, clock
         )
         self.health = HealthBoard(self, self.ledger, clock)
-        self.homes = Homes(self, self.membership, self.ledger, self.links, clock)
+        self.cover_records = CoverRecords(self.membership, clock)
+        self.covers = CoverPublisher(self, self.membership, self.links, clock)
+        self.homes = Homes(
+            self,
+            self.membership,
+            self.ledger,
+            self.links,
+            self.cover_records,
+            self.covers,
+            clock,
+        )
         self.holder = LeaseHolder(self, self.links, self.directory, clock)
         self.admission = Admission(
             self, self.ledger, self.holder, self.membership, self.health, clock
@@ -110,6 +121,7 @@
         self.candidates = CandidateCache(self, clock)
         self.metrics = Metrics(self)
         self.membership.on_presumed_dead(self.homes.drop_all)
+        self.membership.on_pause(self.cover_records.clear)
         self.admission.on_handed_over(self.homes.tell_released)
 
     @property
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -101,6 +101,7 @@
 
 async def _attempt(vm, call, permit, deliver):
     attempt = Attempt(call, _upstream(vm, call, permit), vm.pool, vm.clock)
+    await _cover(vm, call, permit)
     started_at = vm.clock.now()
     whole = False
     certain = False
@@ -122,6 +123,17 @@
         await vm.admission.release(call, permit, certain)
 
 
+async def _cover(vm, call, permit):
+    """Announce until when the request may occupy its target, before it is sent."""
+    if isinstance(permit, LeasedPermit):
+        return
+    try:
+        await vm.covers.ensure(permit.target.name, call.deadline)
+    except BaseException:
+        await vm.admission.release(call, permit, certain=True)
+        raise
+
+
 async def _exchange(vm, call, permit, attempt, deliver):
     once = call.kind.semantics is Semantics.AT_MOST_ONCE
     if not once and call.stream.request_complete and call.stream.is_closed():
--- /dev/null
+++ b/tests/test_covers.py
@@ -0,0 +1,176 @@
+import signal
+import time
+
+import pytest
+from curio import run
+
+from heathercleat import HeathercleatError, ResultCode
+from heathercleat.connection.messages import Accepted, Cover
+from heathercleat.process.covers import (
+    SHORT,
+    CoverPublisher,
+    CoverRecords,
+    occupied_until,
+)
+from heathercleat.process.members import SETTLE, Membership
+from standins.fleet import Fleet, wait_for
+from standins.load import Load
+from tests.fakes import FakeLinks, FakeVm, ManualClock
+from tests.test_members import heartbeat, record
+
+LONG_MS = 20_000
+WORK_SECONDS = 6.0
+SLOTS = 2
+
+
+class LongService:
+    longest_timeout = 60.0
+
+
+def make_parts(answer=lambda host, item: Accepted()):
+    vm, clock = FakeVm(), ManualClock()
+    links = FakeLinks(answer)
+    membership = Membership(vm, links, clock)
+    clock.time += SETTLE
+    membership._check_pause()
+    membership.record(record())
+    return links, clock, membership, CoverPublisher(vm, membership, links, clock)
+
+
+def covers_sent(links):
+    return [item.covers for _, item in links.calls if isinstance(item, Cover)]
+
+
+def test_short_requests_need_no_cover():
+    links, clock, _, publisher = make_parts()
+    run(publisher.ensure, "t", clock.time + SHORT)
+    assert not links.calls
+
+
+def test_long_request_is_announced_once_for_a_while():
+    links, clock, _, publisher = make_parts()
+    run(publisher.ensure, "t", clock.time + 10)
+    run(publisher.ensure, "t", clock.time + 11)
+    assert len(covers_sent(links)) == 1
+    assert covers_sent(links)[0]["t"] >= clock.time + 11
+    run(publisher.ensure, "t", clock.time + 60)
+    assert len(covers_sent(links)) == 2
+
+
+def test_long_request_is_refused_when_a_monitor_does_not_acknowledge():
+    _, clock, _, publisher = make_parts(lambda host, item: None)
+    with pytest.raises(HeathercleatError) as caught:
+        run(publisher.ensure, "t", clock.time + 10)
+    assert caught.value.code is ResultCode.NO_ROOM
+
+
+def test_monitor_with_a_new_incarnation_is_told_again():
+    links, clock, membership, publisher = make_parts()
+    run(publisher.ensure, "t", clock.time + 10)
+    membership.record(record(incarnation=2))
+    run(publisher.ensure, "t", clock.time + 10)
+    assert len(covers_sent(links)) == 2
+
+
+def test_only_a_monitor_that_heard_the_home_to_its_end_vouches():
+    _, clock, membership, _ = make_parts()
+    records = CoverRecords(membership, clock)
+    records.record("north-a-2", 1, {"t": 150.0})
+    assert records.vouched(["t"]) == {}
+    membership.heard(heartbeat())
+    clock.time += 2.0
+    membership.record(record(state="dead"))
+    assert records.vouched(["t", "u"]) == {"t": 150.0}
+    records.clear()
+    assert records.vouched(["t"]) == {}
+
+
+def test_monitor_that_stopped_hearing_the_home_does_not_vouch():
+    _, clock, membership, _ = make_parts()
+    records = CoverRecords(membership, clock)
+    records.record("north-a-2", 1, {"t": 150.0})
+    membership.heard(heartbeat())
+    clock.time += 60.0
+    membership.record(record(state="dead"))
+    assert records.vouched(["t"]) == {}
+
+
+def test_life_replaced_by_a_restart_is_vouched_for():
+    _, clock, membership, _ = make_parts()
+    records = CoverRecords(membership, clock)
+    records.record("north-a-2", 1, {"t": 150.0})
+    membership.heard(heartbeat())
+    clock.time += 1.0
+    membership.heard(heartbeat(incarnation=2))
+    assert records.vouched(["t"]) == {"t": 150.0}
+
+
+@pytest.mark.parametrize(
+    ("walls", "seconds"), [([], 60.0), ([0.0], SHORT), ([130.0], 30.0), ([999.0], 60.0)]
+)
+def test_occupied_until(walls, seconds):
+    clock = ManualClock()
+    assert occupied_until(clock, LongService, walls) == clock.time + seconds
+
+
+def long_text():
+    kind = {
+        "kind": "upload",
+        "method": "PUT",
+        "path": "/",
+        "run": "upload",
+        "timeout_ms": LONG_MS,
+    }
+    targets = {
+        f"long-{number}": {"failure_domain": "north-a", "slots": SLOTS}
+        for number in range(2)
+    }
+    return {
+        "regions": {"north": {"failure_domains": ["north-a"]}},
+        "services": {"intake": {"requests": [kind], "targets": targets}},
+    }
+
+
+@pytest.fixture
+def fleet():
+    with Fleet(long_text(), {"north-a": 2}, subnet=35) as running:
+        wait_for(lambda: running.free_slots() == 2 * SLOTS, seconds=30)
+        time.sleep(0.5)
+        yield running
+
+
+def test_idle_targets_of_a_killed_home_return_before_the_longest_timeout(fleet):
+    first, _ = fleet.vms.values()
+    first.process.kill()
+    wait_for(lambda: fleet.free_slots() == 2 * SLOTS, seconds=8)
+
+
+def test_idle_targets_of_a_restarted_home_return_before_the_longest_timeout(fleet):
+    first, _ = fleet.vms.values()
+    first.process.kill()
+    first.process.wait()
+    fleet.start_vm(first)
+    wait_for(lambda: fleet.version(first) == 1)
+    wait_for(lambda: fleet.free_slots() == 2 * SLOTS, seconds=8)
+
+
+def test_long_requests_of_a_paused_home_are_waited_for(fleet):
+    first, second = fleet.vms.values()
+    for name in fleet.targets:
+        fleet.switch_target(name, service_s=WORK_SECONDS, cancel_s=0.1)
+    hosts = [vm.host for vm in fleet.vms.values()]
+
+    def make(number):
+        return "PUT", f"/{number}", b"data", {}
+
+    def in_flight():
+        return sum(fleet.record(name)["in_flight"] for name in fleet.targets)
+
+    with Load(hosts, "intake", rate=10, make=make, timeout=8.0):
+        wait_for(lambda: in_flight() == 2 * SLOTS)
+        first.process.send_signal(signal.SIGSTOP)
+        wait_for(lambda: len(fleet.status(second)["targets"]) == 2)
+        time.sleep(WORK_SECONDS)
+        first.process.send_signal(signal.SIGCONT)
+        time.sleep(WORK_SECONDS / 2)
+    assert sum(fleet.record(name)["over"] for name in fleet.targets) == 0
