--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,7 +24,6 @@
     Vms,
     encode,
 )
-from heathercleat.process.configuration import Document
 from heathercleat.process.directory import Directory
 from heathercleat.process.members import SETTLE, Membership
 from heathercleat.process.platform import VmEntry, VmList
@@ -32,6 +31,7 @@
 from heathercleat.process.vm import EntryVM
 from heathercleat.request.lookup import answer_lookup
 from heathercleat.version.blocks import BlockTable
+from heathercleat.version.document import Document
 from heathercleat.version.text import parse_text
 from standins.fleet import Fleet
 from tests.fakes import SETTINGS, FakeLinks, FakePlatform, FakeVm, ManualClock
--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -153,6 +153,7 @@
             name: values[0] for name, values in parse_qs(urlsplit(path).query).items()
         }
         answer = answer_lookup(self._vm, query, self._caller)
+        self._vm.metrics.count_lookup(answer["service"])
         max_age = max(0, int(answer["expires_at"] - self._vm.clock.wall()))
         headers = {
             "content-type": "application/json",
@@ -223,7 +224,7 @@
         if not self._forwarded:
             return None
         token, lease = find(headers, PEER), find(headers, LEASE)
-        if token is None or lease is None or not self._vm.is_peer_token(token):
+        if token is None or lease is None or not self._vm.tokens.accepts(token):
             message = "this address is for entry VMs"
             raise RequestError(ResultCode.BAD_REQUEST, message)
         return int(lease)
--- a/src/heathercleat/connection/operator.py
+++ b/src/heathercleat/connection/operator.py
@@ -12,7 +12,6 @@
 from heathercleat.connection.http import HttpStream, Message, serve_messages
 from heathercleat.connection.peer import sign, verify
 from heathercleat.errors import FindingsError, HeathercleatError
-from heathercleat.process.configuration import Document
 from heathercleat.process.editing import (
     Edit,
     cancel_drain,
@@ -22,6 +21,7 @@
 )
 from heathercleat.process.explain import explain
 from heathercleat.process.status import status_of
+from heathercleat.version.document import Document
 
 MAX_TEXT_BYTES = 16 * 1024 * 1024
 TOKEN_SECONDS = 60
--- a/src/heathercleat/process/configuration.py
+++ b/src/heathercleat/process/configuration.py
@@ -6,11 +6,8 @@
 off from the platform still follows as long as any VM can be reached.
 """
 
-from dataclasses import dataclass
-from hashlib import sha256
 from random import choice, uniform
 
-import msgpack
 from curio import sleep, spawn
 
 from heathercleat.connection.messages import (
@@ -25,10 +22,14 @@
 from heathercleat.events import Event
 from heathercleat.process.directory import vm_list
 from heathercleat.process.members import MemberState
+from heathercleat.version.document import (
+    HEAD_KEY,
+    object_key,
+    unpack_document,
+    unpack_head,
+)
 from heathercleat.version.hashing import ranked
-from heathercleat.version.text import Drain, DrainScope, parse_text
 
-HEAD_KEY = "config/head"
 #: VMs of a failure domain that ask the platform.
 READERS = 2
 READ_INTERVAL = 0.5
@@ -39,59 +40,6 @@
 FETCH_TIMEOUT = 5.0
 
 
-@dataclass(slots=True, frozen=True)
-class Head:
-    """The row that names the version in force; ``at`` is epoch seconds."""
-
-    version: int
-    object_key: str
-    edit_id: str
-    author: str
-    at: float
-
-    def pack(self):
-        """Return the bytes of the row."""
-        fields = [self.version, self.object_key, self.edit_id, self.author, self.at]
-        return msgpack.packb(fields)
-
-
-def unpack_head(data):
-    """Return the :class:`Head` of a row."""
-    return Head(*msgpack.unpackb(data))
-
-
-@dataclass(slots=True, frozen=True)
-class Document:
-    """A configuration as operators wrote it: the text, and drains by id."""
-
-    source: str
-    drains: dict
-
-    def pack(self):
-        """Return the bytes of the object in the platform's store."""
-        return msgpack.packb([self.source, self.drains])
-
-    def parse(self):
-        """Return the :class:`Text` with the drains.
-
-        :raises FindingsError: when the text is not valid.
-        """
-        text = parse_text(self.source)
-        for id_, (scope, name, at) in self.drains.items():
-            text.drains[id_] = Drain(id_, DrainScope(scope), name, at)
-        return text
-
-
-def unpack_document(data):
-    """Return the :class:`Document` of an object."""
-    return Document(*msgpack.unpackb(data))
-
-
-def object_key(data):
-    """Return the name under which a document is stored: the hash of its bytes."""
-    return f"config/{sha256(data).hexdigest()}"
-
-
 class ConfigurationKeeper:
     """Keeps the newest configuration and VM list that this VM has seen.
 
--- a/src/heathercleat/process/editing.py
+++ b/src/heathercleat/process/editing.py
@@ -6,7 +6,8 @@
 
 from heathercleat.codes import ResultCode
 from heathercleat.errors import HeathercleatError, PlatformError
-from heathercleat.process.configuration import (
+from heathercleat.process.platform import ABSENT, Condition, Write
+from heathercleat.version.document import (
     HEAD_KEY,
     Document,
     Head,
@@ -14,7 +15,6 @@
     unpack_document,
     unpack_head,
 )
-from heathercleat.process.platform import ABSENT, Condition, Write
 from heathercleat.version.text import Drain, DrainScope
 
 #: Tries to find out whether an edit took effect after a lost reply.
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -4,13 +4,9 @@
 from contextlib import contextmanager
 from secrets import token_hex
 
-from curio import TaskGroup, sleep, spawn, tcp_server_socket
-from curio.errors import CancelledError
+from curio import TaskGroup, sleep, spawn
 
 from heathercleat.codes import ResultCode, Run
-from heathercleat.connection.caller import CallerConnection
-from heathercleat.connection.operator import OperatorService
-from heathercleat.connection.peer import sign, verify
 from heathercleat.connection.pool import Pool
 from heathercleat.errors import RequestError
 from heathercleat.events import Event
@@ -27,20 +23,18 @@
 from heathercleat.process.health import HealthBoard
 from heathercleat.process.homes import Homes
 from heathercleat.process.leases import LeaseGranter, LeaseHolder
+from heathercleat.process.listeners import Listeners
 from heathercleat.process.logs import Journal
 from heathercleat.process.members import Membership, MemberState
 from heathercleat.process.metrics import Metrics
 from heathercleat.process.once import OnceLedger
-from heathercleat.process.peer_service import PeerService
 from heathercleat.process.peers import PeerLinks
 from heathercleat.process.platform import HttpPlatform, VmEntry
 from heathercleat.process.settings import load_settings
 from heathercleat.process.slots import SlotLedger
+from heathercleat.process.tokens import PeerTokens
 from heathercleat.version.blocks import build_blocks
 
-BACKLOG = 1024
-MAX_CALLER_CONNECTIONS = 4096
-TOKEN_SECONDS = 10.0
 #: Seconds added to the life of look-ups before a leaving VM stops listening.
 LEAVE_MARGIN = 1.0
 CHECK_INTERVAL = 0.05
@@ -64,27 +58,22 @@
         self._journal = Journal(settings.vm, settings.failure_domain)
         self._blocks = build_blocks({}, [])
         self._budgets = {}
-        self._connections = set()
         self._peer_bytes = 0
-        self._token = ("", 0.0)
         self._leave_requested = False
         self._fence = Fence(settings.fenced)
-        self._platform = platform or HttpPlatform(
-            settings.platform_host,
-            settings.platform_port,
-            self._clock,
-            settings.platform_timeout,
-            self._get_fence,
-        )
+        self._platform = platform or self._connect_platform()
         # Claims wait for nobody else's calls: they have a connection of their own.
-        self._claims_platform = platform or HttpPlatform(
-            settings.platform_host,
-            settings.platform_port,
+        self._claims_platform = platform or self._connect_platform()
+        self._build()
+
+    def _connect_platform(self):
+        return HttpPlatform(
+            self._settings.platform_host,
+            self._settings.platform_port,
             self._clock,
-            settings.platform_timeout,
+            self._settings.platform_timeout,
             self._get_fence,
         )
-        self._build()
 
     def _build(self):
         clock = self._clock
@@ -120,6 +109,8 @@
         self.editor = Editor(self._claims_platform, clock)
         self.candidates = CandidateCache(self, clock)
         self.metrics = Metrics(self)
+        self.tokens = PeerTokens(self.name, lambda: self._settings.keys, clock)
+        self._listeners = Listeners(self)
         self.membership.on_presumed_dead(self.homes.drop_all)
         self.membership.on_pause(self.cover_records.clear)
         self.admission.on_handed_over(self.homes.tell_released)
@@ -245,29 +236,6 @@
             entry for name, entry in {**homes, **entries}.items() if name in entries
         ]
 
-    def peer_token(self):
-        """Return a token that proves to other VMs that a request comes from a VM."""
-        token, renew_at = self._token
-        now = self._clock.now()
-        if now >= renew_at:
-            expires_at = int(self._clock.wall() + TOKEN_SECONDS)
-            key = self._settings.keys[0]
-            signature = sign(key, b"forward", self.name, expires_at).hex()
-            token = f"{self.name};{expires_at};{signature}"
-            self._token = (token, now + TOKEN_SECONDS / 2)
-        return token
-
-    def is_peer_token(self, token):
-        """Return whether a token was made by a VM a short while ago."""
-        try:
-            name, expires_at, signature = token.split(";")
-            given = bytes.fromhex(signature)
-            fresh = int(expires_at) > self._clock.wall()
-        except ValueError:
-            return False
-        keys = self._settings.keys
-        return fresh and verify(keys, given, b"forward", name, expires_at)
-
     async def record_outcome(self, ticket, key, outcome):
         """Keep an outcome in the table without keeping the caller waiting."""
         await spawn(self.claims.record, ticket, key, outcome, daemon=True)
@@ -307,10 +275,7 @@
             await group.spawn(self._shut_down)
             for run in self._loops():
                 await group.spawn(self._guard, run)
-            for port, handle in self._listeners():
-                host = self._settings.address
-                sock = tcp_server_socket(host, port, backlog=BACKLOG)
-                await group.spawn(self._accept, sock, handle)
+            await self._listeners.start(group)
         await self.links.close()
         await self.pool.close()
         self._journal.write(Event.VM_STOPPED)
@@ -326,15 +291,6 @@
             self.claims.run,
         )
 
-    def _listeners(self):
-        ports = self._settings.ports
-        return (
-            (ports.caller, self._serve_caller),
-            (ports.forward, self._serve_forwarded),
-            (ports.peer, PeerService(self).serve),
-            (ports.operator, OperatorService(self).serve),
-        )
-
     async def _guard(self, run):
         """Run a loop; an error in it is logged and the loop starts again."""
         while True:
@@ -346,42 +302,6 @@
                 )
                 await sleep(CHECK_INTERVAL)
 
-    async def _accept(self, sock, handle):
-        async def guarded(client, address):
-            try:
-                await handle(client, address)
-            except CancelledError:
-                raise
-            except Exception as error:  # noqa: BLE001
-                self._journal.write(
-                    Event.TASK_FAILED, task="connection", reason=repr(error)
-                )
-
-        async with sock:
-            async with TaskGroup() as group:
-                while True:
-                    client, address = await sock.accept()
-                    await group.spawn(self._run_client, guarded, client, address)
-
-    async def _run_client(self, handle, client, address):
-        async with client:
-            await handle(client, address)
-
-    async def _serve_caller(self, sock, address):
-        if len(self._connections) >= MAX_CALLER_CONNECTIONS:
-            return
-        await self._track(CallerConnection(self, sock, address))
-
-    async def _serve_forwarded(self, sock, address):
-        await self._track(CallerConnection(self, sock, address, forwarded=True))
-
-    async def _track(self, connection):
-        self._connections.add(connection)
-        try:
-            await connection.serve()
-        finally:
-            self._connections.discard(connection)
-
     def _reload(self):
         path = self._settings.path
         if path is None:
@@ -395,7 +315,7 @@
             return
         self._settings.keys = settings.keys
         self._fence = Fence(settings.fenced)
-        self._token = ("", 0.0)
+        self.tokens.forget()
         self._journal.write(Event.SETTINGS_RELOADED, keys=len(self._settings.keys))
 
     async def _shut_down(self):
@@ -405,13 +325,13 @@
             await sleep(CHECK_INTERVAL)
         self._journal.write(
             Event.VM_LEAVING,
-            connections=len(self._connections),
+            connections=self._listeners.connections,
             targets=len(self.ledger.targets),
         )
         await self.membership.leave()
         # Callers may use a look-up made before this until it expires.
         await sleep(self._settings.lookup_ttl + LEAVE_MARGIN)
-        while any(connection.busy for connection in self._connections):
+        while self._listeners.busy:
             await sleep(CHECK_INTERVAL)
 
     async def _follow_own_drain(self):
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -165,7 +165,7 @@
         limit = target.connections
         return Upstream(target.name, target.host, target.port, (), limit, False)
     lease = permit.lease
-    headers = ((LEASE, str(lease.id)), (PEER, vm.peer_token()))
+    headers = ((LEASE, str(lease.id)), (PEER, vm.tokens.current()))
     port = vm.settings.ports.forward
     return Upstream(lease.granter, lease.host, port, headers, None, True)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,13 +8,7 @@
 
 from heathercleat import FindingsError, HeathercleatError, ResultCode
 from heathercleat.errors import PlatformError
-from heathercleat.process.configuration import (
-    HEAD_KEY,
-    ConfigurationKeeper,
-    Document,
-    object_key,
-    unpack_head,
-)
+from heathercleat.process.configuration import ConfigurationKeeper
 from heathercleat.process.directory import Directory
 from heathercleat.process.editing import (
     ConflictError,
@@ -25,6 +19,7 @@
     to_drain,
 )
 from heathercleat.process.members import Membership
+from heathercleat.version.document import HEAD_KEY, Document, object_key, unpack_head
 from tests.fakes import FakeLinks, FakePlatform, FakeVm, ManualClock
 from tests.test_text import make_text
 
