--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -49,6 +49,7 @@
 LINGER_SECONDS = 1.0
 LINGER_BYTES = 16 * 1024 * 1024
 MAX_KEY_LENGTH = 256
+FIRST_SERVER_ERROR = 500
 ID_BYTES = 8
 
 
@@ -261,10 +262,13 @@
             raise RequestError(ResultCode.BAD_REQUEST, str(error)) from None
 
     async def _send_outcome(self, call, outcome):
+        # A server error does not say how far the target got.
+        failed = outcome.status >= FIRST_SERVER_ERROR
+        run = Run.UNKNOWN if failed else Run.RUN
         headers = [
             *outcome.headers,
             (CODE, str(ResultCode.OK.number)),
-            (RUN, Run.RUN.value),
+            (RUN, run.value),
             (REQUEST_ID, call.id),
             ("content-length", str(len(outcome.body))),
             *self._close_header().items(),
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -131,6 +131,15 @@
     assert {answer[1]["heathercleat-target"] for answer in answers} == {"style-north-b"}
 
 
+def test_server_error_of_an_edit_is_not_called_run(fleet, vm):
+    for name in fleet.targets:
+        if name.startswith("rule"):
+            fleet.switch_target(name, fail=True)
+    place = vm.host, PORTS["caller"]
+    status, headers, _ = call(*place, "POST", "/s/rule-editing/rules", b"{}")
+    assert (status, headers["heathercleat-run"]) == (500, "unknown")
+
+
 def test_draining_target_gets_no_new_work_after_seconds(fleet, vm):
     fleet.switch_target("style-north-a", health="draining")
     time.sleep(2.5)
