Never call an attempt "not run" after its answer has ended

Cause: since slots are freed at the end of an answer, an attempt gives its connection up there. A deadline that passed right then found no connection and was reported as "no connection in time", not run: false, and a repeat of the key could have run the request again. Ruled out: keeping the connection on the attempt, since a late cancellation would then shut down a connection that is back in the pool. Header names come from their constants, and an unused property went.

--- a/src/heathercleat/request/attempt.py
+++ b/src/heathercleat/request/attempt.py
@@ -9,6 +9,8 @@
 from heathercleat.errors import RequestError
 from heathercleat.request.headers import (
     CODE,
+    DEADLINE,
+    REQUEST_ID,
     SERVICE_PREFIX,
     check_framing,
     end_to_end,
@@ -80,6 +82,7 @@
         self._on_end = on_end
         self._stream = None
         self._sent_before = 0
+        self._ended = False
         self._reading_caller = False
         self._response = None
         self._headers = []
@@ -94,11 +97,6 @@
         """Return the headers of the answer, as a list of pairs."""
         return self._headers
 
-    @property
-    def stream(self):
-        """Return the connection to the upstream."""
-        return self._stream
-
     async def send(self, fresh=False):
         """Send the whole request.
 
@@ -148,7 +146,7 @@
             # The caller's own sending ran out of time: no fault of the target.
             code = ResultCode.DEADLINE_IN_RUN
             return AttemptFailedError(code, "the upload was too slow")
-        if self._stream is None:
+        if self._stream is None and not self._ended:
             code = ResultCode.DEADLINE_BEFORE_RUN
             return AttemptFailedError(code, "no connection in time", "connect")
         return self._failed(ResultCode.DEADLINE_IN_RUN, "deadline")
@@ -163,6 +161,7 @@
         stream, self._stream = self._stream, None
         if stream is None:
             return
+        self._ended = True
         place = self._upstream.host, self._upstream.port
         if whole:
             await self._pool.give_back(*place, stream)
@@ -204,8 +203,8 @@
             if name != b"content-length"
         ]
         headers.extend(self._upstream.headers)
-        headers.append(("heathercleat-deadline", f"{call.wall_deadline:.3f}"))
-        headers.append(("heathercleat-request", call.id))
+        headers.append((DEADLINE, f"{call.wall_deadline:.3f}"))
+        headers.append((REQUEST_ID, call.id))
         length = find(call.headers, "content-length")
         if call.body is not None:
             if call.body or length is not None:
@@ -293,8 +292,14 @@
             and find(headers, "transfer-encoding") is None
         )
 
+    def _sent_nothing(self):
+        # An attempt that has ended gave its connection up: the request may have run.
+        if self._ended:
+            return False
+        return self._stream is None or self._stream.bytes_sent == self._sent_before
+
     def _failed(self, code, blame, error=""):
-        if self._stream is None or self._stream.bytes_sent == self._sent_before:
+        if self._sent_nothing():
             code = ResultCode.TARGETS_UNREACHABLE
         message = f"{self._upstream.name}: {blame} {error}".rstrip()
         return AttemptFailedError(code, message, blame)
--- /dev/null
+++ b/tests/test_attempt.py
@@ -0,0 +1,75 @@
+import h11
+import pytest
+from curio import run
+
+from heathercleat import Run
+from heathercleat.request.attempt import Attempt, Upstream
+from tests.fakes import ManualClock
+from tests.test_admission import make_call, make_parts
+
+
+class FakeStream:
+    """A connection whose answer has come by the time the request is sent."""
+
+    def __init__(self):
+        self.bytes_sent = 0
+        self._events = [
+            h11.Response(status_code=200, headers=[("content-length", "0")]),
+            h11.EndOfMessage(),
+        ]
+
+    async def send(self, *events):
+        self.bytes_sent += len(events)
+
+    async def next_event(self):
+        return self._events.pop(0)
+
+
+class FakePool:
+    async def checkout(self, host, port, limit, fresh):
+        return FakeStream()
+
+    async def give_back(self, host, port, stream):
+        return None
+
+    async def discard(self, host, port, stream):
+        return None
+
+
+@pytest.fixture
+def attempt():
+    vm, _, _, _ = make_parts()
+    call = make_call(vm)
+    call.body = b""
+    call.headers = [(b"host", b"x")]
+    upstream = Upstream("t", "127.0.0.1", 1, (), None, False)
+
+    async def end():
+        await made.finish(whole=True)
+
+    made = Attempt(call, upstream, FakePool(), ManualClock(), end)
+    return made
+
+
+def test_deadline_before_a_connection_is_not_run(attempt):
+    assert attempt.timed_out().code.run is Run.NOT_RUN
+
+
+def test_deadline_after_the_end_of_the_answer_is_never_called_not_run(attempt):
+    async def act():
+        await attempt.send()
+        await attempt.read_head()
+        await attempt.next_event()
+
+    run(act)
+    assert attempt.timed_out().code.run is Run.UNKNOWN
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_deadline_after_a_request_was_sent_is_never_called_not_run(attempt, whole):
+    async def act():
+        await attempt.send()
+        await attempt.finish(whole)
+
+    run(act)
+    assert attempt.timed_out().code.run is Run.UNKNOWN
