--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -72,10 +72,6 @@
         """Return whether a request is under way."""
         return self._busy
 
-    def abort(self):
-        """Shut the connection down."""
-        self._stream.abort()
-
     async def serve(self):
         """Serve requests one after the other until either side closes."""
         try:
--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -100,24 +100,20 @@
 
     def is_clean(self):
         """Return whether an idle connection is open with nothing unread on it."""
-        if self._conn.trailing_data[0]:
-            return False
-        try:
-            self._sock._socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            pass
-        return False
+        return not self._conn.trailing_data[0] and self._peek() is None
 
     def is_closed(self):
         """Return whether the other side has closed, as far as the kernel knows."""
+        return self._peek() == b""
+
+    def _peek(self):
+        """Return a byte that waits, none after a close, or ``None`` when idle."""
         try:
-            return not self._sock._socket.recv(1, socket.MSG_PEEK)
+            return self._sock._socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
     def abort(self):
         """Shut the connection down at once, also for a task that waits on it."""
--- a/src/heathercleat/process/members.py
+++ b/src/heathercleat/process/members.py
@@ -245,7 +245,6 @@
     async def leave(self):
         """Announce that this VM takes no new targets or callers."""
         self._add_self(MemberState.LEAVING)
-        self._changed()
         await self.announce()
 
     async def rejoin(self):
@@ -315,7 +314,6 @@
     def _presumed_dead(self):
         self._vm.renew_incarnation()
         self._add_self(self._members[self._vm.name].state)
-        self._changed()
         if self._on_presumed_dead is not None:
             self._on_presumed_dead()
 
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -6,7 +6,7 @@
 
 from curio import TaskGroup, sleep, spawn
 
-from heathercleat.codes import ResultCode, Run
+from heathercleat.codes import ResultCode
 from heathercleat.connection.pool import Pool
 from heathercleat.errors import RequestError
 from heathercleat.events import Event
@@ -374,8 +374,8 @@
             forwarded=call.lease is not None,
         )
         if call.lease is None:
-            run = code.run.value if code is not ResultCode.OK else Run.RUN.value
-            self.metrics.count_request(call, code.name.lower(), run, seconds, late)
+            result, run = code.name.lower(), code.run.value
+            self.metrics.count_request(call, result, run, seconds, late)
 
 
 class _Observed:
