Make an edit from the version that its operator has seen, also through a VM that lags

It refused the edit from the head row and left the version itself to the next heartbeat. Reading the path for that showed a worse fault: an edit that names a base version which the VM does not have yet was built from the document in force at the VM.

Ruled out: the conditional write itself; it held, since the base named was the newest. A wait in the test would have hidden both.

Change: the document of the base version is read from the platform when it is not the one in force, and a conflict makes the VM follow the platform before it answers.

Conclusion: an accepted edit never reverts what its operator had seen.

--- a/src/heathercleat/connection/operator.py
+++ b/src/heathercleat/connection/operator.py
@@ -13,6 +13,7 @@
 from heathercleat.connection.peer import sign, verify
 from heathercleat.errors import FindingsError, HeathercleatError
 from heathercleat.process.editing import (
+    ConflictError,
     Edit,
     cancel_drain,
     headroom_after,
@@ -58,9 +59,13 @@
     async def serve(self, sock, address):
         """Answer calls on one connection."""
         stream = HttpStream(sock, h11.SERVER)
-        await serve_messages(stream, self._handle, MAX_TEXT_BYTES)
+        await serve_messages(stream, self.handle, MAX_TEXT_BYTES)
 
-    async def _handle(self, message):
+    async def handle(self, message):
+        """Return the answer to one call.
+
+        :param message: the call, a :class:`Message`.
+        """
         url = urlsplit(message.path)
         if url.path == "/metrics":
             return Message(body=self._vm.metrics.render())
@@ -136,14 +141,15 @@
 
     async def _apply(self, query, body):
         call = loads(body)
-        drains = {}
-        if self._vm.configuration.document is not None:
-            drains = self._vm.configuration.document.drains
-        return await self._edit(call, Document(call["text"], drains))
+        base = self._base_of(call)
+        drains = (await self._document_at(base)).drains if base else {}
+        return await self._edit(call, base, Document(call["text"], drains))
 
     async def _plan(self, query, body):
         call = loads(body)
         drain = to_drain(call["id"], call["scope"], call["name"], call["at"])
+        base = self._base_of(call)
+        current = await self._document_at(base)
         now = self._vm.clock.wall()
         rooms = [
             {
@@ -153,24 +159,45 @@
                 "least": room.least,
                 "enough": room.enough,
             }
-            for room in headroom_after(self._document().parse(), drain, now)
+            for room in headroom_after(current.parse(), drain, now)
         ]
         if call.get("dry_run"):
             return {"headroom": rooms}
-        document = plan_drain(self._document(), drain, now)
-        return {"headroom": rooms, **await self._edit(call, document)}
+        document = plan_drain(current, drain, now)
+        return {"headroom": rooms, **await self._edit(call, base, document)}
 
     async def _cancel(self, query, body):
         call = loads(body)
-        return await self._edit(call, cancel_drain(self._document(), call["id"]))
+        base = self._base_of(call)
+        document = cancel_drain(await self._document_at(base), call["id"])
+        return await self._edit(call, base, document)
+
+    def _base_of(self, call):
+        return int(call.get("base_version", self._vm.version))
+
+    async def _document_at(self, version):
+        """Return the :class:`Document` that an edit is made from.
+
+        This VM may lag behind the version that the operator has seen.
+        """
+        if version == self._vm.version:
+            return self._document()
+        return await self._vm.editor.show(version)
 
-    async def _edit(self, call, document):
-        base = call.get("base_version", self._vm.version)
-        edit = Edit(call["edit_id"], call["author"], int(base), document)
-        version = await self._vm.editor.apply(edit)
+    async def _edit(self, call, base, document):
+        edit = Edit(call["edit_id"], call["author"], base, document)
+        try:
+            version = await self._vm.editor.apply(edit)
+        except ConflictError:
+            await self._follow_platform()
+            raise
+        await self._follow_platform()
+        return {"version": version}
+
+    async def _follow_platform(self):
+        """Put the newest version in force here and tell the failure domain."""
         await self._vm.configuration.read_platform()
         await self._vm.configuration.announce()
-        return {"version": version}
 
     def _document(self):
         document = self._vm.configuration.document
