Keep to the smaller part of a limit while a text spreads, and count spill on over handovers

And a home that moves counted the slots of other failure domains from zero, so spill could rise by twice the cap.

Ruled out: waiting for an acknowledgement of every home (a VM cut off would hold every edit up); a fresh window without foreign holds (the gap itself). Trials: carrying only the levels, without the holds' domains, does not count what still runs; carrying only the holds keeps the cap but lets a level that falls after a handover not return for a window.

--- a/src/heathercleat/connection/messages.py
+++ b/src/heathercleat/connection/messages.py
@@ -125,12 +125,16 @@
 
 @message(10)
 class Handover:
-    """The receiver's part: ``{target: [[use id, deadline], ...]}`` it was home of.
+    """The receiver's part: ``{target: [[use id, deadline, sender's domain], ...]}``.
 
-    ``covers`` holds ``{target: instant}`` that it vouches for as a monitor.
+    It names each occupied slot of the targets that the receiver was the home of.
+    ``levels`` holds ``{target: [[instant, slots of spill], ...]}`` within the window of
+    the shift cap. ``covers`` holds ``{target: instant}`` that it vouches for as a
+    monitor.
     """
 
     targets: dict
+    levels: dict
     covers: dict
 
 
--- a/src/heathercleat/process/homes.py
+++ b/src/heathercleat/process/homes.py
@@ -15,6 +15,7 @@
 from heathercleat.process.clock import from_wall, to_wall
 from heathercleat.process.covers import SHORT, occupied_until
 from heathercleat.process.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
+from heathercleat.version.transition import Transition
 
 CHECK_INTERVAL = 0.1
 
@@ -40,7 +41,7 @@
         self._clock = clock
         self._acquiring = set()
         self._contested = set()
-        self._followed = None
+        self._transition = Transition()
         self._desired_state = None
         self._desired_pairs = []
 
@@ -70,18 +71,25 @@
                 if self._vm.name < receiver:
                     raise PeerError(f"{self._vm.name} is acquiring {name}")
                 self._contested.add(name)
-        targets = {}
+        targets, levels = {}, {}
         for name in names:
-            uses = self._ledger.hand_over(name, receiver)
-            if uses is None:
+            handed_over = self._ledger.hand_over(name, receiver)
+            if handed_over is None:
                 continue
             targets[name] = [
-                [use_id, to_wall(self._clock, deadline)] for use_id, deadline in uses
+                [hold.use_id, to_wall(self._clock, hold.until), hold.failure_domain]
+                for hold in handed_over.holds
+            ]
+            levels[name] = [
+                [to_wall(self._clock, at), level] for at, level in handed_over.levels
             ]
             self._vm.journal.write(
-                Event.HOME_HANDED_OVER, target=name, receiver=receiver, uses=len(uses)
+                Event.HOME_HANDED_OVER,
+                target=name,
+                receiver=receiver,
+                uses=len(handed_over.holds),
             )
-        return Handover(targets, self._records.vouched(names))
+        return Handover(targets, levels, self._records.vouched(names))
 
     async def tell_released(self, receiver, use):
         """Tell the new home of a target that a request handed over with it is done."""
@@ -94,30 +102,21 @@
             pass
 
     def _follow_text(self):
-        text = self._vm.text
-        if text is self._followed:
+        """Take the limits of the text in force, the smaller ones while it spreads."""
+        text, now = self._vm.text, self._clock.now()
+        settled = self._transition.settle(now)
+        if text is self._transition.text and not settled:
             return
-        self._followed = text
-        known = {
-            name: target
-            for service in text.services.values()
-            for name, target in service.targets.items()
-        }
-        for name, entry in list(self._ledger.targets.items()):
-            if name not in known:
+        if text is not self._transition.text:
+            self._transition.follow(text, now)
+        for name in list(self._ledger.targets):
+            target = text.find_target(name)
+            if target is None:
                 self._ledger.hand_over(name, None)
-            elif entry.target is not known[name]:
-                self._ledger.update(known[name], self._links_of(known[name]))
-
-    def _links_of(self, target):
-        """Return the target's part of each link limit of its failure domain."""
-        text = self._vm.text
-        limits = {}
-        for domain in text.failure_domains:
-            limit = text.link_limit(domain, target.failure_domain)
-            if limit is not None and domain != target.failure_domain:
-                limits[domain] = text.link_share(limit, target)
-        return limits
+            else:
+                self._ledger.update(
+                    self._transition.target(target), self._transition.links(target)
+                )
 
     def _desired(self):
         """Return ``(service, target)`` pairs that this VM should be the home of."""
@@ -177,18 +176,25 @@
             return None
 
     def _adopt(self, service, target, handovers):
-        holds = []
+        holds, levels = [], []
         handed_over = False
         for handover in handovers:
-            for use_id, wall in handover.targets.get(target.name, ()):
+            for use_id, wall, domain in handover.targets.get(target.name, ()):
                 until = from_wall(self._clock, wall) + CLOCK_SKEW
-                holds.append(Hold(until, use_id))
+                holds.append(Hold(until, use_id, domain))
+            for wall, level in handover.levels.get(target.name, ()):
+                levels.append((from_wall(self._clock, wall) + CLOCK_SKEW, level))
             handed_over = handed_over or target.name in handover.targets
         if not handed_over:
             until = self._occupied_until(service, target, handovers)
             until += CLOCK_SKEW + CANCEL_GRACE
             holds = [Hold(until) for _ in range(target.slots)]
-        self._ledger.adopt(target, holds, self._links_of(target))
+        self._ledger.adopt(
+            self._transition.target(target),
+            holds,
+            self._transition.links(target),
+            levels,
+        )
         self._vm.journal.write(
             Event.HOME_ADOPTED,
             target=target.name,
--- a/src/heathercleat/process/slots.py
+++ b/src/heathercleat/process/slots.py
@@ -50,11 +50,24 @@
     """A slot that a request admitted by an earlier home may occupy.
 
     ``use_id`` is the number that the earlier home gave the request, or ``None`` when
-    the earlier home could not be asked.
+    the earlier home could not be asked. ``failure_domain`` is that of the VM that sent
+    the request, or ``None`` when it is not known.
     """
 
     until: float
     use_id: int | None = None
+    failure_domain: str | None = None
+
+
+@dataclass(slots=True)
+class HandedOver:
+    """What a home tells of a target: occupied slots, and the levels of spill to it.
+
+    ``levels`` has ``(instant, slots)`` pairs, as kept by a :class:`ShiftWindow`.
+    """
+
+    holds: list
+    levels: list
 
 
 class ShiftWindow:
@@ -69,6 +82,21 @@
         self._window = window
         self._points = deque([(float("-inf"), 0)])
 
+    @property
+    def points(self):
+        """Return ``(instant, level)`` of every change within the window."""
+        return list(self._points)
+
+    def adjust(self, cap, window):
+        """Change the cap and the window; what has risen so far still counts."""
+        self._cap = cap
+        self._window = window
+
+    def resume(self, points):
+        """Go on from the points of the window of an earlier home."""
+        if points:
+            self._points = deque(points)
+
     def room(self, level, now):
         """Return by how many slots the level may rise above ``level`` at ``now``."""
         self.record(level, now)
@@ -131,13 +159,18 @@
 
         :param failure_domain: count only this one.
         """
-        home = self.target.failure_domain
-        return sum(
+        leased = sum(
             lease.occupied(now)
             for lease in self.leases.values()
-            if lease.failure_domain != home
-            and failure_domain in (None, lease.failure_domain)
+            if self._is_foreign(lease.failure_domain, failure_domain)
         )
+        held = sum(
+            1
+            for hold in self.holds
+            if hold.until > now
+            and self._is_foreign(hold.failure_domain, failure_domain)
+        )
+        return leased + held
 
     def grantable(self, failure_domain, now):
         """Return the slots that may be leased to a VM of ``failure_domain``."""
@@ -151,6 +184,11 @@
             free = min(free, link - self.foreign(now, failure_domain))
         return max(0, free)
 
+    def _is_foreign(self, sender, failure_domain):
+        if sender in (None, self.target.failure_domain):
+            return False
+        return failure_domain in (None, sender)
+
     def prune(self, now):
         """Forget what has lapsed."""
         if self.holds:
@@ -187,11 +225,12 @@
         """Return the homed :class:`TargetSlots` of a service."""
         return self._by_service.get(service, ())
 
-    def adopt(self, target, holds, links=None):
+    def adopt(self, target, holds, links=None, levels=()):
         """Become the home of ``target``.
 
         :param holds: a :class:`Hold` for each slot that may still be occupied.
         :param links: ``{failure domain: slots}`` limits of links to other domains.
+        :param levels: the levels of spill that an earlier home told.
         """
         entry = TargetSlots(
             target,
@@ -199,6 +238,8 @@
             links=links or {},
             shift=_shift_window(target),
         )
+        if entry.shift is not None:
+            entry.shift.resume(levels)
         self._targets[target.name] = entry
         self._index()
         return entry
@@ -206,9 +247,12 @@
     def update(self, target, links):
         """Take the record of a new version of the text for a homed target."""
         entry = self._targets[target.name]
-        if entry.target.shift_cap != target.shift_cap:
+        cap = target.shift_cap
+        if entry.shift is None or cap is None:
             entry.shift = _shift_window(target)
             entry.note_shift(self._clock.now())
+        else:
+            entry.shift.adjust(cap.slots, cap.window)
         entry.target = target
         entry.links = links
         self._index()
@@ -217,8 +261,7 @@
         """Stop being the home of a target.
 
         :param receiver: the VM that becomes the home; it learns of later releases.
-        :return: ``(use id, deadline)`` of every slot that may still be occupied, or
-            ``None`` when this VM is not the home.
+        :return: what is :class:`HandedOver`, or ``None`` when this VM is not the home.
         """
         entry = self._targets.pop(name, None)
         if entry is None:
@@ -226,14 +269,11 @@
         self._index()
         now = self._clock.now()
         entry.closed = True
-        uses = [(use.id, use.deadline + CANCEL_GRACE) for use in entry.uses.values()]
-        for lease in entry.leases.values():
-            spare = max(0, lease.occupied(now) - lease.uses)
-            uses.extend((None, lease.expires_at) for _ in range(spare))
-        uses.extend((hold.use_id, hold.until) for hold in entry.holds)
+        entry.note_shift(now)
         for use in entry.uses.values():
             self._handed_over[use.id] = receiver
-        return uses
+        levels = entry.shift.points if entry.shift is not None else []
+        return HandedOver(list(_occupied_slots(entry, now)), levels)
 
     def drop_all(self):
         """Stop being the home of every target, when this VM was presumed dead."""
@@ -340,13 +380,15 @@
         if entry is None:
             return
         entry.holds = [hold for hold in entry.holds if hold.use_id != use_id]
+        entry.note_shift(self._clock.now())
 
     def _linger(self, entry, use, now):
         # The lease shrinks by the slot held here, or its holder could fill it again
         # while the target still works on the cancelled request.
         if use.lease is not None:
             use.lease.slots -= 1
-        entry.holds.append(Hold(now + CANCEL_GRACE))
+        domain = use.lease.failure_domain if use.lease is not None else None
+        entry.holds.append(Hold(now + CANCEL_GRACE, failure_domain=domain))
 
     def _new_id(self):
         self._next_id += 1
@@ -358,6 +400,17 @@
             self._by_service.setdefault(entry.target.service, []).append(entry)
 
 
+def _occupied_slots(entry, now):
+    """Yield a :class:`Hold` for each slot of a target that may still be occupied."""
+    for use in entry.uses.values():
+        domain = use.lease.failure_domain if use.lease is not None else None
+        yield Hold(use.deadline + CANCEL_GRACE, use.id, domain)
+    for lease in entry.leases.values():
+        for _ in range(lease.occupied(now) - lease.uses):
+            yield Hold(lease.expires_at, None, lease.failure_domain)
+    yield from entry.holds
+
+
 def _shift_window(target):
     cap = target.shift_cap
     return ShiftWindow(cap.slots, cap.window) if cap else None
--- a/src/heathercleat/version/placement.py
+++ b/src/heathercleat/version/placement.py
@@ -1,8 +1,8 @@
 """Placement: which entry VM of a failure domain is the home of which targets.
 
-The targets of a service in a failure domain are grouped into pools, and all targets of a
-pool share one home. A home gives a waiting request the first slot that becomes free in
-its pool, so a few slots in one pool serve with far shorter waits than the same slots
+The targets of a service in a failure domain are grouped into pools, and all targets of
+a pool share one home. A home gives a waiting request the first slot that becomes free
+in its pool, so a few slots in one pool serve with far shorter waits than the same slots
 divided over several homes. Pools are kept small enough for one VM to carry.
 """
 
--- a/src/heathercleat/version/text.py
+++ b/src/heathercleat/version/text.py
@@ -184,7 +184,19 @@
             for name, other in service.targets.items()
             if other.failure_domain == target.failure_domain
         }
-        return _divide(limit, slots)[target.name]
+        return _divide(limit, slots).get(target.name, 0)
+
+    def region_limited(self, failure_domain):
+        """Return whether the region of a failure domain has a limit."""
+        region = self.regions.get(self.region_of(failure_domain), {})
+        return "limit" in region
+
+    def find_target(self, name):
+        """Return the :class:`Target` of a name, or ``None``."""
+        for service in self.services.values():
+            if name in service.targets:
+                return service.targets[name]
+        return None
 
     def draining(self, target, now):
         """Return the drain that keeps new work from ``target``, or ``None``."""
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -103,15 +103,32 @@
     @rule()
     def hand_over_and_adopt(self):
         """The home moves to another VM, which knows only what it is told."""
-        uses = self.ledger.hand_over("t", "other")
-        holds = [Hold(until, use_id) for use_id, until in uses]
-        self.entry = self.ledger.adopt(make_target(), holds)
+        told = self.ledger.hand_over("t", "other")
+        self.entry = self.ledger.adopt(make_target(), told.holds, levels=told.levels)
         self.leases = []
-        self.foreign_levels = [(self.clock.time, 0)]
+        self.note_foreign()
+
+    @rule(cap=st.integers(0, CAP))
+    def take_a_new_version_of_the_text(self, cap):
+        self.ledger.update(make_target(cap=cap), {})
 
     def note_foreign(self):
-        level = self.entry.foreign(self.clock.time)
-        self.foreign_levels.append((self.clock.time, level))
+        """Note the slots leased to others here, or in use under an earlier home."""
+        now = self.clock.time
+        leases = self.entry.leases
+        leased = sum(
+            lease.occupied(now)
+            for lease in leases.values()
+            if lease.failure_domain != HOME
+        )
+        earlier = sum(
+            1
+            for use in self.uses
+            if use.lease is not None
+            and use.lease.failure_domain != HOME
+            and use.lease.id not in leases
+        )
+        self.foreign_levels.append((now, leased + earlier))
 
     @invariant()
     def target_is_never_pushed_past_its_slots(self):
@@ -143,6 +160,30 @@
     assert window.room(2, now=10.1) == 2
 
 
+def test_spill_goes_on_at_its_level_after_a_handover():
+    clock = ManualClock()
+    ledger = SlotLedger(clock)
+    entry = ledger.adopt(make_target(), [])
+    for _ in range(2):
+        ledger.grant(entry, "vm", "south-a", CAP, clock.time + 3 * WINDOW)
+        clock.time += WINDOW
+    told = ledger.hand_over("t", "other")
+    entry = ledger.adopt(make_target(), told.holds, levels=told.levels)
+    assert entry.foreign(clock.time) == 2 * CAP
+    clock.time += WINDOW + 1
+    assert entry.foreign(clock.time) == CAP
+    assert entry.grantable("south-a", clock.time) == CAP
+
+
+def test_new_cap_counts_what_has_risen_so_far():
+    clock = ManualClock()
+    ledger = SlotLedger(clock)
+    entry = ledger.adopt(make_target(), [])
+    ledger.grant(entry, "vm", "south-a", 1, clock.time + 1)
+    ledger.update(make_target(cap=CAP + 1), {})
+    assert entry.grantable("south-a", clock.time) == CAP
+
+
 def test_link_limit_holds_for_its_failure_domain_only():
     ledger = SlotLedger(ManualClock())
     entry = ledger.adopt(make_target(cap=None), [], {"south-a": 1})
