--- a/src/heathercleat/connection/messages.py
+++ b/src/heathercleat/connection/messages.py
@@ -183,11 +183,15 @@
 
 @message(16)
 class CloseOut:
-    """The sender asks what became of a key, and closes it if it never ran."""
+    """The sender asks what became of a key, and closes it if it never ran.
+
+    ``expires_at`` is that of the ticket, in epoch seconds.
+    """
 
     ticket_id: str
     key: str
     birth: str
+    expires_at: float
 
 
 @message(17)
--- a/src/heathercleat/events.py
+++ b/src/heathercleat/events.py
@@ -49,6 +49,7 @@
     TICKET_REPEATED = (601, INFO)
     TICKET_CLOSED_OUT = (602, INFO)
     CLAIM_FAILED = (603, WARNING)
+    CLAIMS_SWEPT = (604, INFO)
     PEER_REJECTED = (700, WARNING)
 
     def __init__(self, number, level):
--- a/src/heathercleat/process/claims.py
+++ b/src/heathercleat/process/claims.py
@@ -21,6 +21,9 @@
 BATCH_WAIT = 0.003
 MAX_BATCH = 64
 BUCKET_SECONDS = 3600
+#: Digits of a bucket in a key, so that keys are in the order of time.
+BUCKET_DIGITS = 8
+CLAIM_PREFIX = "once/"
 #: Largest answer body that an outcome row keeps, in bytes.
 MAX_KEPT_BODY = 16 * 1024
 
@@ -163,9 +166,20 @@
             return None
 
 
+def bucket_end(row_key):
+    """Return the instant before which every ticket of a row's bucket has expired.
+
+    :param row_key: the key of a claim row.
+    :return: epoch seconds.
+    """
+    bucket = row_key.removeprefix(CLAIM_PREFIX).partition("/")[0]
+    return (int(bucket) + 1) * BUCKET_SECONDS
+
+
 def _row_key(ticket, key):
     bucket = int(ticket.expires_at // BUCKET_SECONDS)
-    return f"once/{bucket}/{ticket.id}/{sha256(key.encode()).hexdigest()[:32]}"
+    name = sha256(key.encode()).hexdigest()[:32]
+    return f"{CLAIM_PREFIX}{bucket:0{BUCKET_DIGITS}d}/{ticket.id}/{name}"
 
 
 def _pack(row):
--- a/src/heathercleat/process/once.py
+++ b/src/heathercleat/process/once.py
@@ -10,6 +10,9 @@
 
 #: Seconds for which an outcome is kept after its ticket has expired.
 RETENTION = 600.0
+#: Seconds after a ticket's expiry from which nothing is said about its keys any more.
+#: It is shorter than the retention, since clocks differ and may be set.
+ANSWERABLE = 300.0
 MAX_ENTRIES = 100_000
 
 
@@ -84,22 +87,23 @@
         entry.outcome = outcome
         await entry.finished.set()
 
-    def close_out(self, ticket_id, key):
-        """Return the entry of a key, closed for good if it has not run."""
+    def close_out(self, ticket_id, key, expires_at):
+        """Return the entry of a key, closed for good if it has not run.
+
+        :param expires_at: when the ticket expires, in epoch seconds.
+        :raises RequestError: when the ticket is too old to know what it has run.
+        """
         entry = self._entries.get((ticket_id, key))
         if entry is None:
-            keep_until = self._clock.wall() + RETENTION
-            entry = Entry(b"", keep_until, EntryState.CLOSED)
+            check_age(expires_at, self._clock.wall())
+            entry = Entry(b"", expires_at + RETENTION, EntryState.CLOSED)
             self._entries[ticket_id, key] = entry
         elif entry.state is EntryState.NOT_RUN:
             entry.state = EntryState.CLOSED
         return entry
 
     def _begin_new(self, ticket, key, digest, now):
-        if now >= ticket.expires_at + RETENTION:
-            raise RequestError(
-                ResultCode.OUTCOME_UNKNOWN, "the ticket is too old to know its outcome"
-            )
+        check_age(ticket.expires_at, now)
         if now >= ticket.expires_at:
             raise RequestError(ResultCode.TICKET_EXPIRED, "the ticket has expired")
         if len(self._entries) >= MAX_ENTRIES:
@@ -119,3 +123,16 @@
         ]
         for place in old:
             del self._entries[place]
+
+
+def check_age(expires_at, now):
+    """Refuse to say what became of the keys of an old ticket.
+
+    Its entries may be forgotten, and a key without an entry would seem not to have run.
+
+    :param expires_at: when the ticket expired, and ``now``, in epoch seconds.
+    :raises RequestError: when the ticket is too old.
+    """
+    if now >= expires_at + ANSWERABLE:
+        message = "the ticket is too old to know its outcome"
+        raise RequestError(ResultCode.OUTCOME_UNKNOWN, message)
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/peer_service.py
@@ -28,7 +28,7 @@
     Vms,
 )
 from heathercleat.connection.peer import NONCE_BYTES, MessageStream, verify
-from heathercleat.errors import PeerError
+from heathercleat.errors import PeerError, RequestError
 from heathercleat.events import Event
 from heathercleat.process.once import EntryState
 
@@ -141,7 +141,10 @@
     async def _close_out(self, item, hello):
         if item.birth != self._vm.birth:
             return ClosedOut(EntryState.GONE.value, 0, [], b"")
-        entry = self._vm.once.close_out(item.ticket_id, item.key)
+        try:
+            entry = self._vm.once.close_out(item.ticket_id, item.key, item.expires_at)
+        except RequestError:
+            return ClosedOut(EntryState.UNKNOWN.value, 0, [], b"")
         outcome = entry.outcome
         if outcome is None:
             return ClosedOut(entry.state.value, 0, [], b"")
--- a/src/heathercleat/process/platform.py
+++ b/src/heathercleat/process/platform.py
@@ -45,10 +45,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Write:
-    """Put ``value`` (bytes) at ``key``."""
+    """Put ``value`` (bytes) at ``key``, or remove the row for ``None``."""
 
     key: str
-    value: bytes
+    value: bytes | None
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,8 +96,11 @@
     async def read(self, key):
         """Return the :class:`Row` of a key, or ``None``."""
 
-    async def read_range(self, prefix):
-        """Return the rows whose key starts with ``prefix``, in key order."""
+    async def read_range(self, prefix, limit=None):
+        """Return the first ``limit`` rows whose key starts with ``prefix``, in order.
+
+        Without a limit all of them are returned.
+        """
 
     async def put_object(self, key, data):
         """Store an object."""
@@ -144,11 +147,12 @@
             return None
         return Row(*msgpack.unpackb(answer.body))
 
-    async def read_range(self, prefix):
-        """Return the rows whose key starts with ``prefix``, in key order."""
-        answer = await self._call(
-            "GET", f"/table/range?prefix={quote(prefix, safe='')}"
-        )
+    async def read_range(self, prefix, limit=None):
+        """Return the first ``limit`` rows whose key starts with ``prefix``."""
+        path = f"/table/range?prefix={quote(prefix, safe='')}"
+        if limit is not None:
+            path += f"&limit={limit}"
+        answer = await self._call("GET", path)
         return [Row(*fields) for fields in msgpack.unpackb(answer.body)]
 
     async def put_object(self, key, data):
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -32,6 +32,7 @@
 from heathercleat.process.platform import HttpPlatform, VmEntry
 from heathercleat.process.settings import load_settings
 from heathercleat.process.slots import SlotLedger
+from heathercleat.process.sweeper import ClaimSweeper
 from heathercleat.process.tokens import PeerTokens
 from heathercleat.version.blocks import build_blocks
 
@@ -107,6 +108,7 @@
             self, self.ledger, self.membership, self.admission.waiting, clock
         )
         self.claims = Claims(self._claims_platform, self._birth)
+        self.sweeper = ClaimSweeper(self, self._platform, clock)
         self.editor = Editor(self._claims_platform, clock)
         self.candidates = CandidateCache(self, clock)
         self.metrics = Metrics(self)
@@ -290,6 +292,7 @@
             self.admission.run,
             self.health.run,
             self.claims.run,
+            self.sweeper.run,
         )
 
     async def _guard(self, run):
--- a/src/heathercleat/request/run_once.py
+++ b/src/heathercleat/request/run_once.py
@@ -8,7 +8,7 @@
 from heathercleat.errors import PeerError, PlatformError, RequestError
 from heathercleat.events import Event
 from heathercleat.process.claims import RowState
-from heathercleat.process.once import EntryState
+from heathercleat.process.once import EntryState, check_age
 from heathercleat.request.call import Outcome
 from heathercleat.request.carry import carry_whole
 
@@ -109,6 +109,7 @@
 
 async def _ask_owner(vm, call):
     """Find out what became of a key whose ticket names another process."""
+    check_age(call.ticket.expires_at, vm.clock.wall())
     state, outcome = await _state_at_owner(vm, call)
     vm.journal.write(
         Event.TICKET_CLOSED_OUT,
@@ -154,7 +155,7 @@
     if entry is None or entry.name == vm.name:
         return EntryState.GONE, None
     try:
-        question = CloseOut(ticket.id, key, ticket.birth)
+        question = CloseOut(ticket.id, key, ticket.birth, ticket.expires_at)
         answer = await vm.links.call(entry.host, question)
     except PeerError:
         return EntryState.GONE, None
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -91,6 +91,7 @@
             return Message(body=msgpack.packb([query["key"], *row]))
         if path == "/table/range":
             keys = sorted(key for key in self._rows if key.startswith(query["prefix"]))
+            keys = keys[: int(query.get("limit", len(keys)))]
             rows = [[key, *self._rows[key][-1][1:]] for key in keys]
             return Message(body=msgpack.packb(rows))
         if path.startswith("/objects/"):
@@ -115,6 +116,9 @@
         if conflicts:
             return Message(status=409, body=msgpack.packb({"conflicts": conflicts}))
         for key, value in body["writes"]:
+            if value is None:
+                self._rows.pop(key, None)
+                continue
             history = self._rows.setdefault(key, [])
             history.append((time.time(), value, self._version(key) + 1))
             del history[:-16]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -44,6 +44,9 @@
         )
         if not conflicts:
             for write in writes:
+                if write.value is None:
+                    self.rows.pop(write.key, None)
+                    continue
                 version = self._version(write.key) + 1
                 self.rows[write.key] = Row(write.key, write.value, version)
         if self._take("fail_after"):
@@ -55,8 +58,11 @@
             raise PlatformError("down")
         return self.rows.get(key)
 
-    async def read_range(self, prefix):
-        return [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
+    async def read_range(self, prefix, limit=None):
+        if self.down:
+            raise PlatformError("down")
+        rows = [row for key, row in sorted(self.rows.items()) if key.startswith(prefix)]
+        return rows[:limit]
 
     async def put_object(self, key, data):
         if self.down:
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -7,7 +7,7 @@
 from heathercleat import HeathercleatError, ResultCode
 from heathercleat.errors import PlatformError
 from heathercleat.process.claims import Claims, RowState
-from heathercleat.process.once import EntryState, OnceLedger
+from heathercleat.process.once import RETENTION, EntryState, OnceLedger
 from heathercleat.request.call import Outcome
 from heathercleat.request.ticket import Ticket, issue, read
 from tests.fakes import FakePlatform, ManualClock
@@ -60,7 +60,7 @@
 
 def test_closed_key_never_runs():
     ledger = OnceLedger(ManualClock())
-    assert ledger.close_out("ticket", "k").state is EntryState.CLOSED
+    assert ledger.close_out("ticket", "k", 160.0).state is EntryState.CLOSED
     with pytest.raises(HeathercleatError) as caught:
         ledger.begin(make_ticket(), "k", b"one")
     assert caught.value.code is ResultCode.TICKET_CLOSED
@@ -88,6 +88,29 @@
     assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
 
 
+def test_key_that_ran_is_never_closed_as_not_run_once_it_is_forgotten():
+    clock = ManualClock()
+    ledger = OnceLedger(clock)
+    entry, _ = ledger.begin(make_ticket(), "ran", b"x")
+    run(ledger.finish, entry, EntryState.DONE, Outcome(200, [], b"done"))
+    clock.time = 160.0 + RETENTION
+    ledger.begin(Ticket("other", "vm", "p1", "rules", True, 9000.0), "k", b"x")
+    with pytest.raises(HeathercleatError) as caught:
+        ledger.close_out("ticket", "ran", 160.0)
+    assert caught.value.code is ResultCode.OUTCOME_UNKNOWN
+
+
+def test_closed_key_is_remembered_as_long_as_its_ticket_may_run():
+    clock = ManualClock()
+    ledger = OnceLedger(clock)
+    long_ticket = Ticket("ticket", "vm", "p1", "rules", True, 100.0 + 3600)
+    ledger.close_out("ticket", "k", long_ticket.expires_at)
+    clock.time = 100.0 + 2 * RETENTION
+    with pytest.raises(HeathercleatError) as caught:
+        ledger.begin(long_ticket, "k", b"x")
+    assert caught.value.code is ResultCode.TICKET_CLOSED
+
+
 def test_claim_and_closing_exclude_each_other():
     platform = FakePlatform()
     owner, other = Claims(platform, "p1"), Claims(platform, "p2")
--- /dev/null
+++ b/tests/test_sweeper.py
@@ -0,0 +1,106 @@
+import pytest
+from curio import run, spawn
+
+from heathercleat.errors import PlatformError
+from heathercleat.events import Event
+from heathercleat.process.claims import BUCKET_SECONDS, CLAIM_PREFIX, Claims
+from heathercleat.process.once import RETENTION
+from heathercleat.process.platform import VmEntry
+from heathercleat.process.sweeper import BATCH_ROWS, ClaimSweeper
+from heathercleat.request.ticket import Ticket
+from tests.fakes import FakePlatform, FakeVm, ManualClock
+
+OLD = 50.0
+NEW = 50.0 + BUCKET_SECONDS
+
+
+class FakeDirectory:
+    def __init__(self, *names):
+        self.entries = [VmEntry(name, "127.0.0.1", "north-a", False) for name in names]
+
+
+@pytest.fixture
+def platform():
+    return FakePlatform()
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def sweeper(platform, clock):
+    vm = FakeVm()
+    vm.directory = FakeDirectory(vm.name)
+    return ClaimSweeper(vm, platform, clock)
+
+
+def claim(platform, expires_at, *keys):
+    """Claim keys of a ticket that expires at an instant."""
+
+    async def act():
+        claims = Claims(platform, "p1")
+        worker = await spawn(claims.run, daemon=True)
+        ticket = Ticket("ticket", "north-a-1", "p1", "rules", True, expires_at)
+        for key in keys:
+            await claims.claim(ticket, key)
+        await worker.cancel()
+
+    run(act)
+
+
+def claim_rows(platform):
+    return [key for key in platform.rows if key.startswith(CLAIM_PREFIX)]
+
+
+def test_rows_of_old_tickets_are_removed_and_others_stay(platform, clock, sweeper):
+    claim(platform, OLD, "k1", "k2")
+    claim(platform, NEW, "k3")
+    clock.time = BUCKET_SECONDS + RETENTION
+    assert run(sweeper.sweep) == 2
+    assert len(claim_rows(platform)) == 1
+
+
+def test_rows_stay_while_an_answer_may_need_them(platform, clock, sweeper):
+    claim(platform, BUCKET_SECONDS - 1.0, "k1")
+    clock.time = BUCKET_SECONDS + RETENTION - 1
+    assert run(sweeper.sweep) == 0
+    assert len(claim_rows(platform)) == 1
+
+
+def test_many_rows_are_removed_in_batches(platform, clock, sweeper):
+    claim(platform, OLD, *map(str, range(2 * BATCH_ROWS + 5)))
+    clock.time = BUCKET_SECONDS + RETENTION
+    before = platform.transactions
+    assert run(sweeper.sweep) == 2 * BATCH_ROWS + 5
+    assert platform.transactions - before == 3
+
+
+def test_other_rows_are_never_swept(platform, clock, sweeper):
+    run(platform.transact, [], [type("W", (), {"key": "config/head", "value": b"x"})()])
+    clock.time = 10 * BUCKET_SECONDS
+    assert run(sweeper.sweep) == 0
+    assert "config/head" in platform.rows
+
+
+def test_sweep_that_fails_goes_on_the_next_time(platform, clock, sweeper):
+    claim(platform, OLD, "k1")
+    clock.time = BUCKET_SECONDS + RETENTION
+    platform.down = True
+    with pytest.raises(PlatformError):
+        run(sweeper.sweep)
+    platform.down = False
+    assert run(sweeper.sweep) == 1
+    assert sweeper._vm.journal.events[-1] == (Event.CLAIMS_SWEPT, {"rows": 1})
+
+
+def test_reply_lost_after_a_removal_does_no_harm(platform, clock, sweeper):
+    claim(platform, OLD, "k1")
+    claim(platform, NEW, "k2")
+    clock.time = BUCKET_SECONDS + RETENTION
+    platform.fail_after = 1
+    with pytest.raises(PlatformError):
+        run(sweeper.sweep)
+    assert run(sweeper.sweep) == 0
+    assert len(claim_rows(platform)) == 1
