Take a request out of the queue when its caller leaves

Change: while an idempotent request or an upload whose body has come waits, its connection is watched. An at-most-once request goes on, since its caller gets the outcome with a repeat.

Before: both new tests fail with the watch taken out. After: both pass.

--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -18,10 +18,9 @@
     read_body,
     send_message,
 )
-from heathercleat.errors import RequestError
+from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
 from heathercleat.process.clock import from_wall, to_wall
-from heathercleat.request.attempt import CallerLeftError
 from heathercleat.request.call import Call
 from heathercleat.request.carry import carry
 from heathercleat.request.headers import (
--- a/src/heathercleat/errors.py
+++ b/src/heathercleat/errors.py
@@ -60,6 +60,10 @@
         super().__init__(ResultCode.VM_UNREACHABLE, message)
 
 
+class CallerLeftError(Exception):
+    """The caller closed its connection before its answer was complete."""
+
+
 class Finding(HeathercleatError):  # noqa: N818
     """One fault in an operators' file, with its place.
 
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -13,7 +13,7 @@
 from curio.errors import TaskTimeout
 
 from heathercleat.codes import ResultCode
-from heathercleat.errors import RequestError
+from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
 
 #: Weight of the newest observation in the mean time that a request holds a slot.
@@ -54,6 +54,7 @@
     signal: Signal = field(default_factory=Signal)
     permit: object = None
     evicted: bool = False
+    left: bool = False
 
     @property
     def rank(self):
@@ -141,6 +142,7 @@
 
         :param avoid: names of targets that the request must not go to.
         :raises RequestError: when there is no room within the queue's limits.
+        :raises CallerLeftError: when the caller leaves while the request waits.
         """
         queue = self._queue(request.service.name)
         if not queue.waiters:
@@ -265,9 +267,7 @@
         limit = min(request.deadline, waiter.since + longest)
         try:
             await self._seek(queue, waiter)
-            await timeout_after(limit - waiter.since, waiter.signal.wait)
-        except TaskTimeout:
-            pass
+            await self._wait_until(waiter, limit)
         except BaseException:
             await self._abandon(queue, waiter)
             raise
@@ -277,6 +277,29 @@
         self._log_permit(request, waiter.permit, self._clock.now() - waiter.since)
         return waiter.permit
 
+    async def _wait_until(self, waiter, limit):
+        """Wait for a permit, the loss of the place, or the instant ``limit``.
+
+        :raises CallerLeftError: when the caller leaves meanwhile.
+        """
+        watcher = None
+        if waiter.request.ends_with_caller:
+            watcher = await spawn(self._watch_caller, waiter)
+        try:
+            await timeout_after(limit - waiter.since, waiter.signal.wait)
+        except TaskTimeout:
+            return
+        finally:
+            if watcher is not None:
+                await watcher.cancel()
+        if waiter.left:
+            raise CallerLeftError
+
+    async def _watch_caller(self, waiter):
+        if await waiter.request.stream.wait_closed():
+            waiter.left = True
+            await waiter.signal.set()
+
     async def _make_place(self, queue, waiter):
         """Queue ``waiter``; a full queue loses its lightest and latest request."""
         queue.push(waiter)
--- a/src/heathercleat/request/attempt.py
+++ b/src/heathercleat/request/attempt.py
@@ -6,7 +6,7 @@
 
 from heathercleat.codes import ResultCode, Run
 from heathercleat.connection.http import CONNECTION_ERRORS
-from heathercleat.errors import RequestError
+from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.request.headers import (
     CODE,
     DEADLINE,
@@ -60,10 +60,6 @@
         return self.code.run is Run.NOT_RUN
 
 
-class CallerLeftError(Exception):
-    """The caller closed its connection before its answer was complete."""
-
-
 class Attempt:
     """An exchange with one upstream.
 
--- a/src/heathercleat/request/call.py
+++ b/src/heathercleat/request/call.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from heathercleat.version.text import Semantics
+
 
 @dataclass(slots=True)
 class Call:
@@ -28,6 +30,17 @@
     lease: int | None = None
     caller: str = ""
 
+    @property
+    def ends_with_caller(self):
+        """Return whether the request is of no use once its caller has left.
+
+        An at-most-once request goes on: its caller gets the outcome with a repeat. A
+        caller that still sends its body is noticed when the body ends early.
+        """
+        if self.kind.semantics is Semantics.AT_MOST_ONCE:
+            return False
+        return self.stream is not None and self.stream.request_complete
+
 
 @dataclass(slots=True)
 class Outcome:
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -5,14 +5,13 @@
 
 from heathercleat.codes import ResultCode, Run
 from heathercleat.connection.http import CONNECTION_ERRORS, before
-from heathercleat.errors import RequestError
+from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
 from heathercleat.process.admission import LeasedPermit
 from heathercleat.request.attempt import (
     REFUSAL_STATUSES,
     Attempt,
     AttemptFailedError,
-    CallerLeftError,
     Upstream,
 )
 from heathercleat.request.call import Outcome
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,9 +1,10 @@
 import json
 
 import pytest
-from curio import run, sleep, spawn
+from curio import Event, TaskError, run, sleep, spawn
 
 from heathercleat import HeathercleatError, ResultCode, parse_text
+from heathercleat.errors import CallerLeftError
 from heathercleat.process.admission import STANDING_HOLDS, Admission, ServiceQueue
 from heathercleat.process.budget import RetryBudget
 from heathercleat.process.clock import SystemClock
@@ -176,6 +177,61 @@
     assert ledger.targets["t2"].free(SystemClock().now()) == 2
 
 
+class FakeCallerStream:
+    """The connection of a caller that leaves when told to."""
+
+    request_complete = True
+
+    def __init__(self):
+        self._left = Event()
+
+    async def leave(self):
+        await self._left.set()
+
+    async def wait_closed(self):
+        await self._left.wait()
+        return True
+
+
+def test_caller_that_leaves_the_queue_makes_room_at_once():
+    vm, _, _, admission = make_parts()
+
+    async def act():
+        for _ in range(2):
+            await admission.acquire(make_call(vm))
+        call = make_call(vm)
+        call.stream = FakeCallerStream()
+        waiting = await spawn(admission.acquire, call)
+        await sleep(0.01)
+        assert admission.waiting("lookup") == 1
+        await call.stream.leave()
+        await sleep(0.01)
+        assert admission.waiting("lookup") == 0
+        with pytest.raises(TaskError) as caught:
+            await waiting.join()
+        return caught.value.__cause__
+
+    assert isinstance(run(act), CallerLeftError)
+
+
+def test_caller_that_leaves_as_its_turn_comes_leaves_no_slot_behind():
+    vm, ledger, _, admission = make_parts()
+
+    async def act():
+        permits = [await admission.acquire(make_call(vm)) for _ in range(2)]
+        call = make_call(vm)
+        call.stream = FakeCallerStream()
+        await spawn(admission.acquire, call, daemon=True)
+        await sleep(0.01)
+        await call.stream.leave()
+        for permit in permits:
+            await admission.release(make_call(vm), permit, True)
+        await sleep(0.05)
+
+    run(act)
+    assert ledger.targets["t2"].free(SystemClock().now()) == 2
+
+
 def test_standing_queue_shortens_the_wait():
     service = parse_text(to_source(make_text())).services["lookup"]
     queue = ServiceQueue()
