Move the callers of a drained failure domain within the shift caps

Cause: "a shift of traffic stays under its cap" held for leases only.

Ruled out: counting callers of another domain against the cap at admission (it would refuse them where nobody else may serve them); refusing plans that begin too soon (the operator would have to guess the instant).

Change: a drain of a failure domain begins late enough for all its slots to move with as many in each window as the caps allow elsewhere; until then callers leave by a position hashed from their address, and after a cancelled drain they return the same way. The plan says when no new work comes.

--- a/src/heathercleat/cli/_drain.py
+++ b/src/heathercleat/cli/_drain.py
@@ -54,6 +54,7 @@
         for room in result["headroom"]
     )
     yield from table(["SERVICE", "SLOTS", "LEFT", "LEAST", "ENOUGH"], rows)
+    yield f"no new work from {instant(result['at'])} on"
     if "version" in result:
         yield f"planned in version {result['version']}"
 
@@ -69,11 +70,12 @@
             drain["scope"],
             drain["name"],
             instant(drain["at"]),
+            instant(drain["until"]) if drain["until"] else "",
             drain["in_force"],
         ]
         for drain in drains
     )
-    return table(["ID", "SCOPE", "NAME", "FROM", "IN FORCE"], rows)
+    return table(["ID", "SCOPE", "NAME", "FROM", "CANCELLED", "IN FORCE"], rows)
 
 
 def _cancel(args):
--- a/src/heathercleat/connection/operator.py
+++ b/src/heathercleat/connection/operator.py
@@ -18,6 +18,7 @@
     cancel_drain,
     headroom_after,
     plan_drain,
+    schedule_drain,
     to_drain,
 )
 from heathercleat.process.explain import explain
@@ -134,7 +135,8 @@
                 "scope": drain.scope.value,
                 "name": drain.name,
                 "at": drain.at,
-                "in_force": drain.at <= now,
+                "until": drain.until,
+                "in_force": drain.in_force(now),
             }
             for drain in (self._vm.text.drains.values() if self._vm.text else ())
         ]
@@ -151,6 +153,8 @@
         base = self._base_of(call)
         current = await self._document_at(base)
         now = self._vm.clock.wall()
+        text = current.parse()
+        drain = schedule_drain(text, drain, now)
         rooms = [
             {
                 "service": room.service,
@@ -159,17 +163,19 @@
                 "least": room.least,
                 "enough": room.enough,
             }
-            for room in headroom_after(current.parse(), drain, now)
+            for room in headroom_after(text, drain, now)
         ]
         if call.get("dry_run"):
-            return {"headroom": rooms}
+            return {"headroom": rooms, "at": drain.at}
         document = plan_drain(current, drain, now)
-        return {"headroom": rooms, **await self._edit(call, base, document)}
+        result = await self._edit(call, base, document)
+        return {"headroom": rooms, "at": drain.at, **result}
 
     async def _cancel(self, query, body):
         call = loads(body)
         base = self._base_of(call)
-        document = cancel_drain(await self._document_at(base), call["id"])
+        now = self._vm.clock.wall()
+        document = cancel_drain(await self._document_at(base), call["id"], now)
         return await self._edit(call, base, document)
 
     def _base_of(self, call):
--- a/src/heathercleat/process/candidates.py
+++ b/src/heathercleat/process/candidates.py
@@ -51,14 +51,17 @@
         self._candidates = {}
         self._weights = {}
 
-    def find(self, service, domain):
-        """Return the :class:`DomainVms` for callers of a domain, the best one first."""
-        place = service.name, domain
+    def find(self, service, domain, avoided=frozenset()):
+        """Return the :class:`DomainVms` for callers of a domain, the best one first.
+
+        :param avoided: failure domains that the caller has left for a drain.
+        """
+        place = service.name, domain, avoided
         known = self._candidates.get(place)
         now = self._clock.now()
         state = self._state()
         if known is None or known.state != state or known.expires_at <= now:
-            domains = list(self._build(service, domain))
+            domains = list(self._build(service, domain, avoided))
             known = Candidates(domains, state, now + KEPT_SECONDS)
             self._candidates[place] = known
         return known.domains
@@ -67,9 +70,9 @@
         vm = self._vm
         return vm.version, vm.vm_serial, vm.membership.digest
 
-    def _build(self, service, domain):
+    def _build(self, service, domain, avoided):
         """Yield the best domains with entry VMs; those without targets come last."""
-        reach = Reach(self._vm.text, self._clock.wall())
+        reach = Reach(self._vm.text, self._clock.wall(), avoided)
         found = 0
         for other in reach.ordered(service, domain):
             entries = self._vm.entry_vms(other)
--- a/src/heathercleat/process/editing.py
+++ b/src/heathercleat/process/editing.py
@@ -1,6 +1,6 @@
 """Edits of the configuration: one conditional write decides between operators."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from difflib import unified_diff
 from math import ceil
 
@@ -15,6 +15,7 @@
     unpack_document,
     unpack_head,
 )
+from heathercleat.version.ramp import away_share
 from heathercleat.version.text import Drain, DrainScope
 
 #: Tries to find out whether an edit took effect after a lost reply.
@@ -185,8 +186,18 @@
         yield ServiceHeadroom(service.name, slots, left, least)
 
 
+def schedule_drain(text, drain, now):
+    """Return a drain that begins late enough for its callers to move within the caps.
+
+    :param now: epoch seconds.
+    """
+    if drain.scope is not DrainScope.FAILURE_DOMAIN:
+        return drain
+    return replace(drain, at=max(drain.at, now + text.ramps.lead(drain.name)))
+
+
 def plan_drain(document, drain, now):
-    """Return a :class:`Document` with one more drain.
+    """Return a :class:`Document` with one more drain, as scheduled.
 
     :raises HeathercleatError: when the name is unknown, the id is taken, or too few
         slots would be left.
@@ -204,22 +215,46 @@
             for room in short
         )
         raise HeathercleatError(ResultCode.HEADROOM_REFUSED, figures)
-    drains = {**document.drains, drain.id: [drain.scope.value, drain.name, drain.at]}
+    drains = dict(_drains_kept(document, text, now))
+    drains[drain.id] = [drain.scope.value, drain.name, drain.at]
     return Document(document.source, drains)
 
 
-def cancel_drain(document, drain_id):
-    """Return a :class:`Document` without a drain.
+def cancel_drain(document, drain_id, now):
+    """Return a :class:`Document` in which a drain ends now.
+
+    The drain of a failure domain is kept for as long as its callers need to return.
 
+    :param now: epoch seconds.
     :raises HeathercleatError: when no planned drain has this id.
     """
     if drain_id not in document.drains:
         message = f'no drain "{drain_id}" was planned; "drain list" shows them all'
         raise HeathercleatError(ResultCode.UNKNOWN_NAME, message)
-    drains = {id_: each for id_, each in document.drains.items() if id_ != drain_id}
+    text = document.parse()
+    drains = dict(_drains_kept(document, text, now))
+    ended = drains.pop(drain_id, None)
+    drain = text.drains[drain_id]
+    lead = _lead_of(text, drain)
+    if ended is not None and lead and away_share(drain, lead, now) > 0:
+        drains[drain_id] = [*ended[:3], drain.until or now]
     return Document(document.source, drains)
 
 
+def _drains_kept(document, text, now):
+    """Yield the planned drains, without those whose callers have returned."""
+    for id_, fields in document.drains.items():
+        drain = text.drains[id_]
+        if drain.until is None or away_share(drain, _lead_of(text, drain), now) > 0:
+            yield id_, fields
+
+
+def _lead_of(text, drain):
+    if drain.scope is not DrainScope.FAILURE_DOMAIN:
+        return 0.0
+    return text.ramps.lead(drain.name)
+
+
 def to_drain(id_, scope, name, at):
     """Return a :class:`Drain` from an operator's words.
 
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -34,7 +34,8 @@
         raise RequestError(ResultCode.UNKNOWN_SERVICE, message)
     client = _client(query, caller)
     domain = vm.blocks.find(client) or vm.settings.failure_domain
-    candidates = vm.candidates.find(service, domain)
+    avoided = vm.text.avoided(client, vm.clock.wall())
+    candidates = vm.candidates.find(service, domain, avoided)
     nearest = candidates[0].domain if candidates else vm.settings.failure_domain
     chosen = _choose(candidates)
     now = vm.clock.wall()
@@ -60,6 +61,7 @@
         client=client,
         domain=nearest,
         vms=[entry.name for entry, _ in chosen],
+        avoided=sorted(avoided),
     )
     return answer
 
--- a/src/heathercleat/version/document.py
+++ b/src/heathercleat/version/document.py
@@ -33,7 +33,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Document:
-    """A configuration as operators wrote it: the text, and drains by id."""
+    """A configuration as operators wrote it: the text, and drains by id.
+
+    A drain is ``[scope, name, at]`` with a fourth field ``until`` once it is cancelled.
+    """
 
     source: str
     drains: dict
@@ -48,8 +51,8 @@
         :raises FindingsError: when the text is not valid.
         """
         text = parse_text(self.source)
-        for id_, (scope, name, at) in self.drains.items():
-            text.drains[id_] = Drain(id_, DrainScope(scope), name, at)
+        for id_, (scope, *fields) in self.drains.items():
+            text.drains[id_] = Drain(id_, DrainScope(scope), *fields)
         return text
 
 
--- a/src/heathercleat/version/reach.py
+++ b/src/heathercleat/version/reach.py
@@ -11,11 +11,13 @@
 
     :param text: the :class:`Text` in force.
     :param wall: epoch seconds, to tell which drains are in force.
+    :param avoided: failure domains that these callers have left for a drain.
     """
 
-    def __init__(self, text, wall):
+    def __init__(self, text, wall, avoided=frozenset()):
         self._text = text
         self._wall = wall
+        self._avoided = avoided
         self._serving = {}
 
     def serving(self, service):
@@ -53,7 +55,8 @@
         def cost(domain):
             way = self._text.distance(caller_domain, domain)
             total = way + self.onward(service, domain)
-            return domain not in serving, total, way, domain
+            left = domain not in serving or domain in self._avoided
+            return left, total, way, domain
 
         return sorted(self._text.failure_domains, key=cost)
 
--- a/src/heathercleat/version/text.py
+++ b/src/heathercleat/version/text.py
@@ -13,6 +13,7 @@
 from heathercleat.version.checks import meaning_findings, schema_findings
 from heathercleat.version.hashing import weight
 from heathercleat.version.placement import Placement
+from heathercleat.version.ramp import Ramps
 
 DEFAULT_BODY_LIMIT = 1 << 20
 DEFAULT_CONNECTIONS = 400
@@ -124,16 +125,24 @@
 
 @dataclass(slots=True, frozen=True)
 class Drain:
-    """A planned drain that starts at the instant ``at`` (epoch seconds)."""
+    """A planned drain from ``at`` on, to ``until`` if it was cancelled (epoch seconds).
+
+    A cancelled drain is kept while callers return.
+    """
 
     id: str
     scope: DrainScope
     name: str
     at: float
+    until: float | None = None
+
+    def in_force(self, now):
+        """Return whether the drain has begun and was not cancelled."""
+        return self.at <= now and (self.until is None or now < self.until)
 
     def covers(self, target, now):
         """Return whether ``target`` takes no new work at ``now`` for this drain."""
-        if now < self.at:
+        if not self.in_force(now):
             return False
         if self.scope is DrainScope.TARGET:
             return self.name == target.name
@@ -154,6 +163,7 @@
     fd_latency: float
     region_latency: float
     placement: Placement
+    ramps: Ramps
     links: dict = field(default_factory=dict)
 
     def region_of(self, failure_domain):
@@ -205,10 +215,19 @@
                 return drain
         return None
 
+    def avoided(self, caller, now):
+        """Return the failure domains that a caller has left for a drain at ``now``."""
+        drains = [
+            drain
+            for drain in self.drains.values()
+            if drain.scope is DrainScope.FAILURE_DOMAIN
+        ]
+        return self.ramps.avoided(drains, now, caller)
+
     def vm_draining(self, vm, failure_domain, now):
         """Return the drain that takes an entry VM out of look-ups, or ``None``."""
         for drain in self.drains.values():
-            if now < drain.at:
+            if not drain.in_force(now):
                 continue
             if drain.scope is DrainScope.VM and drain.name == vm:
                 return drain
@@ -259,6 +278,7 @@
         regions=regions,
         services=services,
         placement=Placement(services),
+        ramps=Ramps(services),
         drains={
             id_: Drain(id_, DrainScope(entry["scope"]), entry["name"], entry["at"])
             for id_, entry in document.get("drains", {}).items()
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -141,7 +141,7 @@
     target = text.services["lookup"].targets["t1"]
     assert text.draining(target, 49.0) is None
     assert text.draining(target, 50.0).id == "d1"
-    assert cancel_drain(planned, "d1").drains == {}
+    assert cancel_drain(planned, "d1", now=60.0).drains == {}
 
 
 def test_earlier_drains_count():
