Send callers to other domains until the slots of a domain that returns can be used

Cause: the new test of a region that is lost and comes back cold (VMs killed, targets cut) had 40 of 351 requests refused after the return. The VMs of the region answered look-ups with themselves at once, while their targets were not adopted or held for requests of the earlier homes; leases from the region that had served until then are held down by the shift cap.

Ruled out: knowing the readiness of the own domain only (30 of 340 refused: callers went from one domain of the region to the other); leaving new VMs out of the VM list (a home of uploads would be out for a minute for all services).

Change: VMs know which share of a service's slots can be used in their domain, from its homes, and name other domains to callers beyond twice that share, by their positions. While a domain is not ready its VMs ask the homes of the nearest others too.

Before: 311 of 351 served after the return.

--- a/src/heathercleat/connection/messages.py
+++ b/src/heathercleat/connection/messages.py
@@ -251,6 +251,18 @@
     covers: dict
 
 
+@message(24)
+class FetchReadiness:
+    """The sender wants to know what can be used at the homes of the receiver."""
+
+
+@message(25)
+class Readiness:
+    """``{service: slots}`` that requests can use at the homes of the sender."""
+
+    usable: dict
+
+
 def fields_of(item):
     """Return the fields of a message as a list, to nest it in another one."""
     return list(astuple(item))
--- a/src/heathercleat/process/homes.py
+++ b/src/heathercleat/process/homes.py
@@ -121,7 +121,7 @@
                     self._transition.target(target), self._transition.links(target)
                 )
 
-    def _desired(self):
+    def desired(self):
         """Return ``(service, target)`` pairs that this VM should be the home of."""
         state = self._vm.version, self._membership.digest
         if state != self._desired_state:
@@ -143,7 +143,7 @@
     async def _acquire_missing(self):
         missing = [
             (service, target)
-            for service, target in self._desired()
+            for service, target in self.desired()
             if target.name not in self._ledger.targets
         ]
         if not missing:
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/peer_service.py
@@ -15,6 +15,7 @@
     Configuration,
     Cover,
     FetchConfiguration,
+    FetchReadiness,
     FetchVms,
     Heartbeat,
     HeartbeatAck,
@@ -22,6 +23,7 @@
     LeaseRenewal,
     LeaseRequest,
     LeaseReturn,
+    Readiness,
     Refused,
     Released,
     ViewExchange,
@@ -56,6 +58,7 @@
             FetchConfiguration: self._fetch_configuration,
             FetchVms: self._fetch_vms,
             Announcement: self._announcement,
+            FetchReadiness: self._fetch_readiness,
         }
 
     async def serve(self, sock, address):
@@ -161,6 +164,10 @@
         directory = self._vm.directory
         return Vms(directory.serial, directory.to_fields())
 
+    async def _fetch_readiness(self, item, hello):
+        text = self._vm.text
+        return Readiness({} if text is None else self._vm.readiness.usable())
+
     async def _announcement(self, item, hello):
         vm = self._vm
         await vm.configuration.hint(hello.host, item.version, item.vm_serial)
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -30,6 +30,7 @@
 from heathercleat.process.once import OnceLedger
 from heathercleat.process.peers import PeerLinks
 from heathercleat.process.platform import HttpPlatform, VmEntry
+from heathercleat.process.readiness import ReadinessBoard
 from heathercleat.process.settings import load_settings
 from heathercleat.process.slots import SlotLedger
 from heathercleat.process.sweeper import ClaimSweeper
@@ -104,6 +105,9 @@
         self.admission = Admission(
             self, self.ledger, self.holder, self.membership, self.health, clock
         )
+        self.readiness = ReadinessBoard(
+            self, self.ledger, self.membership, self.links, clock
+        )
         self.granter = LeaseGranter(
             self, self.ledger, self.membership, self.admission.waiting, clock
         )
@@ -288,6 +292,7 @@
             self.membership.run,
             self.configuration.run,
             self.homes.run,
+            self.readiness.run,
             self.holder.run,
             self.admission.run,
             self.health.run,
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -8,6 +8,7 @@
 from heathercleat.errors import RequestError
 from heathercleat.events import Event
 from heathercleat.request.ticket import issue
+from heathercleat.version.ramp import position_of
 from heathercleat.version.text import Semantics
 
 #: Entry VMs in an answer: the nearest ones first, then others to fall back on.
@@ -34,7 +35,7 @@
         raise RequestError(ResultCode.UNKNOWN_SERVICE, message)
     client = _client(query, caller)
     domain = vm.blocks.find(client) or vm.settings.failure_domain
-    avoided = vm.text.avoided(client, vm.clock.wall())
+    avoided = _avoided(vm, service, client)
     candidates = vm.candidates.find(service, domain, avoided)
     nearest = candidates[0].domain if candidates else vm.settings.failure_domain
     chosen = _choose(candidates)
@@ -66,6 +67,15 @@
     return answer
 
 
+def _avoided(vm, service, client):
+    """Return the failure domains that a client is not sent to now.
+
+    They are drained, or cannot serve all their callers yet.
+    """
+    drained = vm.text.avoided(client, vm.clock.wall())
+    return drained | vm.readiness.avoided(service, position_of(client))
+
+
 def _client(query, caller):
     client = query.get("client", caller)
     try:
--- a/standins/target.py
+++ b/standins/target.py
@@ -3,9 +3,11 @@
 ``POST /switch`` with a msgpack map sets: ``service_s`` (time a request takes),
 ``health`` (``ready``, ``draining`` or ``starting``), ``lie`` (health says ready
 whatever else), ``fail`` (answer 500), ``shed`` (answer 503), ``cut`` (close in the
-middle of the answer), ``cold_s`` (extra time of the first ``cold_requests``) and
-``cancel_s`` (time until a cancelled request leaves its slot). ``GET /record`` answers
-with the runs, the highest number in flight and the slot-seconds over the limit.
+middle of the answer), ``cold_s`` (extra time of the first ``cold_requests``),
+``cancel_s`` (time until a cancelled request leaves its slot) and ``lost`` (requests are
+cut, those under way too; only ``/switch`` and ``/record`` are answered).
+``GET /record`` answers with the runs, the highest number in flight and the slot-seconds
+over the limit.
 """
 
 import time
@@ -46,6 +48,7 @@
         self._connections = 0
         self._peak_connections = 0
         self._runs = []
+        self._streams = set()
         self._cut_uploads = 0
         self._switches = {
             "service_s": 0.005,
@@ -57,6 +60,7 @@
             "cold_s": 0.0,
             "cold_requests": 0,
             "cancel_s": 0.0,
+            "lost": False,
             "load_lag": 0,
         }
 
@@ -79,6 +83,9 @@
             return False
         path = event.target.decode()
         headers = dict(event.headers)
+        if self._switches["lost"] and path not in ("/switch", "/record"):
+            stream.abort()
+            return False
         if path in ("/switch", "/record", "/health", "/load"):
             body = await read_body(stream, MAX_SWITCH_BYTES)
             await send_message(stream, self._control(path, body))
@@ -88,6 +95,7 @@
 
     async def _serve_request(self, stream, event, headers):
         self._change(+1)
+        self._streams.add(stream)
         lingering = True
         try:
             body, digest = await self._read(stream)
@@ -104,6 +112,7 @@
             lingering = False
             await self._answer(stream, event, body, digest)
         finally:
+            self._streams.discard(stream)
             if lingering and self._switches["cancel_s"]:
                 await spawn(self._leave_later, daemon=True)
             else:
@@ -166,6 +175,8 @@
     def _control(self, path, body):
         if path == "/switch":
             self._switches.update(msgpack.unpackb(body))
+            if self._switches["lost"]:
+                self._cut_all()
             return Message()
         if path == "/health":
             state = "ready" if self._switches["lie"] else self._switches["health"]
@@ -185,6 +196,10 @@
         }
         return Message(body=msgpack.packb(record))
 
+    def _cut_all(self):
+        for stream in self._streams:
+            stream.abort()
+
     def _change(self, step):
         now = time.monotonic()
         over = max(0, self._in_flight - self._slots)
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -137,6 +137,45 @@
     assert all(each.status == 200 for each in late)
 
 
+def test_region_that_is_lost_and_returns_cold_overloads_nobody(fleet):
+    """North loses its VMs and targets, and comes back with cold targets."""
+    north = [vm for vm in fleet.vms.values() if vm.domain != "south-a"]
+    targets = [name for name in fleet.targets if name.startswith("north")]
+    hosts = [vm.host for vm in fleet.vms.values()]
+    with Watcher(fleet) as watcher, Load(hosts, SERVICE, rate=0.5 * CAPACITY) as load:
+        time.sleep(1.0)
+        for vm in north:
+            vm.process.kill()
+        for name in targets:
+            fleet.switch_target(name, lost=True)
+        lost_at = time.time()
+        time.sleep(5.0)
+        for name in targets:
+            cold = {"cold_requests": 10, "cold_s": 4 * WORK_SECONDS}
+            fleet.switch_target(name, lost=False, **cold)
+        for vm in north:
+            vm.process.wait()
+            fleet.start_vm(vm)
+        back_at = time.time()
+        wait_for(lambda: sum(served_since(load, back_at, "north")) > 20)
+        time.sleep(2.0)
+    assert overshoot(fleet) == 0
+    assert watcher.largest_rise() <= CAP
+    away = [each for each in load.results if lost_at + 2.0 < each.sent_at < back_at]
+    assert away
+    assert all(each.status == 200 and each.target[:5] == "south" for each in away)
+    returned = [each for each in load.results if each.sent_at > back_at]
+    assert sum(1 for each in returned if each.status == 200) > 0.98 * len(returned)
+    assert {each.run for each in returned if each.status == 503} <= {"not-run"}
+
+
+def served_since(load, since, domain):
+    """Yield one for each request that a domain served since an instant."""
+    for each in list(load.results):
+        if each.sent_at > since and (each.target or "").startswith(domain):
+            yield 1
+
+
 def test_partition_with_both_sides_busy(fleet):
     north = Load(hosts_in(fleet, "north-a"), SERVICE, rate=0.9 * CAPACITY)
     south = Load(hosts_in(fleet, "south-a"), SERVICE, rate=0.5 * CAPACITY, seed=2)
