Use a target that has become slow last, and try it now and then

Cause: targets were chosen by load and mean latency, so a slow one was used whenever the others were full for a moment: with one of three targets ten times slower, 4.8% of the requests of its domain went there at half load, and p99 was 1.0 s.

Ruled out: ejecting it (its slots are worth more than a refusal when the others are full); a larger penalty for latency (with no other slot free the penalty decides nothing).

Change: a target three times slower than the fastest beside it takes a request every 3 s as a trial, and others only rather than a refusal. It is not leased, and not counted in the wait expected. The first answer as fast as the others brings it back, warming up. Metrics and status show slow targets and the share of callers that a domain serves.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,7 +15,7 @@
 from curio import run
 
 from bench.report import FOLDER
-from bench.run import lookup_text
+from bench.scenario import lookup_text
 from heathercleat.connection.messages import (
     Heartbeat,
     HeartbeatAck,
--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,150 @@
+"""Benchmarks of control: claims, at-most-once runs, texts, log lines."""
+
+import copy
+import random
+import time
+from collections import Counter
+from functools import partial
+from io import StringIO
+from logging import StreamHandler, getLogger
+from pathlib import Path
+
+from curio import run, spawn
+
+from bench.report import Row
+from heathercleat.events import Event
+from heathercleat.process.claims import Claims
+from heathercleat.process.logs import Journal, JsonFormatter, LogWriter
+from heathercleat.version.text import parse_text
+from standins.demo import demo_text
+from standins.fleet import Fleet, wait_for
+from tests.fakes import FakePlatform
+from tests.test_once_failures import kill_and_restart as kill_one
+from tests.test_once_failures import pause_and_resume as pause_one
+from tests.test_once_failures import sweep
+
+EXAMPLES = Path("examples")
+IN_FORCE_LIMIT = 20.0
+
+
+def bench_claims(report):
+    """Transactions needed for claims that come together."""
+    platform = FakePlatform()
+    claims = Claims(platform, "p")
+    ticket = type("T", (), {"id": "t", "expires_at": 0.0})()
+
+    async def act():
+        worker = await spawn(claims.run, daemon=True)
+        tasks = [await spawn(claims.claim, ticket, str(n)) for n in range(400)]
+        for task in tasks:
+            await task.join()
+        await worker.cancel()
+
+    run(act)
+    report.add(
+        Row(
+            "transactions for 400 claims at once",
+            claims.transactions,
+            400,
+            "",
+            "one each",
+            0.05,
+        )
+    )
+
+
+def bench_once(report):
+    """The share of edits whose outcome stays unknown while VMs are killed."""
+    shares = {}
+    for name, fault, down in (
+        ("kills", kill_one, False),
+        ("pauses", pause_one, False),
+        ("pauses without the platform", pause_one, True),
+    ):
+        settings = {"lookup_ttl_ms": 500}
+        vms = {"north-a": 2, "north-b": 1}
+        with Fleet(demo_text(), vms, subnet=33, settings=settings) as fleet:
+            fleet.wait_ready()
+            if down:
+                fleet.switch_platform(down=True)
+                time.sleep(1.5)
+            chance = random.Random(7)
+            answers, runs = sweep(fleet, partial(fault, fleet, chance))
+        said = Counter(answers.values())
+        shares[name] = said["unknown"] / max(1, sum(said.values()))
+        doubled = sum(1 for count in runs.values() if count > 1)
+        false = sum(
+            1 for key, word in answers.items() if word == "not-run" and runs[key]
+        )
+        report.add(Row(f"doubled or false, {name}", doubled + false, 1.0, "", "one", 0))
+        report.add(
+            Row(f"unknown outcomes, {name}", shares[name], 1.0, "", "all edits", 0.05)
+        )
+
+
+def in_force(fleet, version):
+    """Return whether every VM has a version in force."""
+    return all(fleet.version(vm) == version for vm in fleet.vms.values())
+
+
+def bench_configuration(report):
+    """Seconds until an accepted text is in force on every VM."""
+    vms = {"north-a": 2, "north-b": 2, "south-a": 2, "south-b": 2}
+    with Fleet(demo_text(), vms, subnet=34) as fleet:
+        worst = 0.0
+        for version in range(1, 5):
+            text = copy.deepcopy(fleet.text)
+            queue = {"limit": 10 + version, "wait_ms": 300}
+            text["services"]["style-lookup"]["queue"] = queue
+            fleet.apply(text, version)
+            started = time.monotonic()
+            wait_for(partial(in_force, fleet, version + 1), interval=0.01)
+            worst = max(worst, time.monotonic() - started)
+    report.add(
+        Row(
+            "slowest of 4 texts in force on 8 VMs",
+            worst,
+            IN_FORCE_LIMIT,
+            "s",
+            "the limit",
+            0.15,
+        )
+    )
+
+
+def bench_log(report):
+    """Cost of a decision's log line to the request, against a plain handler."""
+    count = 20_000
+    inputs = {"request": "0123456789abcdef", "service": "lookup", "target": "t-01"}
+
+    def cost(journal):
+        started = time.thread_time()
+        for _ in range(count):
+            journal.write(Event.ROUTE_LOCAL, used=3, limit=4, waited=0.0, **inputs)
+        return (time.thread_time() - started) / count * 1e6
+
+    logger = getLogger("bench.plain")
+    logger.propagate = False
+    logger.setLevel("INFO")
+    handler = StreamHandler(StringIO())
+    handler.setFormatter(JsonFormatter())
+    logger.addHandler(handler)
+    plain = cost(Journal("vm", "fd", logger))
+    writer = LogWriter("INFO", StringIO())
+    ours = cost(Journal("vm", "fd"))
+    writer.start()
+    writer.stop()
+    row = Row("log line of a decision", ours, plain, "us", "formatted at once", 0.8)
+    report.add(row)
+
+
+def bench_text(report):
+    """Parsing of the largest example against the plan's time in force."""
+    source = (EXAMPLES / "agencia.jsonc").read_text()
+    started = time.perf_counter()
+    for _ in range(20):
+        parse_text(source)
+    seconds = (time.perf_counter() - started) / 20
+    report.add(
+        Row("reading the text of one deployment", seconds, 1.0, "s", "one second", 0.1)
+    )
--- /dev/null
+++ b/bench/scenario.py
@@ -0,0 +1,81 @@
+"""What the benchmarks share: texts, loads from several failure domains, figures."""
+
+from standins.load import Load
+
+
+def lookup_text(targets=16, slots=4, domains=6, kind_ms=2000, cap=None):
+    """Return a text with the sizes of a style look-up service."""
+    names = [f"fd-{number}" for number in range(domains)]
+    kind = {
+        "kind": "lookup",
+        "method": "GET",
+        "path": "/",
+        "run": "idempotent",
+        "timeout_ms": kind_ms,
+    }
+    service = {
+        "requests": [kind],
+        "queue": {"limit": 32, "wait_ms": 400},
+        "targets": {
+            f"t-{number:02}": {
+                "failure_domain": names[number % domains],
+                "slots": slots,
+            }
+            for number in range(targets)
+        },
+    }
+    if cap:
+        service["shift_cap"] = cap
+    return {
+        "regions": {
+            f"region-{index}": {"failure_domains": names[2 * index : 2 * index + 2]}
+            for index in range(domains // 2)
+        },
+        "services": {"lookup": service},
+    }
+
+
+def start_targets(fleet, seconds):
+    """Set the service time of every target."""
+    for name in fleet.targets:
+        fleet.switch_target(name, service_s=seconds, cancel_s=seconds)
+
+
+def over(fleet):
+    """Return the slot-seconds over the limit at all targets so far."""
+    return sum(fleet.record(name)["over"] for name in fleet.targets)
+
+
+class Spread:
+    """A load from the callers of several failure domains."""
+
+    def __init__(self, fleet, rates, timeout=3.0):
+        self._loads = {}
+        for seed, (domain, rate) in enumerate(rates.items(), start=1):
+            hosts = [vm.host for vm in fleet.vms.values() if vm.domain == domain]
+            load = Load(hosts, "lookup", rate, seed=seed, timeout=timeout)
+            self._loads[domain] = load
+
+    def __enter__(self):
+        for load in self._loads.values():
+            load.__enter__()
+        return self
+
+    def __exit__(self, *exc_info):
+        for load in self._loads.values():
+            load.stop()
+
+    def of(self, domain):
+        """Return the results of the callers of one failure domain."""
+        return self._loads[domain].results
+
+    @property
+    def results(self):
+        """Return the results of all loads."""
+        return [each for load in self._loads.values() for each in load.results]
+
+
+def quantile(results, share):
+    """Return a quantile of the seconds of the served requests."""
+    served = sorted(each.seconds for each in results if each.status == 200)
+    return served[int(share * (len(served) - 1))] if served else float("nan")
--- a/src/heathercleat/cli/_inspect.py
+++ b/src/heathercleat/cli/_inspect.py
@@ -102,6 +102,7 @@
     yield "entry VMs: " + ", ".join(entry["vm"] for entry in answer["vms"])
     wait = answer["expected_wait"]
     yield f"expected wait here: {'no room' if wait is None else f'{wait:.4f} s'}"
+    yield f"share of callers served here: {answer['ready_share']:.2f}"
     rows = (
         [
             place["target"],
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -1,8 +1,9 @@
 """Admission: which target a request goes to, or that there is no room for it now.
 
 The order is: a free slot of a target homed here, a slot under a lease when its round
-trip is shorter than the wait expected here, a short queue by earliest deadline, and
-else a refusal at once with an instant to come back at.
+trip is shorter than the wait expected here, a short queue by earliest deadline, a slot
+of a target that has become slow, and else a refusal at once with an instant to come
+back at.
 """
 
 from dataclasses import dataclass, field
@@ -150,7 +151,15 @@
             if permit is not None:
                 self._log_permit(request, permit, 0.0)
                 return permit
-        return await self._wait(queue, request, avoid)
+        since = self._clock.now()
+        try:
+            return await self._wait(queue, request, avoid)
+        except RequestError:
+            permit = self._try_slow(request, avoid)
+            if permit is None:
+                raise
+            self._log_permit(request, permit, self._clock.now() - since)
+            return permit
 
     def enter(self, lease_id, deadline):
         """Return a permit for a request that arrives under a lease, or ``None``."""
@@ -220,7 +229,7 @@
         return sum(
             entry.limit(now)
             for entry in self._ledger.of_service(service.name)
-            if not entry.blocked
+            if not entry.blocked and not self._health.is_slow(entry)
         )
 
     def _wait_with(self, service, slots):
@@ -237,19 +246,42 @@
         return None if lease is None else LeasedPermit(lease)
 
     def _try_local(self, request, avoid):
+        entries = self._free_entries(request, avoid)
+        slow = [entry for entry in entries if self._health.is_slow(entry)]
+        for entry in slow:
+            if self._health.take_trial(entry):
+                return self._take(entry, request)
+        fast = [entry for entry in entries if entry not in slow]
+        return self._take(min(fast, key=self._health.cost, default=None), request)
+
+    def _try_slow(self, request, avoid):
+        """Take a slow target rather than refuse, if its answer may come in time."""
+        entries = [
+            entry
+            for entry in self._free_entries(request, avoid)
+            if self._health.is_slow(entry)
+            and self._clock.now() + self._health.of(entry.target.name).latency
+            < request.deadline
+        ]
+        return self._take(min(entries, key=self._health.cost, default=None), request)
+
+    def _free_entries(self, request, avoid):
         if not self._membership.may_act():
-            return None
+            return []
         now = self._clock.now()
-        entries = [
+        return [
             entry
             for entry in self._ledger.of_service(request.service.name)
             if entry.target.name not in avoid and entry.free(now)
         ]
-        entry = min(entries, key=self._health.cost, default=None)
+
+    def _take(self, entry, request):
         if entry is None:
             return None
         use = self._ledger.take(entry, request.deadline)
-        return None if use is None else LocalPermit(use, entry.target, now)
+        if use is None:
+            return None
+        return LocalPermit(use, entry.target, self._clock.now())
 
     async def _wait(self, queue, request, avoid):
         waiter = Waiter(request, avoid, self._clock.now())
--- a/src/heathercleat/process/explain.py
+++ b/src/heathercleat/process/explain.py
@@ -24,6 +24,7 @@
         "client": client,
         "client_domain": vm.blocks.find(client),
         "vms": lookup["vms"],
+        "ready_share": vm.readiness.share(service),
         "expected_wait": None if wait == float("inf") else wait,
         "places": list(_places(vm, service)),
     }
@@ -59,6 +60,8 @@
         return {**place, "state": f"drained by {drain.id}", "free": 0}
     if entry is not None:
         state = entry.blocked or "homed here"
+        if vm.health.is_slow(entry):
+            state = "homed here, slow"
         cost = round(vm.health.cost(entry), 6)
         return {**place, "state": state, "free": entry.free(now), "cost": cost}
     if leases:
--- a/src/heathercleat/process/health.py
+++ b/src/heathercleat/process/health.py
@@ -30,6 +30,12 @@
 CHECK_INTERVAL = 0.1
 MAX_PROBE_BYTES = 4096
 MIN_WARM_UP = 1.0
+#: A target is slow when its answers take so many times as long as those of the fastest
+#: target beside it, and so many seconds longer.
+SLOW_FACTOR = 3.0
+SLOW_LEAST = 0.05
+#: Seconds between two requests that try whether a slow target is slow still.
+TRIAL_INTERVAL = 3.0
 #: Probes without an answer after which a target without recent answers is left out.
 MAX_SILENT_PROBES = 2
 
@@ -45,6 +51,8 @@
     probe_state: str = "ready"
     silent_probes: int = 0
     answered_at: float = 0.0
+    slow: bool = False
+    trial_at: float = 0.0
 
 
 class HealthBoard:
@@ -80,6 +88,24 @@
         health.ejections = 0
         health.answered_at = self._clock.now()
         health.latency += LATENCY_WEIGHT * (seconds - health.latency)
+        self._judge_speed(target, health, seconds)
+
+    def is_slow(self, entry):
+        """Return whether other targets have to be full before this one is used."""
+        health = self.of(entry.target.name)
+        if not health.slow:
+            return False
+        # The others may have become as slow since its last answer.
+        limit = self._slow_limit(entry.target)
+        return limit is not None and health.latency > limit
+
+    def take_trial(self, entry):
+        """Return whether a request should try a slow target now, one at a time."""
+        health, now = self.of(entry.target.name), self._clock.now()
+        if now < health.trial_at:
+            return False
+        health.trial_at = now + TRIAL_INTERVAL
+        return True
 
     def refused(self, target):
         """Note that the target shed a request: offer it less for a moment."""
@@ -132,6 +158,43 @@
         for entry in self._ledger.targets.values():
             self._set_blocked(entry, self._reason(entry, text, now, wall))
 
+    def _judge_speed(self, target, health, seconds):
+        """Note whether a target is slow, from its answers and the last one."""
+        limit = self._slow_limit(target)
+        if limit is None:
+            health.slow = False
+        elif health.slow and seconds <= limit:
+            # What it took before the last answer says nothing of it now.
+            health.slow, health.latency = False, seconds
+            entry = self._ledger.targets.get(target.name)
+            if entry is not None:
+                self._warm_up(entry)
+            self._log_speed(Event.TARGET_FAST, target, seconds, limit)
+        elif not health.slow and health.latency > limit:
+            health.slow, health.trial_at = True, self._clock.now() + TRIAL_INTERVAL
+            self._log_speed(Event.TARGET_SLOW, target, health.latency, limit)
+
+    def _slow_limit(self, target):
+        """Return the seconds beyond which answers are slow, or ``None``."""
+        latencies = [
+            self.of(entry.target.name).latency
+            for entry in self._ledger.of_service(target.service)
+            if entry.target.name != target.name and not entry.blocked
+        ]
+        fastest = min((each for each in latencies if each), default=None)
+        if fastest is None:
+            return None
+        return SLOW_FACTOR * fastest + SLOW_LEAST
+
+    def _log_speed(self, event, target, seconds, limit):
+        self._vm.journal.write(
+            event,
+            target=target.name,
+            service=target.service,
+            seconds=round(seconds, 4),
+            limit=round(limit, 4),
+        )
+
     def _reason(self, entry, text, now, wall):
         drain = text.draining(entry.target, wall)
         if drain is not None:
--- a/src/heathercleat/process/leases.py
+++ b/src/heathercleat/process/leases.py
@@ -85,13 +85,15 @@
     """Answers lease calls of other VMs from the ledger of this one.
 
     :param waiting: a callable from a service name to its number of waiting requests.
+    :param health: knows the targets that are slow, which are not leased.
     """
 
-    def __init__(self, vm, ledger, membership, waiting, clock):
+    def __init__(self, vm, ledger, membership, waiting, health, clock):
         self._vm = vm
         self._ledger = ledger
         self._membership = membership
         self._waiting = waiting
+        self._health = health
         self._clock = clock
 
     def grant(self, request, holder, failure_domain):
@@ -141,6 +143,7 @@
             entry
             for entry in self._ledger.of_service(request.service)
             if entry.target.name not in request.avoid
+            and not self._health.is_slow(entry)
         ]
         room = sum(entry.free(now) for entry in entries)
         if failure_domain != self._vm.settings.failure_domain:
--- a/src/heathercleat/process/metrics.py
+++ b/src/heathercleat/process/metrics.py
@@ -58,6 +58,14 @@
         self._foreign = self._gauge(
             "foreign_slots", "Slots leased to other failure domains", ("service",)
         )
+        self._ready = self._gauge(
+            "ready_share",
+            "Share of the callers that the failure domain serves",
+            ("service",),
+        )
+        self._slow = self._gauge(
+            "slow_targets", "Slow targets homed here", ("service",)
+        )
         self._waiting = self._gauge("waiting_requests", "Queue length", ("service",))
         self._version = self._gauge("version", "Version in force")
         self._peers = self._gauge("control_bytes", "Bytes between VMs for control")
@@ -86,11 +94,13 @@
     def _read_gauges(self):
         vm = self._vm
         now = vm.clock.now()
-        for name in vm.text.services if vm.text else ():
+        for name, service in vm.text.services.items() if vm.text else ():
             entries = vm.ledger.of_service(name)
             self._free.labels(name).set(sum(entry.free(now) for entry in entries))
             self._used.labels(name).set(sum(entry.used(now) for entry in entries))
             self._foreign.labels(name).set(sum(entry.foreign(now) for entry in entries))
+            self._ready.labels(name).set(vm.readiness.share(service))
+            self._slow.labels(name).set(sum(map(vm.health.is_slow, entries)))
             self._waiting.labels(name).set(vm.admission.waiting(name))
         self._version.set(vm.version)
         self._peers.set(vm.control_bytes)
--- a/src/heathercleat/process/status.py
+++ b/src/heathercleat/process/status.py
@@ -24,20 +24,17 @@
             {"vm": entry.name, "host": entry.host, "domain": entry.failure_domain}
             for entry in vm.directory.entries
         ],
-        "targets": [_target(entry, vm.clock.now()) for entry in _entries(vm)],
-        "services": [_service(vm, name) for name in _services(vm)],
+        "targets": [_target(vm, entry) for entry in vm.ledger.targets.values()],
+        "services": [_service(vm, service) for service in _services(vm)],
     }
 
 
-def _entries(vm):
-    return vm.ledger.targets.values()
-
-
 def _services(vm):
-    return vm.text.services if vm.text is not None else ()
+    return vm.text.services.values() if vm.text is not None else ()
 
 
-def _target(entry, now):
+def _target(vm, entry):
+    now = vm.clock.now()
     return {
         "target": entry.target.name,
         "service": entry.target.service,
@@ -47,16 +44,18 @@
         "free": entry.free(now),
         "foreign": entry.foreign(now),
         "blocked": entry.blocked,
+        "slow": vm.health.is_slow(entry),
     }
 
 
-def _service(vm, name):
-    now = vm.clock.now()
+def _service(vm, service):
+    now, name = vm.clock.now(), service.name
     entries = vm.ledger.of_service(name)
     return {
         "service": name,
         "slots": sum(entry.target.limit for entry in entries),
         "free": sum(entry.free(now) for entry in entries),
         "waiting": vm.admission.waiting(name),
+        "ready_share": vm.readiness.share(service),
         "leased": sum(lease.slots for lease in vm.holder.held(name)),
     }
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -109,7 +109,12 @@
             self, self.ledger, self.membership, self.links, clock
         )
         self.granter = LeaseGranter(
-            self, self.ledger, self.membership, self.admission.waiting, clock
+            self,
+            self.ledger,
+            self.membership,
+            self.admission.waiting,
+            self.health,
+            clock,
         )
         self.claims = Claims(self._claims_platform, self._birth)
         self.sweeper = ClaimSweeper(self, self._platform, clock)
