--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -25,6 +25,7 @@
     encode,
 )
 from heathercleat.process.directory import Directory
+from heathercleat.process.heartbeats import Heartbeats
 from heathercleat.process.members import SETTLE, Membership
 from heathercleat.process.platform import VmEntry, VmList
 from heathercleat.process.readiness import WATCH_SECONDS
@@ -204,15 +205,17 @@
         view = len(encode(ViewExchange(membership.records())))
         slopes.add("view exchange: message", "KB", size, view / 1e3)
         clock.time += SETTLE
-        membership._check_pause()
+        membership.note_tick()
         assert size == len(membership.running()) + 1
         seconds = timed(partial(membership.heard, beat), 2000)
         slopes.add("heartbeat: taken", "us", size, seconds * 1e6)
         seconds = timed(membership.may_act, 2000)
         slopes.add("right to act: checked", "us", size, seconds * 1e6)
 
-        def judge(membership=membership):
-            run(membership._judge)
+        heartbeats = Heartbeats(vm, membership, links, clock)
+
+        def judge(heartbeats=heartbeats):
+            run(heartbeats.judge)
 
         slopes.add("monitors: judged", "us", size, timed(judge, 20) * 1e6)
 
--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -226,7 +226,7 @@
         return int(lease)
 
     async def _serve_call(self, call):
-        with self._vm.observing(call) as observed:
+        with self._vm.observer.observing(call) as observed:
             if call.kind.semantics is not Semantics.UPLOAD:
                 call.body = await self._read_body(call)
             else:
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -6,7 +6,7 @@
 back at.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import uniform
 
 from curio import Event as Signal
@@ -16,14 +16,10 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
+from heathercleat.process.queue import ServiceQueue, Waiter
 
-#: Weight of the newest observation in the mean time that a request holds a slot.
-HOLD_WEIGHT = 0.1
-FIRST_HOLD = 0.02
 #: The expected wait where there is no slot: a lease may still come.
 NEVER = float("inf")
-#: Holding times that a request may wait in a queue that does not empty.
-STANDING_HOLDS = 1.5
 PUMP_INTERVAL = 0.02
 #: Shortest mean time after which a refused caller is asked to come back, in seconds.
 MIN_RETURN = 1.0
@@ -45,70 +41,6 @@
     lease: object
 
 
-@dataclass(slots=True)
-class Waiter:
-    """A request in a queue."""
-
-    request: object
-    avoid: frozenset
-    since: float
-    signal: Signal = field(default_factory=Signal)
-    permit: object = None
-    evicted: bool = False
-    left: bool = False
-
-    @property
-    def rank(self):
-        """Return the order of eviction: light and late requests go first."""
-        return self.request.kind.weight, -self.request.deadline
-
-
-class ServiceQueue:
-    """Waiting requests of one service and how long its requests hold a slot."""
-
-    def __init__(self):
-        self._waiters = []
-        self._mean_hold = FIRST_HOLD
-        self._empty_at = 0.0
-
-    @property
-    def waiters(self):
-        """Return the waiters, the earliest deadline first."""
-        return self._waiters
-
-    @property
-    def mean_hold(self):
-        """Return the mean seconds for which a request holds a slot."""
-        return self._mean_hold
-
-    def observe(self, seconds):
-        """Note how long a request held its slot."""
-        self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
-
-    def longest_wait(self, service, now):
-        """Return how long a request may wait here, in seconds.
-
-        A queue that empties now and then absorbs a burst, and may take its whole time.
-        One that has not been empty for a while only adds delay, so its requests wait
-        hardly longer than one takes (controlled delay: Nichols and Jacobson, 2012).
-        """
-        if not self._waiters:
-            self._empty_at = now
-        if now - self._empty_at <= service.queue_wait:
-            return service.queue_wait
-        return min(service.queue_wait, STANDING_HOLDS * self._mean_hold)
-
-    def push(self, waiter):
-        """Queue a waiter by its deadline."""
-        self._waiters.append(waiter)
-        self._waiters.sort(key=lambda each: each.request.deadline)
-
-    def remove(self, waiter):
-        """Take a waiter out."""
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-
-
 class Admission:
     """Decides where each request of this VM goes.
 
--- a/src/heathercleat/process/configuration.py
+++ b/src/heathercleat/process/configuration.py
@@ -21,7 +21,7 @@
 from heathercleat.errors import FindingsError, PeerError, PlatformError
 from heathercleat.events import Event
 from heathercleat.process.directory import vm_list
-from heathercleat.process.members import MemberState
+from heathercleat.process.member import MemberState
 from heathercleat.version.document import (
     HEAD_KEY,
     object_key,
--- a/src/heathercleat/process/members.py
+++ b/src/heathercleat/process/members.py
@@ -7,28 +7,16 @@
 right to act lapsed before anybody takes its place.
 """
 
-from dataclasses import dataclass
-from enum import Enum
 from hashlib import blake2b
 
-from curio import TaskGroup, sleep, spawn
+from curio import TaskGroup
 
-from heathercleat.connection.messages import (
-    Heartbeat,
-    HeartbeatAck,
-    MemberRecord,
-    ViewExchange,
-    fields_of,
-)
+from heathercleat.connection.messages import MemberRecord, ViewExchange, fields_of
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
+from heathercleat.process.member import LEASE, Member, MemberState
 from heathercleat.version.hashing import weight
 
-HEARTBEAT_INTERVAL = 0.25
-#: Seconds for which an acknowledged heartbeat lets a VM act as a home.
-LEASE = 1.0
-#: Seconds of silence after which a monitor presumes a VM dead.
-DEAD_AFTER = 1.5
 #: Seconds of silence after which a monitor no longer has to acknowledge.
 SILENT_AFTER = 3.0
 #: A gap between two ticks that counts as a pause of this process.
@@ -37,57 +25,7 @@
 SETTLE = 0.5
 #: Seconds for which the record of a dead VM is kept against late news of its life.
 DEAD_KEPT = 3600.0
-NEVER = float("-inf")
 MONITORS = 3
-#: Seconds between looks at a VM that closed its connection, and how many there are.
-LOOK_INTERVAL = 0.3
-LOOKS = 4
-
-
-class MemberState(Enum):
-    """The state of a VM as others see it."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-    DEAD = "dead"
-
-
-_RANK = {MemberState.LIVE: 0, MemberState.LEAVING: 1, MemberState.DEAD: 2}
-
-
-@dataclass(slots=True)
-class Member:
-    """A VM of this failure domain.
-
-    ``heard_at`` is when its last heartbeat came; ``acked_at`` is when the last
-    heartbeat that it acknowledged was sent. ``beat_at`` is when its last heartbeat
-    came, and ``died_at`` when it was found dead. All are instants of this process.
-    ``heard_before`` is the incarnation before this one, if it was heard to its end.
-    ``gone`` tells that its host refused connections, so that its process has ended and
-    with it every request that it sent.
-    """
-
-    vm: str
-    host: str
-    incarnation: int
-    state: MemberState
-    heard_at: float
-    acked_at: float
-    silent_from: float
-    beat_at: float = NEVER
-    died_at: float = NEVER
-    heard_before: int | None = None
-    gone: bool = False
-
-    @property
-    def heard_to_the_end(self):
-        """Return whether heartbeats came until a monitor would have noticed the end."""
-        return self.died_at - self.beat_at <= DEAD_AFTER + LEASE
-
-    @property
-    def rank(self):
-        """Return the order of records: a later incarnation or a worse state wins."""
-        return self.incarnation, _RANK[self.state]
 
 
 class Membership:
@@ -103,13 +41,11 @@
         self._links = links
         self._clock = clock
         self._members = {}
-        self._sequence = 0
         self._digest = 0
         self._settled_at = clock.now() + SETTLE
         self._last_tick = clock.now()
         self._on_presumed_dead = None
         self._on_pause = None
-        self._tasks = {}
         self._add_self(MemberState.LIVE)
 
     @property
@@ -151,6 +87,11 @@
             if name != self._vm.name and member.state is not MemberState.DEAD
         ]
 
+    @property
+    def settled(self):
+        """Return whether this VM has listened long enough to judge others."""
+        return self._clock.now() >= self._settled_at
+
     def may_act(self):
         """Return whether this VM may admit requests as the home of targets."""
         now = self._clock.now()
@@ -164,9 +105,17 @@
         """Return the monitors whose acknowledgement this VM needs."""
         now = self._clock.now()
         return [
-            member for member in self._monitors() if not self._is_silent(member, now)
+            member for member in self.monitors() if not self._is_silent(member, now)
         ]
 
+    def monitors(self):
+        """Return the members that this VM sends heartbeats to."""
+        return self._neighbours(+1)
+
+    def monitored(self):
+        """Return the members that send heartbeats to this VM."""
+        return self._neighbours(-1)
+
     def heard_until_end(self, name, incarnation):
         """Return whether this VM had the heartbeats of an ended life up to its end.
 
@@ -242,15 +191,6 @@
         member.silent_from = member.heard_at
         return False
 
-    async def suspect(self, name):
-        """Look soon whether a VM that closed its connection has ended.
-
-        A host that refuses connections has no such process any more: there is no need
-        to wait for its silence. Only its monitors look.
-        """
-        if name in (member.vm for member in self._neighbours(-1)):
-            await spawn(self._look_for_end, self._members[name], daemon=True)
-
     async def announce(self):
         """Exchange views with every VM known here, to join or to spread a change."""
         async with TaskGroup() as group:
@@ -282,14 +222,6 @@
         self._add_self(MemberState.LIVE)
         await self.announce()
 
-    async def run(self):
-        """Send heartbeats and judge the VMs that this one monitors."""
-        while True:
-            self._check_pause()
-            await self._start_tasks()
-            await self._judge()
-            await sleep(HEARTBEAT_INTERVAL)
-
     def _carry_over(self, known, fresh, now):
         """Keep what the next record of a VM does not say."""
         if known.incarnation == fresh.incarnation:
@@ -306,9 +238,6 @@
         state = MemberState.LIVE.value
         return MemberRecord(member.vm, member.host, domain, incarnation, state)
 
-    def _monitors(self):
-        return self._neighbours(+1)
-
     def _neighbours(self, step):
         """Return the next members on the ring in one direction, at most MONITORS."""
         ring = self._ring
@@ -324,7 +253,8 @@
             return True
         return member.silent_from + SILENT_AFTER <= now
 
-    def _check_pause(self):
+    def note_tick(self):
+        """Note that this VM runs, and find out whether it was paused before."""
         now = self._clock.now()
         gap = now - self._last_tick
         self._last_tick = now
@@ -338,90 +268,18 @@
         if self._on_pause is not None:
             self._on_pause()
         if gap > LEASE:
-            self._presumed_dead()
+            self.start_new_life()
 
-    def _presumed_dead(self):
+    def start_new_life(self):
+        """Take a new incarnation, after a pause or when it was presumed dead."""
         self._vm.renew_incarnation()
         self._add_self(self._members[self._vm.name].state)
         if self._on_presumed_dead is not None:
             self._on_presumed_dead()
 
-    async def _start_tasks(self):
-        """Keep one task running for each monitor of this VM."""
-        hosts = {member.host: member.vm for member in self._monitors()}
-        for host in [host for host in self._tasks if host not in hosts]:
-            await self._tasks.pop(host).cancel(blocking=False)
-        for host, name in hosts.items():
-            if host not in self._tasks:
-                self._tasks[host] = await spawn(self._beat, name, host, daemon=True)
-
-    async def _beat(self, name, host):
-        while True:
-            try:
-                await self._send_heartbeat(name, host)
-            except PeerError:
-                pass
-            await sleep(HEARTBEAT_INTERVAL)
-
-    async def _send_heartbeat(self, name, host):
-        self._sequence += 1
-        sent_at = self._clock.now()
-        heartbeat = Heartbeat(
-            self._vm.name,
-            self._vm.incarnation,
-            self._sequence,
-            self._digest,
-            self._vm.version,
-            self._vm.vm_serial,
-        )
-        ack = await self._links.call(host, heartbeat)
-        member = self._members.get(name)
-        if not isinstance(ack, HeartbeatAck) or member is None:
-            return
-        if ack.accused and heartbeat.incarnation == self._vm.incarnation:
-            self._vm.journal.write(Event.ACCUSED, by=name)
-            self._presumed_dead()
-            await spawn(self.announce, daemon=True)
-            return
-        member.acked_at = max(member.acked_at, sent_at)
-        member.silent_from = self._clock.now()
-        if ack.digest != self._digest:
-            await self.exchange_views(host)
-        await self._vm.hint(host, ack.version, ack.vm_serial)
-
-    async def _look_for_end(self, suspected):
-        for _ in range(LOOKS):
-            await sleep(LOOK_INTERVAL)
-            if await self.exchange_views(suspected.host):
-                return
-            member = self._members.get(suspected.vm)
-            if member is None or member.incarnation != suspected.incarnation:
-                return
-            if self._links.to(member.host).refused:
-                await self._end(member)
-                return
-
-    async def _end(self, member):
-        """Note that the process of a VM has ended."""
-        member.gone = True
-        if member.state is not MemberState.DEAD:
-            self._declare_dead(member)
-            await self.announce()
-
-    async def _judge(self):
+    def forget_old(self):
+        """Forget the VMs that died long ago."""
         now = self._clock.now()
-        if now < self._settled_at:
-            return
-        self._forget(now)
-        for member in self._neighbours(-1):
-            if now - member.heard_at <= DEAD_AFTER:
-                continue
-            if self._heard_otherwise(member, now):
-                continue
-            self._declare_dead(member)
-            await spawn(self.announce, daemon=True)
-
-    def _forget(self, now):
         old = [
             name
             for name, member in self._members.items()
@@ -430,12 +288,8 @@
         for name in old:
             del self._members[name]
 
-    def _heard_otherwise(self, member, now):
-        # With few VMs a monitor is also monitored: an acknowledgement is a sign of
-        # life, but only heartbeats count for a VM that we never asked.
-        return member.acked_at > now - HEARTBEAT_INTERVAL
-
-    def _declare_dead(self, member):
+    def declare_dead(self, member):
+        """Note that a member is dead, as its monitor."""
         member.state = MemberState.DEAD
         member.died_at = self._clock.now()
         self._changed()
@@ -454,7 +308,7 @@
         if MemberState(item.state) is not MemberState.DEAD:
             return False
         self._vm.journal.write(Event.ACCUSED, by="view")
-        self._presumed_dead()
+        self.start_new_life()
         return True
 
     def _add_self(self, state):
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/peer_service.py
@@ -83,7 +83,7 @@
         finally:
             self._vm.count_peer_bytes(stream.bytes_sent + stream.bytes_received)
         if hello is not None:
-            await self._vm.membership.suspect(hello.vm)
+            await self._vm.heartbeats.suspect(hello.vm)
 
     async def _authenticate(self, stream):
         nonce = token_bytes(NONCE_BYTES)
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -1,14 +1,11 @@
 """The daemon of one entry VM: its parts, its listeners and its graceful shutdown."""
 
 import signal
-from contextlib import contextmanager
 from secrets import token_hex
 
 from curio import TaskGroup, sleep, spawn
 
-from heathercleat.codes import ResultCode
 from heathercleat.connection.pool import Pool
-from heathercleat.errors import RequestError
 from heathercleat.events import Event
 from heathercleat.process.admission import Admission
 from heathercleat.process.budget import RetryBudget
@@ -21,12 +18,15 @@
 from heathercleat.process.editing import Editor
 from heathercleat.process.fence import Fence
 from heathercleat.process.health import HealthBoard
+from heathercleat.process.heartbeats import Heartbeats
 from heathercleat.process.homes import Homes
 from heathercleat.process.leases import LeaseGranter, LeaseHolder
 from heathercleat.process.listeners import Listeners
 from heathercleat.process.logs import Journal
-from heathercleat.process.members import Membership, MemberState
+from heathercleat.process.member import MemberState
+from heathercleat.process.members import Membership
 from heathercleat.process.metrics import Metrics
+from heathercleat.process.observer import CallObserver
 from heathercleat.process.once import OnceLedger
 from heathercleat.process.peers import PeerLinks
 from heathercleat.process.platform import HttpPlatform, VmEntry
@@ -86,6 +86,7 @@
         self.once = OnceLedger(clock)
         self.pool = Pool(clock, self._settings.address, self._get_fence)
         self.membership = Membership(self, self.links, clock)
+        self.heartbeats = Heartbeats(self, self.membership, self.links, clock)
         self.configuration = ConfigurationKeeper(
             self, self._platform, self.links, self.membership, self.directory, clock
         )
@@ -121,6 +122,7 @@
         self.editor = Editor(self._claims_platform, clock)
         self.candidates = CandidateCache(self, clock)
         self.metrics = Metrics(self)
+        self.observer = CallObserver(self)
         self.tokens = PeerTokens(self.name, lambda: self._settings.keys, clock)
         self._listeners = Listeners(self)
         self.membership.on_presumed_dead(self.homes.drop_all)
@@ -252,25 +254,6 @@
         """Keep an outcome in the table without keeping the caller waiting."""
         await spawn(self.claims.record, ticket, key, outcome, daemon=True)
 
-    @contextmanager
-    def observing(self, call):
-        """Log and count how a call ends; ``done()`` tells that it was answered."""
-        observed = _Observed()
-        code, event = ResultCode.ANSWER_LOST, Event.REQUEST_CUT
-        try:
-            yield observed
-        except RequestError as error:
-            code, event = error.code, Event.REQUEST_REFUSED
-            if not call.stream.can_answer:
-                event = Event.REQUEST_CUT
-            if code is ResultCode.CLAIM_FAILED:
-                self.configuration.note_claim_failure()
-            raise
-        finally:
-            if observed.answered:
-                code, event = ResultCode.OK, Event.REQUEST_DONE
-            self._finish(call, code, event)
-
     def request_leave(self):
         """Begin a graceful shutdown."""
         self._leave_requested = True
@@ -294,7 +277,7 @@
 
     def _loops(self):
         return (
-            self.membership.run,
+            self.heartbeats.run,
             self.configuration.run,
             self.homes.run,
             self.readiness.run,
@@ -370,39 +353,3 @@
             for member in self.membership.members.values()
             if member.state is MemberState.LIVE
         ]
-
-    def _finish(self, call, code, event):
-        now = self._clock.now()
-        seconds = now - call.received_at
-        late = now > call.deadline
-        self._journal.write(
-            event,
-            request=call.id,
-            service=call.service.name,
-            kind=call.kind.name,
-            code=code.number,
-            run=code.run.value,
-            seconds=round(seconds, 6),
-            late=late,
-            caller=call.caller,
-            forwarded=call.lease is not None,
-        )
-        if call.lease is None:
-            result, run = code.name.lower(), code.run.value
-            self.metrics.count_request(call, result, run, seconds, late)
-
-
-class _Observed:
-    """Notes whether a call was answered."""
-
-    def __init__(self):
-        self._answered = False
-
-    @property
-    def answered(self):
-        """Return whether the whole answer was sent."""
-        return self._answered
-
-    def done(self):
-        """Note that the whole answer was sent."""
-        self._answered = True
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,11 +5,12 @@
 
 from heathercleat import HeathercleatError, ResultCode, parse_text
 from heathercleat.errors import CallerLeftError
-from heathercleat.process.admission import STANDING_HOLDS, Admission, ServiceQueue
+from heathercleat.process.admission import Admission
 from heathercleat.process.budget import RetryBudget
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.health import MAX_FAILURES, HealthBoard
 from heathercleat.process.leases import LeaseHolder
+from heathercleat.process.queue import STANDING_HOLDS, ServiceQueue
 from heathercleat.process.slots import SlotLedger
 from heathercleat.request.call import Call
 from tests.fakes import FakeLinks, FakeVm, ManualClock
@@ -46,9 +47,9 @@
     return json.dumps(document)
 
 
-def make_call(vm, seconds=5.0, weight=None):
+def make_call(vm, seconds=5.0, clock=None):
     service = vm.text.services["lookup"]
-    now = SystemClock().now()
+    now = (clock or SystemClock()).now()
     return Call(
         id="c",
         service=service,
--- a/tests/test_covers.py
+++ b/tests/test_covers.py
@@ -13,6 +13,7 @@
     Vouched,
     occupied_until,
 )
+from heathercleat.process.heartbeats import Heartbeats
 from heathercleat.process.members import SETTLE, Membership
 from standins.fleet import Fleet, wait_for
 from standins.load import Load
@@ -33,7 +34,7 @@
     links = FakeLinks(answer)
     membership = Membership(vm, links, clock)
     clock.time += SETTLE
-    membership._check_pause()
+    membership.note_tick()
     membership.record(record())
     return links, clock, membership, CoverPublisher(vm, membership, links, clock)
 
@@ -131,7 +132,7 @@
     """Let the home of a record be found gone by its monitor."""
     membership.heard(heartbeat())
     member = membership.members["north-a-2"]
-    run(membership._end, member)
+    run(Heartbeats(None, membership, FakeLinks(), clock).end, member)
 
 
 def test_requests_of_a_home_that_is_gone_are_not_waited_for():
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,7 +2,9 @@
 from curio import run
 
 from heathercleat.connection.messages import Heartbeat, HeartbeatAck, MemberRecord
-from heathercleat.process.members import DEAD_AFTER, LEASE, SETTLE, Membership
+from heathercleat.process.heartbeats import Heartbeats
+from heathercleat.process.member import DEAD_AFTER, LEASE
+from heathercleat.process.members import SETTLE, Membership
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 
 
@@ -29,8 +31,12 @@
     return membership
 
 
+def make_heartbeats(vm, membership, clock):
+    return Heartbeats(vm, membership, FakeLinks(acknowledge), clock)
+
+
 def tick(membership):
-    membership._check_pause()
+    membership.note_tick()
 
 
 def record(vm="north-a-2", incarnation=1, state="live"):
@@ -41,8 +47,8 @@
     return Heartbeat(vm, incarnation, 1, 0, 0, 0)
 
 
-def acknowledged(membership):
-    run(membership._send_heartbeat, "north-a-2", "127.0.0.2")
+def acknowledged(vm, membership, clock):
+    run(make_heartbeats(vm, membership, clock).send, "north-a-2", "127.0.0.2")
 
 
 def test_vm_alone_may_act_once_it_has_settled(vm, clock):
@@ -56,7 +62,7 @@
 def test_right_to_act_lapses_without_acknowledgements(vm, clock):
     membership = make_membership(vm, clock)
     membership.record(record())
-    acknowledged(membership)
+    acknowledged(vm, membership, clock)
     assert membership.may_act()
     for _ in range(5):
         clock.time += LEASE / 4
@@ -87,7 +93,7 @@
     def judge_after(seconds):
         clock.time += seconds
         tick(membership)
-        run(membership._judge)
+        run(make_heartbeats(vm, membership, clock).judge)
         return membership.live()
 
     assert "north-a-2" in judge_after(0.7)
@@ -102,7 +108,7 @@
     tick(membership)
     clock.time += SETTLE
     tick(membership)
-    run(membership._judge)
+    run(make_heartbeats(vm, membership, clock).judge)
     assert "north-a-2" in membership.live()
 
 
@@ -138,4 +144,4 @@
     membership = make_membership(vm, clock)
     for number in range(2, 165):
         membership.record(record(vm=f"north-a-{number}"))
-    assert len(membership._monitors()) == 3
+    assert len(membership.monitors()) == 3
--- a/tests/test_slow_targets.py
+++ b/tests/test_slow_targets.py
@@ -11,9 +11,8 @@
 from heathercleat.process.health import TRIAL_INTERVAL, HealthBoard
 from heathercleat.process.leases import LeaseGranter, LeaseHolder
 from heathercleat.process.slots import SlotLedger
-from heathercleat.request.call import Call
 from tests.fakes import FakeLinks, FakeVm, ManualClock
-from tests.test_admission import FakeMembership
+from tests.test_admission import FakeMembership, make_call
 from tests.test_text import make_text
 
 FAST = 0.1
@@ -66,25 +65,9 @@
         for _ in range(times):
             self.health.succeeded(self.targets[name], seconds)
 
-    def call(self, seconds=5.0):
-        service = self.vm.text.services["lookup"]
-        now = self.clock.time
-        return Call(
-            id="c",
-            service=service,
-            kind=service.kinds[0],
-            method="GET",
-            path="/",
-            headers=[],
-            deadline=now + seconds,
-            wall_deadline=0.0,
-            stream=None,
-            received_at=now,
-        )
-
     def place(self, seconds=5.0):
         """Return the target that a request goes to."""
-        permit = run(self.admission.acquire, self.call(seconds))
+        permit = run(self.admission.acquire, make_call(self.vm, seconds, self.clock))
         return permit.target.name
 
     def is_slow(self, name):
@@ -144,5 +127,9 @@
 
 def test_request_that_is_tried_again_avoids_the_target_even_as_a_trial(parts):
     parts.clock.time += TRIAL_INTERVAL
-    permit = run(parts.admission.acquire, parts.call(), frozenset(["t3"]))
+    permit = run(
+        parts.admission.acquire,
+        make_call(parts.vm, clock=parts.clock),
+        frozenset(["t3"]),
+    )
     assert permit.target.name != "t3"
