Return no slots of a lease while its renewal is under way, and test what is returned

Cause: reading the change once more: a renewal that was answered before a part of the lease was given back, and taken after, restored the slots at the holder only; its next requests were then refused by the granter. Giving parts of leases back had no test of its own.

Change: a lease under renewal is not trimmed. tests/test_leases.py covers what a lease keeps, what its home can use again, and what the holder sends; 4 of its 6 tests that do not wait fail when nothing is trimmed.

--- a/src/heathercleat/process/leases.py
+++ b/src/heathercleat/process/leases.py
@@ -238,7 +238,8 @@
         if now >= lease.expires_at:
             leases.remove(lease)
             return
-        if now >= lease.idle_at and lease.trim(now):
+        # A renewal under way could give back what is returned meanwhile.
+        if not lease.renewing and now >= lease.idle_at and lease.trim(now):
             item = LeaseReturn(lease.id, lease.slots)
             await spawn(self._call, lease.host, item, daemon=True)
         if not lease.slots:
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,98 @@
+import json
+
+import pytest
+from curio import run, sleep, spawn
+
+from heathercleat import parse_text
+from heathercleat.connection.messages import Accepted, LeaseGrant, LeaseReturn
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.directory import Directory
+from heathercleat.process.leases import IDLE_AFTER, HeldLease, LeaseHolder
+from heathercleat.process.platform import VmEntry, VmList
+from heathercleat.process.slots import SlotLedger
+from tests.fakes import FakeLinks, FakeVm, ManualClock
+from tests.test_slots import HOME, make_target
+from tests.test_text import make_text
+
+GRANTED = 3
+
+
+def make_lease(slots=GRANTED):
+    return HeldLease(
+        1, "lookup", "t2", "vm", "127.0.0.2", "north-b", slots, 200, 0, 100
+    )
+
+
+@pytest.mark.parametrize(
+    ("taken", "released", "kept"), [(0, 0, 0), (2, 0, 2), (2, 2, 2), (3, 1, 3)]
+)
+def test_lease_keeps_the_most_slots_that_were_in_use_at_once(taken, released, kept):
+    lease = make_lease()
+    for _ in range(taken):
+        lease.take()
+    lease.in_use -= released
+    assert lease.trim(100 + IDLE_AFTER) is (kept < GRANTED)
+    assert lease.slots == kept
+
+
+def test_next_interval_counts_from_what_is_in_use():
+    lease = make_lease()
+    lease.take()
+    lease.take()
+    lease.in_use -= 1
+    lease.trim(101)
+    assert lease.trim(102)
+    assert lease.slots == 1
+
+
+def test_home_can_use_what_is_given_back():
+    clock = ManualClock()
+    ledger = SlotLedger(clock)
+    entry = ledger.adopt(make_target(cap=None), [])
+    lease = ledger.grant(entry, "vm", HOME, 4, clock.time + 1)
+    ledger.enter(lease.id, clock.time + 1)
+    assert entry.free(clock.time) == 0
+    ledger.give_back(lease.id, 1)
+    assert entry.free(clock.time) == 3
+    assert ledger.enter(lease.id, clock.time + 1) is None
+
+
+def make_holder(answers):
+    """Return a holder whose next homes answer from a list."""
+    vm, clock = FakeVm(), SystemClock()
+    vm.text = parse_text(json.dumps(make_text()))
+    vm.local_homes = lambda service: []
+    directory = Directory()
+    directory.adopt(VmList(1, (VmEntry("vm", "127.0.0.2", "north-b", False),)))
+    links = FakeLinks(lambda host, item: answers.pop(0) if answers else Accepted())
+    return vm.text.services["lookup"], links, LeaseHolder(vm, links, directory, clock)
+
+
+async def until(condition):
+    """Wait for a condition, however slow the machine is."""
+    while not condition():
+        await sleep(0.01)
+
+
+def test_unused_slots_are_returned_and_used_ones_stay():
+    expires_at = SystemClock().wall() + 600
+    grant = LeaseGrant(7, "t2", GRANTED, expires_at, 0.0)
+    service, links, holder = make_holder([grant])
+
+    def returned():
+        return [item for _, item in links.calls if isinstance(item, LeaseReturn)]
+
+    async def act():
+        await holder.seek(service, GRANTED)
+        await until(lambda: holder.held("lookup"))
+        lease = holder.take("lookup", (), 1.0)
+        loop = await spawn(holder.run, daemon=True)
+        await until(returned)
+        assert returned() == [LeaseReturn(7, 1)]
+        holder.release(lease)
+        await until(lambda: len(returned()) == 2)
+        await loop.cancel()
+
+    run(act)
+    assert returned()[-1] == LeaseReturn(7, 0)
+    assert holder.held("lookup") == []
