Mend what a last reading of the change found twice, misplaced or in a hot path

- A request that got a slow target as the last resort was logged as refused (221) first, since the resort was taken by catching the refusal.
It is taken where refusals are made now; the new test fails on the code before (1 of 9), all pass after.
- Nearest failure domains were sorted in two places, VMs that do not leave filtered in three, and the instant before all others named in three; one piece serves each now.
- Readiness added up all services to tell of one, and look-ups hashed the caller's address while the domain was ready.

--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/admission.py
@@ -83,15 +83,7 @@
             if permit is not None:
                 self._log_permit(request, permit, 0.0)
                 return permit
-        since = self._clock.now()
-        try:
-            return await self._wait(queue, request, avoid)
-        except RequestError:
-            permit = self._try_slow(request, avoid)
-            if permit is None:
-                raise
-            self._log_permit(request, permit, self._clock.now() - since)
-            return permit
+        return await self._wait(queue, request, avoid)
 
     def enter(self, lease_id, deadline):
         """Return a permit for a request that arrives under a lease, or ``None``."""
@@ -219,8 +211,9 @@
         waiter = Waiter(request, avoid, self._clock.now())
         longest = queue.longest_wait(request.service, waiter.since)
         if queue.waiters and longest < self._drain_time(request.service) < NEVER:
-            raise self._refusal(request, "wait too long")
-        await self._make_place(queue, waiter)
+            return self._last_resort(waiter, "wait too long")
+        if not await self._make_place(queue, waiter):
+            return self._last_resort(waiter, "queue full")
         self._vm.journal.write(
             Event.ROUTE_QUEUED,
             request=request.id,
@@ -237,7 +230,7 @@
             raise
         queue.remove(waiter)
         if waiter.permit is None:
-            raise self._refusal(request, "evicted" if waiter.evicted else "waited")
+            return self._last_resort(waiter, "evicted" if waiter.evicted else "waited")
         self._log_permit(request, waiter.permit, self._clock.now() - waiter.since)
         return waiter.permit
 
@@ -265,17 +258,32 @@
             await waiter.signal.set()
 
     async def _make_place(self, queue, waiter):
-        """Queue ``waiter``; a full queue loses its lightest and latest request."""
+        """Queue ``waiter`` and return whether it has a place.
+
+        A full queue loses its lightest and latest request.
+        """
         queue.push(waiter)
         await self._waiter_came.set()
         if len(queue.waiters) <= waiter.request.service.queue_limit:
-            return
+            return True
         victim = min(queue.waiters, key=lambda each: each.rank)
         queue.remove(victim)
         if victim is waiter:
-            raise self._refusal(waiter.request, "queue full")
+            return False
         victim.evicted = True
         await victim.signal.set()
+        return True
+
+    def _last_resort(self, waiter, reason):
+        """Return a permit for a slow target.
+
+        :raises RequestError: when there is none, for ``reason``.
+        """
+        permit = self._try_slow(waiter.request, waiter.avoid)
+        if permit is None:
+            raise self._refusal(waiter.request, reason)
+        self._log_permit(waiter.request, permit, self._clock.now() - waiter.since)
+        return permit
 
     async def _abandon(self, queue, waiter):
         queue.remove(waiter)
--- a/src/heathercleat/process/candidates.py
+++ b/src/heathercleat/process/candidates.py
@@ -54,7 +54,7 @@
     def find(self, service, domain, avoided=frozenset()):
         """Return the :class:`DomainVms` for callers of a domain, the best one first.
 
-        :param avoided: failure domains that the caller has left for a drain.
+        :param avoided: failure domains that come last for the caller.
         """
         place = service.name, domain, avoided
         known = self._candidates.get(place)
--- a/src/heathercleat/process/clock.py
+++ b/src/heathercleat/process/clock.py
@@ -3,6 +3,9 @@
 from time import CLOCK_BOOTTIME, clock_gettime, time
 from typing import Protocol
 
+#: An instant before every other one.
+NEVER = float("-inf")
+
 
 class Clock(Protocol):
     """Source of instants, in seconds."""
--- a/src/heathercleat/process/covers.py
+++ b/src/heathercleat/process/covers.py
@@ -16,11 +16,10 @@
 from heathercleat.codes import ResultCode
 from heathercleat.connection.messages import Cover
 from heathercleat.errors import PeerError, RequestError
-from heathercleat.process.clock import from_wall, to_wall
+from heathercleat.process.clock import NEVER, from_wall, to_wall
 
 #: Requests that end within this many seconds need no cover.
 SHORT = 2.0
-NEVER = float("-inf")
 #: Seconds by which a cover is announced further than needed, to announce it seldom.
 SLACK = 5.0
 
--- a/src/heathercleat/process/directory.py
+++ b/src/heathercleat/process/directory.py
@@ -49,14 +49,16 @@
         """Return the entries of one failure domain."""
         return self._by_domain.get(failure_domain, [])
 
+    def staying_in(self, failure_domain):
+        """Return the entries of one failure domain that do not leave."""
+        return [entry for entry in self.vms_in(failure_domain) if not entry.leaving]
+
     def homes_in(self, failure_domain, placement, service):
         """Return the VMs that should be homes of a service's targets, each once.
 
         :param placement: the :class:`Placement` of the text in force.
         """
-        names = [
-            entry.name for entry in self.vms_in(failure_domain) if not entry.leaving
-        ]
+        names = [entry.name for entry in self.staying_in(failure_domain)]
         homes = placement.homes_of(service, failure_domain, names)
         return [self._by_name[name] for name in homes]
 
--- a/src/heathercleat/process/leases.py
+++ b/src/heathercleat/process/leases.py
@@ -272,23 +272,11 @@
         grant = await self._call(entry.host, request)
         if not isinstance(grant, LeaseGrant):
             return 0
-        now = self._clock.now()
         if not grant.slots:
             full_until = from_wall(self._clock, grant.full_until)
             self._full_until[service.name, entry.name] = full_until
             return 0
-        lease = HeldLease(
-            grant.lease_id,
-            service.name,
-            grant.target,
-            entry.name,
-            entry.host,
-            entry.failure_domain,
-            grant.slots,
-            from_wall(self._clock, grant.expires_at),
-            distance,
-            now,
-        )
+        lease = self._to_lease(service, entry, distance, grant)
         self._leases.setdefault(service.name, []).append(lease)
         await self._gained.set()
         self._vm.journal.write(
@@ -304,6 +292,20 @@
             await self._on_room(service.name)
         return lease.slots
 
+    def _to_lease(self, service, entry, distance, grant):
+        return HeldLease(
+            grant.lease_id,
+            service.name,
+            grant.target,
+            entry.name,
+            entry.host,
+            entry.failure_domain,
+            grant.slots,
+            from_wall(self._clock, grant.expires_at),
+            distance,
+            self._clock.now(),
+        )
+
     async def _call(self, host, item):
         try:
             return await self._links.call(host, item)
@@ -317,10 +319,7 @@
     def _homes(self, service):
         text, here = self._vm.text, self._vm.settings.failure_domain
         domains = {target.failure_domain for target in service.targets.values()}
-        by_distance = sorted(
-            domains, key=lambda domain: (text.distance(here, domain), domain)
-        )
-        for domain in by_distance[:MAX_DOMAINS]:
+        for domain in text.nearest(here, domains)[:MAX_DOMAINS]:
             distance = text.distance(here, domain)
             for entry in self._homes_in(domain, service):
                 if entry.name != self._vm.name:
--- a/src/heathercleat/process/member.py
+++ b/src/heathercleat/process/member.py
@@ -3,11 +3,12 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from heathercleat.process.clock import NEVER
+
 #: Seconds for which an acknowledged heartbeat lets a VM act as a home.
 LEASE = 1.0
 #: Seconds of silence after which a monitor presumes a VM dead.
 DEAD_AFTER = 1.5
-NEVER = float("-inf")
 
 
 class MemberState(Enum):
--- a/src/heathercleat/process/readiness.py
+++ b/src/heathercleat/process/readiness.py
@@ -11,12 +11,12 @@
 """
 
 from dataclasses import dataclass
-from itertools import islice
 
 from curio import TaskGroup, sleep
 
 from heathercleat.connection.messages import FetchReadiness, Readiness
 from heathercleat.errors import PeerError
+from heathercleat.process.clock import NEVER
 
 CHECK_INTERVAL = 0.25
 #: Seconds after a change within which homes are asked, whatever they tell.
@@ -26,7 +26,6 @@
 #: Seconds for which a domain that was ready may not be before callers are sent away:
 #: homes that are handed over are back sooner, and a look-up is kept for longer.
 GRACE = 0.5
-NEVER = float("-inf")
 #: Seconds for which the answer for a service is kept.
 KEPT_SECONDS = 0.1
 #: Other failure domains asked while this one is not ready, the nearest first.
@@ -68,11 +67,8 @@
 
     def usable(self):
         """Return ``{service: slots}`` that requests can use at the homes of this VM."""
-        slots = {}
-        for service, target in self._vm.homes.desired():
-            known = slots.setdefault(service.name, 0)
-            slots[service.name] = known + self._usable_at(target)
-        return slots
+        services = {service.name: service for service, _ in self._vm.homes.desired()}
+        return {name: self._usable_here(each) for name, each in services.items()}
 
     def share(self, service):
         """Return the share of a service's callers that this domain can serve, 0 to 1.
@@ -139,19 +135,18 @@
                 yield name, self._vm.directory.find(name).host
 
     def _near_domains(self):
-        """Yield the nearest other failure domains."""
-        text, here = self._vm.text, self._here
-        others = [domain for domain in text.failure_domains if domain != here]
-        others.sort(key=lambda domain: (text.distance(here, domain), domain))
-        yield from islice(others, MAX_DOMAINS)
+        """Return the nearest other failure domains."""
+        text = self._vm.text
+        others = (domain for domain in text.failure_domains if domain != self._here)
+        return text.nearest(self._here, others)[:MAX_DOMAINS]
 
     def _homes(self, domain):
         """Return ``{target name: VM name}`` of a failure domain."""
         if domain == self._here:
             names = self._membership.live()
         else:
-            entries = self._vm.directory.vms_in(domain)
-            names = [entry.name for entry in entries if not entry.leaving]
+            entries = self._vm.directory.staying_in(domain)
+            names = [entry.name for entry in entries]
         return self._vm.text.placement.homes(domain, names)
 
     def _shares(self, service):
@@ -187,13 +182,22 @@
     def _usable_of(self, home, service, slots):
         """Return the usable slots of a home; one that told nothing yet is well."""
         if home == self._vm.name:
-            return self.usable().get(service.name, 0)
+            return self._usable_here(service)
         told = self._told.get(home)
         return slots if told is None else told.get(service.name, 0)
 
+    def _usable_here(self, service):
+        if not self._membership.may_act():
+            return 0
+        return sum(
+            self._usable_at(target)
+            for each, target in self._vm.homes.desired()
+            if each.name == service.name
+        )
+
     def _usable_at(self, target):
         entry = self._ledger.targets.get(target.name)
-        if entry is None or entry.blocked or not self._membership.may_act():
+        if entry is None or entry.blocked:
             return 0
         now = self._clock.now()
         held = sum(1 for hold in entry.holds if hold.until > now)
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -345,9 +345,7 @@
     def _known_vms(self, domain):
         """Return the VMs of a domain that are live as far as this VM knows."""
         if domain != self._settings.failure_domain:
-            return [
-                entry for entry in self.directory.vms_in(domain) if not entry.leaving
-            ]
+            return self.directory.staying_in(domain)
         return [
             VmEntry(member.vm, member.host, domain, False)
             for member in self.membership.members.values()
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -43,16 +43,7 @@
     answer = {
         "service": service.name,
         "version": vm.version,
-        "vms": [
-            {
-                "vm": entry.name,
-                "address": entry.host,
-                "port": vm.settings.ports.caller,
-                "failure_domain": entry.failure_domain,
-                "weight": weight,
-            }
-            for entry, weight in chosen
-        ],
+        "vms": [_describe(vm, *each) for each in chosen],
         "expires_at": now + vm.settings.lookup_ttl,
         **_ticket(vm, service, nearest, now),
     }
@@ -67,12 +58,24 @@
     return answer
 
 
+def _describe(vm, entry, weight):
+    return {
+        "vm": entry.name,
+        "address": entry.host,
+        "port": vm.settings.ports.caller,
+        "failure_domain": entry.failure_domain,
+        "weight": weight,
+    }
+
+
 def _avoided(vm, service, client):
     """Return the failure domains that a client is not sent to now.
 
     They are drained, or cannot serve all their callers yet.
     """
     drained = vm.text.avoided(client, vm.clock.wall())
+    if vm.readiness.share(service) >= 1:
+        return drained
     return drained | vm.readiness.avoided(service, position_of(client))
 
 
--- a/src/heathercleat/version/hashing.py
+++ b/src/heathercleat/version/hashing.py
@@ -20,8 +20,8 @@
     """Divide ``keys`` over ``names``, as evenly as whole keys allow.
 
     Each key goes to the name of the largest weight that is not full yet (bounded loads
-    as in Mirrokni, Thorup and Zadimoghaddam, 2016), so every VM that sees the same
-    names computes the same homes.
+    as in Mirrokni, Thorup and Zadimoghaddam, 2016), so whoever has the same keys and
+    names divides them alike.
 
     :return: ``{key: name}``; empty when there is no name.
     """
--- a/src/heathercleat/version/reach.py
+++ b/src/heathercleat/version/reach.py
@@ -11,7 +11,7 @@
 
     :param text: the :class:`Text` in force.
     :param wall: epoch seconds, to tell which drains are in force.
-    :param avoided: failure domains that these callers have left for a drain.
+    :param avoided: failure domains that come last for these callers.
     """
 
     def __init__(self, text, wall, avoided=frozenset()):
--- a/src/heathercleat/version/text.py
+++ b/src/heathercleat/version/text.py
@@ -181,6 +181,10 @@
             return self.fd_latency
         return self.region_latency
 
+    def nearest(self, domain, others):
+        """Return failure domains in the order of their distance from ``domain``."""
+        return sorted(others, key=lambda other: (self.distance(domain, other), other))
+
     def link_limit(self, one, other):
         """Return the slots that may be in use across a link, or ``None``."""
         link = self.links.get(frozenset((one, other)))
--- a/tests/test_slow_targets.py
+++ b/tests/test_slow_targets.py
@@ -97,6 +97,14 @@
         parts.place()
 
 
+def test_use_of_a_slow_target_is_not_logged_as_a_refusal(parts):
+    for _ in range(2 * SLOTS):
+        parts.place()
+    assert parts.place() == "t3"
+    events = [event for event, _ in parts.vm.journal.events]
+    assert Event.ROUTE_REFUSED not in events
+
+
 def test_slow_target_is_not_used_when_its_answer_would_come_too_late(parts):
     for _ in range(2 * SLOTS):
         parts.place()
