--- a/src/heathercleat/cli/_main.py
+++ b/src/heathercleat/cli/_main.py
@@ -7,6 +7,7 @@
 from heathercleat.cli._edit import add_edits
 from heathercleat.cli._inspect import add_inspections
 from heathercleat.cli._serve import add_serve
+from heathercleat.cli._steer import add_steer
 from heathercleat.errors import FindingsError, HeathercleatError
 
 EPILOG = """\
@@ -44,6 +45,7 @@
     )
     commands = parser.add_subparsers(title="commands", required=True, metavar="COMMAND")
     add_serve(commands)
+    add_steer(commands)
     add_edits(commands)
     add_drain(commands)
     add_inspections(commands)
--- /dev/null
+++ b/src/heathercleat/cli/_steer.py
@@ -0,0 +1,36 @@
+"""The ``steer`` command."""
+
+import sys
+
+
+def add_steer(commands):
+    """Add the command to the parser."""
+    parser = commands.add_parser(
+        "steer",
+        help="run a VM on the platform",
+        description="Steer clients' requests to the targets that the platform lists, "
+        "until SIGTERM; no request is cut then.",
+    )
+    parser.add_argument(
+        "--settings", metavar="FILE", help="the platform's settings file"
+    )
+    parser.add_argument("--metrics-port", type=int, metavar="PORT")
+    parser.add_argument("--log-level", default="INFO", metavar="LEVEL")
+    parser.set_defaults(run=_steer)
+
+
+def _steer(args):
+    # Other commands need none of this, and a start is charged for what it imports.
+    from curio import run
+
+    from heathercleat.platform.settings import load_node_settings
+    from heathercleat.process.logs import LogWriter
+    from heathercleat.steering.process.node import SteeringNode
+
+    settings = load_node_settings(args.settings)
+    writer = LogWriter(args.log_level, sys.stdout)
+    writer.start()
+    try:
+        run(SteeringNode(settings, args.metrics_port, writer).serve)
+    finally:
+        writer.stop()
--- a/src/heathercleat/codes.py
+++ b/src/heathercleat/codes.py
@@ -29,6 +29,7 @@
     UNKNOWN_KIND = (1005, 404, Run.NOT_RUN, 2, "Use a method and path of the text.")
     SLOW_SENDER = (1006, 408, Run.NOT_RUN, 2, "Send the request faster.")
     BAD_DEADLINE = (1007, 400, Run.NOT_RUN, 2, "Send epoch seconds as the deadline.")
+    NO_ROUTE = (1008, 404, Run.NOT_RUN, 2, "Use a host and path of the routes.")
     NO_ROOM = (2001, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     DEADLINE_BEFORE_RUN = (2002, 504, Run.NOT_RUN, 3, "Repeat with a later deadline.")
     NO_CONFIGURATION = (2003, 503, Run.NOT_RUN, 3, "Ask another entry VM.")
--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -18,15 +18,23 @@
 
     :param sock: a connected curio socket.
     :param role: ``h11.SERVER`` or ``h11.CLIENT``.
+    :param header_bytes: the largest head that is read.
     """
 
-    def __init__(self, sock, role):
+    def __init__(self, sock, role, header_bytes=MAX_HEADER_BYTES):
         self._sock = sock
-        self._conn = h11.Connection(role, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._role = role
+        self._header_bytes = header_bytes
+        self._conn = self._new_connection()
         self._bytes_sent = 0
         self._body_started = False
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    @property
+    def socket(self):
+        """Return the curio socket."""
+        return self._sock
+
     @property
     def bytes_sent(self):
         """Return the number of bytes handed to the kernel on this connection."""
@@ -90,6 +98,21 @@
         self._conn.receive_data(data)
         return not data
 
+    def expect_another(self, request):
+        """Read one more answer to a request whose answer was not meant for it.
+
+        :param request: the h11 events of the request, which are not sent again.
+        """
+        rest, _ = self._conn.trailing_data
+        self._conn = self._new_connection()
+        for event in request:
+            self._conn.send(event)
+        if rest:
+            self._conn.receive_data(rest)
+
+    def _new_connection(self):
+        return h11.Connection(self._role, max_incomplete_event_size=self._header_bytes)
+
     def next_cycle(self):
         """Make the connection ready for another message; return whether it can be."""
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
--- a/src/heathercleat/events.py
+++ b/src/heathercleat/events.py
@@ -53,6 +53,17 @@
     CLAIM_FAILED = (603, WARNING)
     CLAIMS_SWEPT = (604, INFO)
     PEER_REJECTED = (700, WARNING)
+    EVACUATION_CHANGED = (800, INFO)
+    TARGET_FOUND = (801, INFO)
+    TARGET_GONE = (802, INFO)
+    STORE_LOST = (810, WARNING)
+    STORE_RETURNED = (811, INFO)
+    STATE_FROM_PEER = (812, INFO)
+    STATE_NOT_FETCHED = (813, WARNING)
+    ROW_REJECTED = (814, ERROR)
+    REQUESTS_SUMMED = (820, INFO)
+    REQUEST_LATE = (821, INFO)
+    LINES_LEFT_OUT = (822, WARNING)
 
     def __init__(self, number, level):
         self._number = number
--- /dev/null
+++ b/src/heathercleat/platform/decode.py
@@ -0,0 +1,127 @@
+"""Rows of the platform's tables as types of the product."""
+
+import json
+
+from heathercleat.platform.names import CONFIG_KEY, EVACUATE_PREFIX
+from heathercleat.platform.units import seconds, version_number
+from heathercleat.steering.process.target import TargetEntry
+from heathercleat.steering.version.routing import (
+    Kind,
+    Limits,
+    Route,
+    RoutingTable,
+    Service,
+    Share,
+)
+
+_READY = "ready"
+#: Seconds until the answer to a request of a route that names no timeout.
+DEFAULT_TIMEOUT = "60s"
+DEFAULT_LATENCY_AIM = "1s"
+
+
+def decode_operator_rows(rows):
+    """Return ``(routing table or None, names of evacuated failure domains)``.
+
+    :param rows: the rows of the operators' table, a :class:`StoreRow` each.
+    :raises ValueError: when the configuration does not decode.
+    """
+    table, evacuated = None, set()
+    for row in rows:
+        if row.key == CONFIG_KEY:
+            table = decode_config(row.value)
+        elif row.key.startswith(EVACUATE_PREFIX):
+            evacuated.add(row.key.removeprefix(EVACUATE_PREFIX))
+    return table, frozenset(evacuated)
+
+
+def decode_config(value):
+    """Return the :class:`RoutingTable` of an operator's configuration.
+
+    :param value: the bytes of the row.
+    :raises ValueError: when it does not decode.
+    """
+    try:
+        document = json.loads(value)
+        services = {each["name"]: _service(each) for each in document["services"]}
+        routes = [
+            _route(host["host"], path)
+            for host in document["hosts"]
+            for path in host["paths"]
+        ]
+        return RoutingTable(
+            version=version_number(document["version"]),
+            routes=routes,
+            services=services,
+            limits=_limits(document["limits"]),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a configuration: {error!r}") from None
+
+
+def decode_target(row):
+    """Return the :class:`TargetEntry` of a row of the targets' table.
+
+    :raises ValueError: when it does not decode.
+    """
+    try:
+        document = json.loads(row.value)
+        host, _, port = document["address"].rpartition(":")
+        return TargetEntry(
+            id=row.key,
+            service=document["service"],
+            host=host,
+            port=int(port),
+            failure_domain=document["zone"],
+            slots=int(document["slots"]),
+            draining=document["state"] != _READY,
+            # How much longer the target stays cold, counted from the row's writing.
+            cold_for=seconds(document.get("coldRemaining", "0ms")),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"not a target: {error!r}") from None
+
+
+def _service(document):
+    return Service(
+        name=document["name"],
+        health_path=document.get("healthPath"),
+        # All callers of a target together may open this many.
+        max_connections=int(document.get("maxConnections", 0)) or None,
+        # Requests a second that a cold target stands.
+        cold_rate=float(document.get("coldPerS", 0)) or None,
+        cold_start=seconds(document.get("coldStart", "0s")),
+    )
+
+
+def _route(host, document):
+    return Route(
+        name=document["name"],
+        host=host,
+        prefix=document["prefix"],
+        kind=Kind(document["kind"]),
+        timeout=seconds(document.get("timeout", DEFAULT_TIMEOUT)),
+        latency_aim=seconds(document.get("targetLatency", DEFAULT_LATENCY_AIM)),
+        priority=int(document.get("priority", 0)),
+        max_attempts=int(document.get("maxAttempts", 1)),
+        sticky=bool(document.get("sessionAffinity", False)),
+        regions=frozenset(document.get("allowedRegions") or ()),
+        shares=tuple(_shares(document)),
+    )
+
+
+def _shares(document):
+    if document.get("trafficSplit"):
+        for part in document["trafficSplit"]:
+            yield Share(part["service"], float(part["weight"]))
+    else:
+        yield Share(document["service"], 1.0)
+
+
+def _limits(document):
+    return Limits(
+        header_bytes=int(document["maxHeaderBytes"]),
+        body_bytes=int(document["maxBodyBytes"]),
+        header_timeout=seconds(document["headerTimeout"]),
+        idle_timeout=seconds(document["idleTimeout"]),
+    )
--- /dev/null
+++ b/src/heathercleat/platform/entry.py
@@ -0,0 +1,33 @@
+"""The platform's calls to a VM: is it ready, and which VMs take a client."""
+
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from heathercleat.connection.http import Message
+from heathercleat.platform.names import READY_PATH, RESOLVE_PATH
+
+_JSON = {"content-type": "application/json"}
+
+
+def answer_entry(message, is_ready, lookup):
+    """Return the answer to a call of the platform or of a client's look-up.
+
+    :param message: the request, a :class:`Message`.
+    :param is_ready: returns whether this VM takes clients.
+    :param lookup: returns the :class:`Lookup` for a region and a failure domain.
+    """
+    url = urlsplit(message.path)
+    if message.method != "GET":
+        return Message(status=405)
+    if url.path == READY_PATH:
+        return Message(status=200 if is_ready() else 503)
+    if url.path != RESOLVE_PATH:
+        return Message(status=404)
+    query = parse_qs(url.query)
+    region = query.get("region", [""])[0]
+    failure_domain = query.get("zone", [""])[0]
+    found = lookup(region, failure_domain)
+    if not found.addresses:
+        return Message(status=503)
+    body = {"addresses": found.addresses, "ttl": f"{round(found.ttl * 1000)}ms"}
+    return Message(headers=_JSON, body=json.dumps(body).encode())
--- /dev/null
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -0,0 +1,98 @@
+"""Connections of other VMs, which forward requests and ask for tables."""
+
+import h11
+import msgpack
+
+from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
+from heathercleat.request.headers import end_to_end
+from heathercleat.steering.process.store import Snapshot, StoreRow
+from heathercleat.steering.request.answer import End
+from heathercleat.steering.request.forward import (
+    ORDER,
+    ForwardOrder,
+    call_of,
+    result_header,
+)
+
+#: Path of a call for a whole table; the name of the table follows.
+STATE_PATH = b"/state/"
+MAX_BODY_BYTES = 256 << 20
+#: Status of an answer that carries a result without a target's answer.
+_NO_ANSWER = 200
+
+
+class ForwardedConnection:
+    """One connection of another VM.
+
+    :param sock: the accepted curio socket.
+    :param local: tries requests at own targets.
+    :param leavers: watches for callers that leave.
+    :param snapshot: returns the :class:`Snapshot` of a table, or ``None``.
+    """
+
+    def __init__(self, sock, local, leavers, snapshot, clock):
+        self._stream = HttpStream(sock, h11.SERVER)
+        self._local = local
+        self._leavers = leavers
+        self._snapshot = snapshot
+        self._clock = clock
+
+    async def serve(self):
+        """Serve requests one after the other until either side closes."""
+        try:
+            while await self._serve_next():
+                pass
+        except CONNECTION_ERRORS:
+            return
+
+    async def _serve_next(self):
+        head = await self._stream.next_event()
+        if not isinstance(head, h11.Request):
+            return False
+        body = await read_body(self._stream, MAX_BODY_BYTES)
+        if head.target.startswith(STATE_PATH):
+            await self._send_state(head.target.removeprefix(STATE_PATH).decode())
+        else:
+            await self._serve_request(head, body)
+        return self._stream.next_cycle()
+
+    async def _send_state(self, table):
+        snapshot = self._snapshot(table)
+        rows = [[row.key, row.value, row.version] for row in snapshot.rows]
+        await self._send(_NO_ANSWER, [], msgpack.packb([snapshot.version, rows]))
+
+    async def _serve_request(self, head, body):
+        headers = list(head.headers)
+        packed = next(value for name, value in headers if name == ORDER)
+        order = ForwardOrder.unpack(packed)
+        now = self._clock.now()
+        passed = [each for each in end_to_end(headers) if each[0] != b"content-length"]
+        call = call_of(order, head, passed, body, self._stream, now)
+        until = now + order.patience
+        with self._leavers.watch(call):
+            avoid = frozenset(order.avoid)
+            result = await self._local.run(call, order.preferred, avoid, until)
+        if call.left:
+            raise EOFError("the other VM left")
+        if result.end is End.ANSWERED:
+            answer = result.answer
+            headers = [*answer.headers, result_header(result)]
+            await self._send(answer.status, headers, answer.body)
+        else:
+            await self._send(_NO_ANSWER, [result_header(result)], b"")
+
+    async def _send(self, status, headers, body):
+        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        events = [h11.Response(status_code=status, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        await self._stream.send(*events, h11.EndOfMessage())
+
+
+def read_state(body):
+    """Return the :class:`Snapshot` in an answer for a table.
+
+    :raises ValueError: when it does not decode.
+    """
+    version, rows = msgpack.unpackb(body)
+    return Snapshot(version, [StoreRow(*fields) for fields in rows])
--- /dev/null
+++ b/src/heathercleat/steering/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a process."""
--- /dev/null
+++ b/src/heathercleat/steering/process/admission.py
@@ -0,0 +1,132 @@
+"""Admission to the targets that this VM owns: a free slot, a short wait, or none."""
+
+from curio import timeout_after
+from curio.errors import TaskTimeout
+
+from heathercleat.steering.process.queue import ServiceQueue, Waiter
+from heathercleat.version.hashing import weight
+
+
+class Admission:
+    """Hands out the slots of owned targets.
+
+    :param ledger: the :class:`SlotLedger`.
+    """
+
+    def __init__(self, ledger, clock):
+        self._ledger = ledger
+        self._clock = clock
+        self._queues = {}
+
+    def waiting(self, service):
+        """Return the number of requests that wait for a service."""
+        queue = self._queues.get(service)
+        return len(queue.waiters) if queue else 0
+
+    def expected_wait(self, service):
+        """Return the seconds that a new waiter would wait, ``None`` without a slot."""
+        now = self._clock.now()
+        targets = self._ledger.of_service(service)
+        if any(target.free(now) for target in targets) and not self.waiting(service):
+            return 0.0
+        slots = sum(
+            target.entry.slots
+            for target in targets
+            if target.free(now) or len(target.uses) > 1
+        )
+        return self._queue(service).expected_wait(slots) if slots else None
+
+    async def acquire(self, call, preferred, avoid, until):
+        """Return a :class:`Use`, or ``None`` when no slot came free in time.
+
+        :param preferred: id of the target to use if it is free, or ``None``.
+        :param avoid: ids of targets not to use.
+        :param until: instant at which to give up waiting.
+        """
+        queue = self._queue(call.service)
+        waiter = Waiter(call, preferred, avoid)
+        if not queue.waiters:
+            use = self._try(waiter)
+            if use is not None:
+                return use
+        if not self._may_wait(call.service, until):
+            return None
+        queue.waiters.append(waiter)
+        await self.pump(call.service)
+        try:
+            await self._wait(waiter, until)
+        finally:
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
+        return waiter.permit
+
+    async def release(self, use, answered):
+        """Free a slot and give it to the next waiter.
+
+        :param answered: whether the time tells how long an answer takes.
+        """
+        service = use.target.entry.service
+        if answered:
+            self._queue(service).observe(self._clock.now() - use.began_at)
+        self._ledger.release(use)
+        await self.pump(service)
+
+    async def pump(self, service):
+        """Give free slots to the waiters of a service, in order."""
+        queue = self._queue(service)
+        if not queue.waiters:
+            return
+        for waiter in queue.in_order(self._clock.now()):
+            use = self._try(waiter)
+            if use is None:
+                continue
+            queue.waiters.remove(waiter)
+            waiter.permit = use
+            await waiter.signal.set()
+
+    async def pump_all(self):
+        """Give out the slots that came free by the passing of time."""
+        for service in list(self._queues):
+            await self.pump(service)
+
+    def _may_wait(self, service, until):
+        wait = self.expected_wait(service)
+        return wait is not None and self._clock.now() + wait <= until
+
+    async def _wait(self, waiter, until):
+        """Wait for a turn; a client that leaves ends it as well."""
+        if waiter.permit is not None:
+            return
+        waiter.call.on_leave = waiter.signal
+        remaining = until - self._clock.now()
+        try:
+            if remaining > 0:
+                await timeout_after(remaining, waiter.signal.wait)
+        except TaskTimeout:
+            return
+        finally:
+            waiter.call.on_leave = None
+
+    def _try(self, waiter):
+        """Take a free slot: of the preferred target, else by affinity."""
+        now = self._clock.now()
+        free = [
+            target
+            for target in self._ledger.of_service(waiter.call.service)
+            if target.entry.id not in waiter.avoid and target.free(now)
+        ]
+        if not free:
+            return None
+        for target in free:
+            if target.entry.id == waiter.preferred:
+                return target.take(now)
+        key = waiter.call.affinity
+        if key is None:
+            return max(free, key=lambda each: each.free(now)).take(now)
+        return max(free, key=lambda each: weight(key, each.entry.id)).take(now)
+
+    def _queue(self, service):
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = self._queues[service] = ServiceQueue()
+        return queue
--- /dev/null
+++ b/src/heathercleat/steering/process/directory.py
@@ -0,0 +1,43 @@
+"""Look-ups of clients: which VMs to send requests to."""
+
+#: VMs named for a client at most.
+MOST_ADDRESSES = 64
+#: Seconds for which clients may keep an answer: a VM that leaves goes on serving for
+#: longer, and a client asks rarely enough for it to cost under 1% of a core.
+LOOKUP_TTL = 2.0
+#: VMs of the client's own failure domain from which those of the rest of its region
+#: are left out.
+ENOUGH = 2
+
+
+class Lookup:
+    """An answer: addresses as text, and the seconds for which it may be kept."""
+
+    __slots__ = ("addresses", "ttl")
+
+    def __init__(self, addresses, ttl):
+        self.addresses = addresses
+        self.ttl = ttl
+
+
+class Directory:
+    """Answers look-ups.
+
+    :param members: the live VMs.
+    :param port: the port on which every VM takes requests.
+    :param longest_ttl: the longest time in seconds for which an answer may be kept.
+    """
+
+    def __init__(self, members, port, longest_ttl):
+        self._members = members
+        self._port = port
+        self._ttl = min(LOOKUP_TTL, longest_ttl)
+
+    def lookup(self, region, failure_domain):
+        """Return the :class:`Lookup` for a client of a region and failure domain."""
+        serving = self._members.serving()
+        near = [each for each in serving if each.region == region]
+        here = [each for each in near if each.failure_domain == failure_domain]
+        chosen = here if len(here) >= ENOUGH else near or serving
+        addresses = [f"{each.ip}:{self._port}" for each in chosen[:MOST_ADDRESSES]]
+        return Lookup(addresses, self._ttl)
--- /dev/null
+++ b/src/heathercleat/steering/process/gossip.py
@@ -0,0 +1,150 @@
+"""Heartbeats between VMs over UDP: who lives, with what versions and what room."""
+
+import msgpack
+from curio import sleep
+from curio import socket as curio_socket
+from msgpack.exceptions import UnpackException
+
+from heathercleat.events import Event
+
+#: Seconds between two heartbeats: room reports are stale for half of it on average,
+#: an eighth of a request of 0.25 s at a target; at 10 VMs it costs 0.6% of a core.
+INTERVAL = 0.15
+#: Heartbeats that a VM sends in a second at most, to bound the cost in large fleets.
+MOST_PER_SECOND = 120
+MAX_DATAGRAM = 8192
+_TRIP_WEIGHT = 0.2
+#: Round trip in seconds that is assumed before one is measured.
+FIRST_TRIP = 0.01
+
+
+class Beat:
+    """A heartbeat.
+
+    :param interval: seconds until the next one.
+    :param rooms: see :meth:`RoomView.report`.
+    :param waits: see :meth:`RoomView.report`.
+    """
+
+    __slots__ = (
+        "vm",
+        "ip",
+        "failure_domain",
+        "region",
+        "incarnation",
+        "serving",
+        "interval",
+        "operator_version",
+        "target_version",
+        "rooms",
+        "waits",
+    )
+
+    def __init__(self, *fields):
+        for name, value in zip(self.__slots__, fields, strict=True):
+            setattr(self, name, value)
+
+    def pack(self):
+        """Return the bytes on the wire."""
+        return msgpack.packb([getattr(self, name) for name in self.__slots__])
+
+
+class Gossip:
+    """Sends and takes heartbeats.
+
+    :param settings: the :class:`NodeSettings`.
+    :param compose: returns the :class:`Beat` to send, for an interval.
+    :param rooms: the :class:`RoomView` that takes reports.
+    """
+
+    def __init__(self, settings, members, rooms, compose, journal, clock):
+        self._settings = settings
+        self._members = members
+        self._rooms = rooms
+        self._compose = compose
+        self._journal = journal
+        self._clock = clock
+        self._sock = None
+        self._trips = {}
+        self._echoes = {}
+        self._bad = 0
+
+    def trip(self, vm):
+        """Return the round trip to a VM in seconds."""
+        return self._trips.get(vm, FIRST_TRIP)
+
+    async def open(self):
+        """Bind the socket."""
+        self._sock = curio_socket.socket(curio_socket.AF_INET, curio_socket.SOCK_DGRAM)
+        self._sock.bind((self._settings.ip, self._settings.gossip_port))
+
+    async def listen(self):
+        """Take heartbeats until cancelled."""
+        while True:
+            data, address = await self._sock.recvfrom(MAX_DATAGRAM)
+            try:
+                self._take(data)
+            except (ValueError, TypeError, UnpackException) as error:
+                self._log_bad(address, error)
+
+    async def beat(self):
+        """Send heartbeats until cancelled."""
+        while True:
+            interval = self._interval()
+            self._members.check()
+            await self.send(interval)
+            await sleep(interval)
+
+    async def send(self, interval=INTERVAL):
+        """Send one heartbeat to every known VM and seed."""
+        body = self._compose(interval).pack()
+        for vm, ip in list(self._receivers()):
+            echo = msgpack.packb([self._clock.now(), *self._echo(vm)])
+            try:
+                await self._sock.sendto(body + echo, (ip, self._settings.gossip_port))
+            except OSError as error:
+                self._journal.write(Event.PEER_REJECTED, peer=vm, reason=repr(error))
+
+    def _interval(self):
+        others = len(self._members.others())
+        return max(INTERVAL, others / MOST_PER_SECOND)
+
+    def _receivers(self):
+        known = set()
+        for member in self._members.others():
+            known.add(member.ip)
+            yield member.vm, member.ip
+        for seed in self._settings.seeds:
+            if seed != self._settings.ip and seed not in known:
+                yield None, seed
+
+    def _echo(self, vm):
+        """Return the peer's last sending instant and how long ago it arrived."""
+        sent_at, arrived_at = self._echoes.get(vm, (None, None))
+        if sent_at is None:
+            return None, None
+        return sent_at, self._clock.now() - arrived_at
+
+    def _take(self, data):
+        unpacker = msgpack.Unpacker()
+        unpacker.feed(data)
+        beat = Beat(*unpacker.unpack())
+        sent_at, echoed, held = unpacker.unpack()
+        member = self._members.heard(beat)
+        if member is None:
+            return
+        now = self._clock.now()
+        self._echoes[beat.vm] = (sent_at, now)
+        if echoed is not None:
+            self._observe_trip(beat.vm, now - echoed - held)
+        self._rooms.report(beat.vm, beat.rooms, beat.waits)
+
+    def _observe_trip(self, vm, seconds):
+        mean = self._trips.get(vm, seconds)
+        self._trips[vm] = mean + _TRIP_WEIGHT * (max(0.0, seconds) - mean)
+
+    def _log_bad(self, address, error):
+        self._bad += 1
+        self._journal.write(
+            Event.PEER_REJECTED, peer=address[0], reason=repr(error), count=self._bad
+        )
--- /dev/null
+++ b/src/heathercleat/steering/process/members.py
@@ -0,0 +1,167 @@
+"""The VMs that take part, as heard from their heartbeats."""
+
+from heathercleat.events import Event
+
+#: Seconds of silence after which a VM is taken as dead: seven heartbeats, so that a few
+#: lost datagrams (2.5% on a bad link) or a short stall do not count as a death.
+SILENCE = 1.1
+#: Heartbeats that may be lost in a row, where they come rarely.
+LOST_BEATS = 4
+#: Seconds of silence after which a VM is forgotten.
+FORGET = 60.0
+
+
+class Member:
+    """What is known of one VM.
+
+    :param incarnation: differs between two processes of the same VM.
+    :param serving: whether it takes clients and owns targets.
+    :param heard_at: instant of its last heartbeat.
+    """
+
+    __slots__ = (
+        "vm",
+        "ip",
+        "failure_domain",
+        "region",
+        "incarnation",
+        "serving",
+        "heard_at",
+        "interval",
+        "operator_version",
+        "target_version",
+    )
+
+    def __init__(self, vm, ip, failure_domain, region):
+        self.vm = vm
+        self.ip = ip
+        self.failure_domain = failure_domain
+        self.region = region
+        self.incarnation = 0
+        self.serving = False
+        self.heard_at = None
+        self.interval = 0.0
+        self.operator_version = 0
+        self.target_version = 0
+
+    @property
+    def patience(self):
+        """Return the seconds of silence after which the VM is taken as dead."""
+        return max(SILENCE, LOST_BEATS * self.interval)
+
+
+class Members:
+    """All known VMs, this one included.
+
+    :param settings: the :class:`NodeSettings` of this VM.
+    """
+
+    def __init__(self, settings, journal, clock, incarnation):
+        self._journal = journal
+        self._clock = clock
+        self._own = Member(
+            settings.vm, settings.ip, settings.failure_domain, settings.region
+        )
+        self._own.incarnation = incarnation
+        self._regions = settings.regions
+        self._members = {settings.vm: self._own}
+        self._live = {}
+        self._on_change = []
+
+    @property
+    def own(self):
+        """Return the :class:`Member` of this VM."""
+        return self._own
+
+    def on_change(self, callback):
+        """Call ``callback()`` when the live VMs have changed."""
+        self._on_change.append(callback)
+
+    def serving(self):
+        """Return the live VMs that take clients and own targets."""
+        return [member for member in self._live.values() if member.serving]
+
+    def live(self, vm):
+        """Return the live :class:`Member` of that name, or ``None``."""
+        return self._live.get(vm)
+
+    def live_others(self):
+        """Return the live VMs but this one."""
+        return [each for each in self._live.values() if each is not self._own]
+
+    def others(self):
+        """Return every known VM but this one, live or not."""
+        return [each for each in self._members.values() if each is not self._own]
+
+    def region_of(self, failure_domain):
+        """Return the region of a failure domain, or ``None``."""
+        return self._regions.get(failure_domain)
+
+    def set_serving(self, serving):
+        """Set whether this VM takes clients."""
+        if self._own.serving != serving:
+            self._own.serving = serving
+            self.check()
+            self._changed()
+
+    def introduce(self, vm, ip, failure_domain, region):
+        """Learn that a VM exists, from the store; it is live once it is heard."""
+        member = self._members.get(vm)
+        if member is None or (member.ip != ip and member.vm not in self._live):
+            self._members[vm] = Member(vm, ip, failure_domain, region)
+
+    def heard(self, beat):
+        """Take a heartbeat; return the :class:`Member`, or ``None`` for an old one."""
+        member = self._members.get(beat.vm)
+        if member is self._own:
+            return None
+        if member is not None and beat.incarnation < member.incarnation:
+            return None
+        if member is None or member.ip != beat.ip:
+            member = Member(beat.vm, beat.ip, beat.failure_domain, beat.region)
+            self._members[beat.vm] = member
+        changed = (
+            member.vm not in self._live
+            or self._live[member.vm] is not member
+            or member.serving != beat.serving
+            or member.incarnation != beat.incarnation
+        )
+        member.incarnation = beat.incarnation
+        member.serving = beat.serving
+        member.interval = beat.interval
+        member.operator_version = beat.operator_version
+        member.target_version = beat.target_version
+        member.heard_at = self._clock.now()
+        if changed:
+            self._live[member.vm] = member
+            self._journal.write(
+                Event.MEMBER_JOINED, peer=member.vm, serving=member.serving
+            )
+            self._changed()
+        return member
+
+    def check(self):
+        """Drop the VMs that fell silent."""
+        now = self._clock.now()
+        self._live[self._own.vm] = self._own
+        silent = [
+            member
+            for member in self._live.values()
+            if member is not self._own and now - member.heard_at > member.patience
+        ]
+        for member in silent:
+            del self._live[member.vm]
+            self._journal.write(
+                Event.MEMBER_DEAD,
+                peer=member.vm,
+                silent=round(now - member.heard_at, 3),
+            )
+        for member in self.others():
+            if member.heard_at is not None and now - member.heard_at > FORGET:
+                del self._members[member.vm]
+        if silent:
+            self._changed()
+
+    def _changed(self):
+        for callback in self._on_change:
+            callback()
--- /dev/null
+++ b/src/heathercleat/steering/process/node.py
@@ -0,0 +1,418 @@
+"""The daemon of a VM that steers requests on the platform."""
+
+import signal
+from time import time_ns
+
+import h11
+from curio import TaskGroup, sleep, spawn, tcp_server
+
+from heathercleat.connection.http import HttpStream, Message, serve_messages
+from heathercleat.connection.pool import Pool
+from heathercleat.connection.sockets import watch_silence
+from heathercleat.events import Event
+from heathercleat.platform.entry import answer_entry
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.fence import Fence
+from heathercleat.process.logs import Journal
+from heathercleat.steering.connection.client import ClientConnection
+from heathercleat.steering.connection.forwarded import ForwardedConnection
+from heathercleat.steering.process.admission import Admission
+from heathercleat.steering.process.budget import RetryBudget
+from heathercleat.steering.process.directory import Directory
+from heathercleat.steering.process.gossip import Beat, Gossip
+from heathercleat.steering.process.leavers import Leavers
+from heathercleat.steering.process.members import Members
+from heathercleat.steering.process.metrics import SteeringMetrics
+from heathercleat.steering.process.owners import Owners
+from heathercleat.steering.process.record import RequestRecord
+from heathercleat.steering.process.registry import TargetRegistry
+from heathercleat.steering.process.rooms import RoomView
+from heathercleat.steering.process.shift import ShiftLimit
+from heathercleat.steering.process.slots import SlotLedger
+from heathercleat.steering.process.tables import Tables
+from heathercleat.steering.process.work import WorkTimes
+from heathercleat.steering.request.call import RepeatDetector
+from heathercleat.steering.request.forward import ForwardTry
+from heathercleat.steering.request.local import LocalTry
+from heathercleat.steering.request.places import Places
+from heathercleat.steering.request.steer import Steering
+from heathercleat.steering.version.routing import Limits
+from heathercleat.steering.version.split import Splitter
+
+#: Limits on clients before the first configuration is known.
+FIRST_LIMITS = Limits(16 << 10, 64 << 20, 3.0, 15.0)
+#: Seconds for which an idle connection to a target or another VM is kept.
+IDLE_SECONDS = 8.0
+#: Seconds between two looks at slots that come free by the passing of time, at targets
+#: that turned slow, and at idle connections.
+UPKEEP_INTERVAL = 0.05
+JUDGE_INTERVAL = 0.5
+SUMMARY_INTERVAL = 5.0
+SIGNAL_INTERVAL = 0.05
+#: Seconds before the platform's kill at which a leaving process ends by itself.
+STOP_MARGIN = 0.7
+#: Seconds for which a leaving VM goes on taking requests of clients that looked it up.
+LINGER_SECONDS = 2.5
+#: Seconds without a request under way after which a leaving VM ends.
+QUIET_SECONDS = 0.4
+BACKLOG = 1024
+MAX_ENTRY_BYTES = 1 << 16
+
+
+class SteeringNode:
+    """One VM: its parts, its listeners and its graceful shutdown.
+
+    :param settings: the :class:`NodeSettings`.
+    :param metrics_port: port for metrics, or ``None``.
+    """
+
+    def __init__(self, settings, metrics_port=None, log_writer=None, clock=None):
+        self._settings = settings
+        self._metrics_port = metrics_port
+        self._log_writer = log_writer
+        self.clock = clock or SystemClock()
+        self._journal = Journal(settings.vm, settings.failure_domain)
+        self._table = None
+        self._splitters = {}
+        self._budgets = {}
+        self._clients = set()
+        self._leaving = False
+        self._leave_requested = False
+        self._reload_requested = False
+        self.repeats = RepeatDetector()
+        self.leavers = Leavers()
+        self._build()
+
+    def _build(self):
+        settings, journal, clock = self._settings, self._journal, self.clock
+        # Wall-clock time only tells incarnations of this VM apart.
+        incarnation = time_ns()
+        fence = Fence()
+        self._registry = TargetRegistry(journal, clock)
+        self._members = Members(settings, journal, clock, incarnation)
+        self._owners = Owners(self._registry, self._members)
+        self._ledger = SlotLedger(
+            self._owners,
+            self._registry,
+            self._service,
+            settings.bounds,
+            journal,
+            clock,
+        )
+        self._admission = Admission(self._ledger, clock)
+        self._rooms = RoomView(clock)
+        self._work_times = WorkTimes()
+        self._shift = ShiftLimit(settings.bounds.shift_share, clock)
+        self._gossip = Gossip(
+            settings, self._members, self._rooms, self._compose_beat, journal, clock
+        )
+        self._target_pool = Pool(
+            clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
+        )
+        self._peer_pool = Pool(
+            clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
+        )
+        self._tables = Tables(
+            settings,
+            self._registry,
+            self._members,
+            self._peer_pool,
+            self._adopt,
+            journal,
+            clock,
+        )
+        self._local = LocalTry(
+            self._admission,
+            self._ledger,
+            self._registry,
+            self._target_pool,
+            self._work_times,
+            journal,
+            clock,
+        )
+        places = Places(
+            self._members,
+            self._registry,
+            self._owners,
+            self._ledger,
+            self._admission,
+            self._rooms,
+            self._shift,
+            self._gossip.trip,
+            self._work_times,
+            clock,
+        )
+        self._steering = Steering(
+            places,
+            self._local,
+            ForwardTry(self._peer_pool, settings.forward_port, clock),
+            self._members,
+            self._rooms,
+            self._shift,
+            self._gossip.trip,
+            self._budget,
+            self._work_times,
+            journal,
+            clock,
+        )
+        self._directory = Directory(
+            self._members, settings.front.port, settings.bounds.lookup_ttl
+        )
+        self._metrics = SteeringMetrics(self._beliefs)
+        self.record = RequestRecord(self._metrics, journal, clock)
+
+    @property
+    def table(self):
+        """Return the :class:`RoutingTable` in force, or ``None``."""
+        return self._table
+
+    @property
+    def limits(self):
+        """Return the :class:`Limits` on clients in force."""
+        return self._table.limits if self._table else FIRST_LIMITS
+
+    @property
+    def leaving(self):
+        """Return whether this VM takes no new clients."""
+        return self._leaving
+
+    @property
+    def ready(self):
+        """Return whether this VM takes clients."""
+        return self._members.own.serving
+
+    async def steer(self, call):
+        """Return a target's final answer to a call; see :meth:`Steering.run`."""
+        return await self._steering.run(call)
+
+    def choose_service(self, route):
+        """Return the service that runs the next request of a route."""
+        splitter = self._splitters.get(route.name)
+        if splitter is None:
+            splitter = self._splitters[route.name] = Splitter(route.shares)
+        return splitter.next()
+
+    async def serve(self):
+        """Run until a graceful shutdown has ended."""
+        self._journal.write(Event.VM_STARTED, incarnation=self._members.own.incarnation)
+        signal.signal(signal.SIGTERM, self._on_term)
+        signal.signal(signal.SIGINT, self._on_term)
+        signal.signal(signal.SIGHUP, self._on_hup)
+        await self._gossip.open()
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(self._shut_down)
+            for run in self._loops():
+                await group.spawn(self._guard, run)
+            for address, serve in self._listeners():
+                await group.spawn(_listen, address, serve)
+        self._journal.write(Event.VM_STOPPED)
+
+    def _listeners(self):
+        settings = self._settings
+        yield settings.front, self._serve_client
+        yield settings.ready, self._serve_entry
+        if str(settings.directory) != str(settings.ready):
+            yield settings.directory, self._serve_entry
+        yield settings.inner_address(settings.forward_port), self._serve_forwarded
+        if self._metrics_port is not None:
+            yield settings.inner_address(self._metrics_port), self._serve_metrics
+
+    def _loops(self):
+        return (
+            self._gossip.listen,
+            self._gossip.beat,
+            self._tables.operator.run,
+            self._tables.targets.run,
+            self._tables.member_rows.run,
+            self.leavers.run,
+            self._keep_up,
+            self._summarise,
+        )
+
+    async def _guard(self, run):
+        """Run a loop; an error in it is logged and the loop starts again."""
+        while True:
+            try:
+                await run()
+            except Exception as error:  # noqa: BLE001
+                self._journal.write(
+                    Event.TASK_FAILED, task=run.__qualname__, reason=repr(error)
+                )
+                await sleep(SIGNAL_INTERVAL)
+
+    async def _serve_client(self, sock, address):
+        connection = ClientConnection(sock, self)
+        self._clients.add(connection)
+        try:
+            await self._guard_connection(connection)
+        finally:
+            self._clients.discard(connection)
+
+    async def _serve_forwarded(self, sock, address):
+        connection = ForwardedConnection(
+            sock, self._local, self.leavers, self._tables.snapshot, self.clock
+        )
+        await self._guard_connection(connection)
+
+    async def _guard_connection(self, connection):
+        try:
+            await connection.serve()
+        except Exception as error:  # noqa: BLE001
+            self._journal.write(
+                Event.TASK_FAILED, task=type(connection).__name__, reason=repr(error)
+            )
+
+    async def _serve_entry(self, sock, address):
+        async def handle(message):
+            return answer_entry(message, lambda: self.ready, self._directory.lookup)
+
+        await serve_messages(HttpStream(sock, h11.SERVER), handle, MAX_ENTRY_BYTES)
+
+    async def _serve_metrics(self, sock, address):
+        async def handle(message):
+            return Message(body=self._metrics.render())
+
+        await serve_messages(HttpStream(sock, h11.SERVER), handle, MAX_ENTRY_BYTES)
+
+    async def _keep_up(self):
+        """Do what the passing of time calls for."""
+        judge_at = 0.0
+        while True:
+            now = self.clock.now()
+            if now >= judge_at:
+                judge_at = now + JUDGE_INTERVAL
+                self._ledger.judge_speeds()
+                await self._target_pool.sweep()
+                await self._peer_pool.sweep()
+                self._update_serving()
+            await self._admission.pump_all()
+            await sleep(UPKEEP_INTERVAL)
+
+    async def _summarise(self):
+        while True:
+            await sleep(SUMMARY_INTERVAL)
+            self.record.flush(**self._beliefs())
+
+    async def _shut_down(self):
+        """Wait for a stop signal, then leave without cutting any request."""
+        await spawn(self._tables.register, daemon=True)
+        while not self._leave_requested:
+            if self._reload_requested:
+                self._reload()
+            await sleep(SIGNAL_INTERVAL)
+        stop_by = self.clock.now() + self._settings.bounds.stop_grace - STOP_MARGIN
+        self._leaving = True
+        self._members.set_serving(False)
+        self._journal.write(Event.VM_LEAVING, requests=self.leavers.count)
+        await self._gossip.send()
+        await spawn(self._tables.deregister, daemon=True)
+        await self._finish_requests(stop_by)
+        for connection in self._clients:
+            connection.close_idle()
+
+    async def _finish_requests(self, stop_by):
+        """Serve on until nothing is under way, or the instant ``stop_by``."""
+        linger_until = self.clock.now() + LINGER_SECONDS
+        busy_at = self.clock.now()
+        while (now := self.clock.now()) < stop_by:
+            if self._is_busy():
+                busy_at = now
+            if now >= linger_until and now - busy_at >= QUIET_SECONDS:
+                return
+            await sleep(SIGNAL_INTERVAL)
+
+    def _is_busy(self):
+        return bool(self.leavers.count) or any(each.busy for each in self._clients)
+
+    def _update_serving(self):
+        known = self._table is not None and self._registry.known
+        if known and not self._leaving:
+            self._members.set_serving(True)
+
+    def _adopt(self, table):
+        """Take a new configuration; an older one is ignored."""
+        if self._table is not None and table.version <= self._table.version:
+            return
+        self._journal.write(
+            Event.CONFIGURATION_ADOPTED,
+            version=table.version,
+            before=self._table.version if self._table else None,
+        )
+        self._table = table
+        self._splitters = {}
+        self._update_serving()
+
+    def _service(self, name):
+        return self._table.services.get(name) if self._table else None
+
+    def _budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._settings.bounds
+            budget = self._budgets[service] = RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                lambda: len(self._members.serving()),
+            )
+        return budget
+
+    def _compose_beat(self, interval):
+        own, now = self._members.own, self.clock.now()
+        rooms = [
+            [target.entry.id, target.free(now), target.entry.slots]
+            for target in self._ledger.all()
+        ]
+        waits = [
+            [service, self._admission.expected_wait(service)]
+            for service in self._ledger.services()
+        ]
+        return Beat(
+            own.vm,
+            own.ip,
+            own.failure_domain,
+            own.region,
+            own.incarnation,
+            own.serving,
+            interval,
+            self._tables.operator.version,
+            self._tables.targets.version,
+            rooms,
+            waits,
+        )
+
+    def _beliefs(self):
+        """Return figures on what this VM knows and how old it is."""
+        now = self.clock.now()
+        return {
+            "members": len(self._members.serving()),
+            "owned_targets": len(self._ledger.all()),
+            "free_slots": sum(each.free(now) for each in self._ledger.all()),
+            "requests_under_way": self.leavers.count,
+            "configuration": self._table.version if self._table else 0,
+            "configuration_age": _age(self._tables.operator.read_at, now),
+            "targets_age": _age(self._tables.targets.read_at, now),
+            "moved_share": round(self._shift.share, 3),
+            "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
+        }
+
+    def _reload(self):
+        """Note a changed settings file: a process takes what it needs at its start."""
+        self._reload_requested = False
+        self._journal.write(Event.SETTINGS_RELOADED, path=self._settings.path)
+
+    def _on_term(self, *_):
+        self._leave_requested = True
+
+    def _on_hup(self, *_):
+        self._reload_requested = True
+
+
+async def _listen(address, serve):
+    """Accept connections at an address, a task each."""
+    await tcp_server(address.host, address.port, serve, backlog=BACKLOG)
+
+
+def _age(instant, now):
+    """Return the seconds since an instant; -1 when there was none."""
+    return -1 if instant is None else round(now - instant, 3)
--- /dev/null
+++ b/src/heathercleat/steering/process/record.py
@@ -0,0 +1,98 @@
+"""What is told of finished requests: log lines bounded in number, and metrics."""
+
+from heathercleat.events import Event
+
+#: Full lines a second for requests that were late, refused, cut or left; beyond it they
+#: are counted. At 50 us a line this bounds their cost to 0.2% of a core.
+MOST_LINES = 40
+_SERVER_ERROR = 500
+
+
+class RequestRecord:
+    """Logs the ends of requests and counts them.
+
+    :param metrics: the :class:`SteeringMetrics`.
+    """
+
+    def __init__(self, metrics, journal, clock):
+        self._metrics = metrics
+        self._journal = journal
+        self._clock = clock
+        self._window_ends = 0.0
+        self._lines = 0
+        self._left_out = 0
+        self._sums = {}
+
+    def answered(self, call, answer, now):
+        """Note a request that got a target's answer."""
+        seconds = now - call.arrived_at
+        result = "late" if now > call.aim_at else "in_time"
+        if answer.status >= _SERVER_ERROR:
+            result = "failed_at_target"
+        self._count(call.route.name, result, seconds)
+        if result != "in_time":
+            self._write(
+                Event.REQUEST_LATE,
+                request=call.id,
+                route=call.route.name,
+                service=call.service,
+                result=result,
+                status=answer.status,
+                seconds=round(seconds, 4),
+                returned=call.returned,
+            )
+
+    def refused(self, call, error, now):
+        """Note a request whose final answer is an error of this system."""
+        route = call.route.name if call else "none"
+        seconds = now - call.arrived_at if call else 0.0
+        self._count(route, error.code.name.lower(), seconds)
+        retry_in = None if error.retry_at is None else round(error.retry_at - now, 3)
+        self._write(
+            Event.REQUEST_REFUSED,
+            request=call.id if call else None,
+            route=route,
+            service=call.service if call else None,
+            code=error.code.number,
+            run=error.code.run.value,
+            reason=str(error),
+            seconds=round(seconds, 4),
+            returned=call.returned if call else None,
+            retry_in=retry_in,
+        )
+
+    def left(self, call, now):
+        """Note a client that left before its answer."""
+        if call is None:
+            return
+        seconds = now - call.arrived_at
+        self._count(call.route.name, "client_left", seconds)
+        self._write(
+            Event.CALLER_LEFT,
+            request=call.id,
+            route=call.route.name,
+            seconds=round(seconds, 4),
+        )
+
+    def flush(self, **beliefs):
+        """Write the sums of the last interval beside the state of beliefs."""
+        sums, self._sums = self._sums, {}
+        self._journal.write(Event.REQUESTS_SUMMED, requests=sums, **beliefs)
+
+    def _count(self, route, result, seconds):
+        self._metrics.count(route, result, seconds)
+        key = f"{route} {result}"
+        self._sums[key] = self._sums.get(key, 0) + 1
+
+    def _write(self, event, **inputs):
+        now = self._clock.now()
+        if now >= self._window_ends:
+            if self._left_out:
+                self._journal.write(Event.LINES_LEFT_OUT, lines=self._left_out)
+            self._window_ends = now + 1.0
+            self._lines = self._left_out = 0
+        if self._lines >= MOST_LINES:
+            self._left_out += 1
+            return
+        self._lines += 1
+        self._journal.write(event, **inputs)
--- /dev/null
+++ b/src/heathercleat/steering/process/rooms.py
@@ -0,0 +1,74 @@
+"""What this VM believes of the free slots at targets that others own."""
+
+#: Seconds after which a report of room is no longer believed.
+REPORT_LIFE = 1.5
+
+
+class Room:
+    """The last report on one target, corrected by what this VM sent since."""
+
+    __slots__ = ("owner", "free", "limit", "valid_until")
+
+    def __init__(self, owner, free, limit, valid_until):
+        self.owner = owner
+        self.free = free
+        self.limit = limit
+        self.valid_until = valid_until
+
+
+class RoomView:
+    """Reports of owners on their targets and queues."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._rooms = {}
+        self._waits = {}
+
+    def report(self, owner, rooms, waits):
+        """Take an owner's report.
+
+        :param rooms: ``(target id, free slots, slots)`` of each target that it owns.
+        :param waits: ``(service, seconds)`` that a new request would wait there.
+        """
+        valid_until = self._clock.now() + REPORT_LIFE
+        for target_id, free, limit in rooms:
+            self._rooms[target_id] = Room(owner, free, limit, valid_until)
+        self._waits[owner] = dict(waits)
+
+    def free(self, target_id, owner):
+        """Return the free slots that ``owner`` is believed to have at a target."""
+        room = self._rooms.get(target_id)
+        if room is None or room.owner != owner:
+            return 0
+        return room.free if self._clock.now() < room.valid_until else 0
+
+    def wait(self, owner, service):
+        """Return the seconds a new request would wait at an owner, or ``None``."""
+        return self._waits.get(owner, {}).get(service)
+
+    def sent(self, target_id):
+        """Note a request sent to a target through its owner."""
+        room = self._rooms.get(target_id)
+        if room is not None:
+            room.free = max(0, room.free - 1)
+
+    def done(self, target_id):
+        """Note that a request sent through an owner has ended."""
+        room = self._rooms.get(target_id)
+        if room is not None:
+            room.free = min(room.limit, room.free + 1)
+
+    def full(self, target_id, owner, service, wait):
+        """Note that an owner had no room for a request."""
+        room = self._rooms.get(target_id)
+        if room is not None and room.owner == owner:
+            room.free = 0
+        if wait is not None:
+            self._waits.setdefault(owner, {})[service] = wait
+
+    def forget(self, owner):
+        """Drop what a VM reported."""
+        self._waits.pop(owner, None)
+        self._rooms = {
+            target: room for target, room in self._rooms.items() if room.owner != owner
+        }
--- /dev/null
+++ b/src/heathercleat/steering/process/slots.py
@@ -0,0 +1,197 @@
+"""Exact counts of the slots of the targets that this VM owns."""
+
+from collections import deque
+from statistics import median
+
+from heathercleat.events import Event
+from heathercleat.steering.process.health import TargetHealth
+
+#: Seconds for which a target's own report of load from elsewhere is believed.
+REPORT_LIFE = 0.4
+#: Share of the allowed rate of a cold target that one owner uses: two VMs may take
+#: themselves for its owner for a heartbeat or two.
+COLD_SHARE = 0.6
+#: Window over which the rate of a cold target counts, in seconds.
+COLD_WINDOW = 1.0
+
+
+class Use:
+    """A request that occupies a slot of a target."""
+
+    __slots__ = ("target", "began_at")
+
+    def __init__(self, target, began_at):
+        self.target = target
+        self.began_at = began_at
+
+
+class OwnedTarget:
+    """A target whose slots this VM counts.
+
+    :param entry: its :class:`TargetEntry`.
+    :param cold_limit: requests within :data:`COLD_WINDOW` while cold, or ``None``.
+    """
+
+    __slots__ = (
+        "entry",
+        "health",
+        "uses",
+        "cold_limit",
+        "cold_until",
+        "slow",
+        "_recent",
+        "_elsewhere",
+        "_elsewhere_until",
+    )
+
+    def __init__(self, entry, cold_limit, cold_until):
+        self.entry = entry
+        self.health = TargetHealth()
+        self.uses = []
+        self.cold_limit = cold_limit
+        self.cold_until = cold_until
+        self.slow = False
+        self._recent = deque()
+        self._elsewhere = 0
+        self._elsewhere_until = 0.0
+
+    def free(self, now):
+        """Return how many more requests the target takes now."""
+        free = self._limit(now) - len(self.uses)
+        if now < self._elsewhere_until:
+            free -= self._elsewhere
+        if now < self.cold_until and self.cold_limit is not None:
+            free = min(free, self.cold_limit - self._count_recent(now))
+        return max(0, free)
+
+    def take(self, now):
+        """Occupy a slot and return the :class:`Use`."""
+        use = Use(self, now)
+        self.uses.append(use)
+        self._recent.append(now)
+        self._count_recent(now)
+        return use
+
+    def reported(self, running, waiting, now):
+        """Take the target's own report of its load, to see requests of other VMs.
+
+        A former owner's requests are not counted here; without the report the slots
+        would be filled twice for as long as they run.
+        """
+        self._elsewhere = max(0, running + waiting - len(self.uses))
+        self._elsewhere_until = now + REPORT_LIFE
+
+    def _limit(self, now):
+        if now < self.health.rest_until:
+            return 0
+        if self.uses and self.health.is_silent(now, self.uses[0].began_at):
+            return 0
+        if self.health.on_trial or self.slow:
+            return 1
+        return self.entry.slots
+
+    def _count_recent(self, now):
+        while self._recent and self._recent[0] <= now - COLD_WINDOW:
+            self._recent.popleft()
+        return len(self._recent)
+
+
+class SlotLedger:
+    """All targets that this VM owns.
+
+    :param owners: tells which they are.
+    :param registry: the usable targets.
+    :param services: returns the :class:`Service` of a name, or ``None``.
+    :param bounds: the operators' :class:`Bounds`.
+    """
+
+    def __init__(self, owners, registry, services, bounds, journal, clock):
+        self._owners = owners
+        self._registry = registry
+        self._services = services
+        self._bounds = bounds
+        self._journal = journal
+        self._clock = clock
+        self._owned = {}
+        self._by_service = {}
+        self._stale = True
+        owners.on_change(self._mark_stale)
+
+    def of_service(self, service):
+        """Return the :class:`OwnedTarget` objects of a service."""
+        self._refresh()
+        return self._by_service.get(service, ())
+
+    def services(self):
+        """Return the names of the services with owned targets."""
+        self._refresh()
+        return self._by_service.keys()
+
+    def all(self):
+        """Return every owned target."""
+        self._refresh()
+        return self._owned.values()
+
+    def free(self, target_id, now):
+        """Return the free slots of an owned target; 0 for any other."""
+        owned = self._owned.get(target_id)
+        return owned.free(now) if owned else 0
+
+    def release(self, use):
+        """Free the slot of a use."""
+        if use in use.target.uses:
+            use.target.uses.remove(use)
+
+    def judge_speeds(self):
+        """Note which targets are much slower than the others of their service."""
+        for targets in self._by_service.values():
+            latencies = [each.health.latency for each in targets if each.health.latency]
+            middle = median(latencies) if len(latencies) > 1 else 0.0
+            for each in targets:
+                self._set_slow(each, bool(middle) and each.health.is_slow(middle))
+
+    def _set_slow(self, target, slow):
+        if slow == target.slow:
+            return
+        target.slow = slow
+        event = Event.TARGET_SLOW if slow else Event.TARGET_FAST
+        self._journal.write(
+            event, target=target.entry.id, seconds=round(target.health.latency, 4)
+        )
+
+    def _mark_stale(self):
+        self._stale = True
+
+    def _refresh(self):
+        if not self._stale:
+            return
+        self._stale = False
+        owned = {}
+        for target_id in self._owners.owned():
+            entry = self._registry.get(target_id)
+            if entry is not None:
+                owned[target_id] = self._keep(entry)
+        for target_id in owned.keys() - self._owned.keys():
+            self._journal.write(Event.HOME_ADOPTED, target=target_id)
+        for target_id in self._owned.keys() - owned.keys():
+            self._journal.write(Event.HOME_HANDED_OVER, target=target_id)
+        self._owned = owned
+        self._by_service = {}
+        for each in owned.values():
+            self._by_service.setdefault(each.entry.service, []).append(each)
+
+    def _keep(self, entry):
+        cold_until = self._registry.cold_until(entry.id)
+        target = self._owned.get(entry.id)
+        if target is None:
+            return OwnedTarget(entry, self._cold_limit(entry), cold_until)
+        target.entry = entry
+        target.cold_until = max(target.cold_until, cold_until)
+        return target
+
+    def _cold_limit(self, entry):
+        service = self._services(entry.service)
+        if service is None or service.cold_rate is None:
+            return None
+        allowed = service.cold_rate * self._bounds.cold_factor + self._bounds.cold_slack
+        return max(1, int(COLD_SHARE * allowed))
--- /dev/null
+++ b/src/heathercleat/steering/process/store.py
@@ -0,0 +1,41 @@
+"""Interface of the table service that keeps what must last."""
+
+from typing import Protocol
+
+
+class HistoryLostError(Exception):
+    """The store no longer has the changes asked for: read the table again."""
+
+
+class StoreRow:
+    """A row of a table; ``value`` is ``None`` for a row that was removed."""
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key, value, version):
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Snapshot:
+    """Rows of a table and the store's version that they are current as of."""
+
+    __slots__ = ("version", "rows")
+
+    def __init__(self, version, rows):
+        self.version = version
+        self.rows = rows
+
+
+class Store(Protocol):
+    """A table service. Every call raises ``PlatformError`` when it does not answer."""
+
+    async def read(self, table):
+        """Return a :class:`Snapshot` of all rows of a table."""
+
+    async def follow(self, table, after, wait):
+        """Return the rows changed since ``after`` as a :class:`Snapshot`."""
+
+    async def write(self, table, key, value):
+        """Put a value, or remove the row for ``None``."""
--- /dev/null
+++ b/src/heathercleat/steering/process/tables.py
@@ -0,0 +1,186 @@
+"""The tables of the store that a VM follows, and what it takes from them."""
+
+from secrets import token_hex
+
+import msgpack
+from curio import sleep
+
+from heathercleat.connection.http import CONNECTION_ERRORS, Message, before, exchange
+from heathercleat.errors import PeerError, PlatformError
+from heathercleat.events import Event
+from heathercleat.platform.decode import decode_operator_rows, decode_target
+from heathercleat.platform.names import OPERATOR_TABLE, TARGET_TABLE
+from heathercleat.platform.store import TableStore
+from heathercleat.steering.connection.forwarded import STATE_PATH, read_state
+from heathercleat.steering.process.follower import TableFollower
+
+MEMBER_TABLE = "heathercleat-members"
+#: Seconds that a call to the store may take beside the time it waits for a change.
+STORE_TIMEOUT = 1.0
+#: The operators' table changes rarely: a call that waits costs one call a change.
+OPERATOR_WAIT = 5.0
+#: Targets change their entries at every check-in: pausing between calls bounds their
+#: number, and a target that leaves is noticed within half of the shortest drain.
+TARGET_WAIT = 1.0
+TARGET_PAUSE = 0.7
+#: VMs find each other by heartbeats; the table heals what those cannot.
+MEMBER_WAIT = 5.0
+MEMBER_PAUSE = 5.0
+#: Seconds in which another VM has to answer for a table.
+RELAY_TIMEOUT = 0.5
+MAX_STATE_BYTES = 16 << 20
+REGISTER_INTERVAL = 0.5
+
+
+class Tables:
+    """Follows the operators', the targets' and the members' tables.
+
+    :param settings: the :class:`NodeSettings`.
+    :param registry: takes targets and evacuations.
+    :param members: takes VMs; asked for those that know newer tables.
+    :param pool: connections to other VMs.
+    :param adopt: called with each new :class:`RoutingTable`.
+    """
+
+    def __init__(self, settings, registry, members, pool, adopt, journal, clock):
+        self._settings = settings
+        self._registry = registry
+        self._members = members
+        self._pool = pool
+        self._adopt = adopt
+        self._journal = journal
+        self._clock = clock
+        self._own_store = self._new_store()
+        self.operator = self._follow(
+            OPERATOR_TABLE,
+            OPERATOR_WAIT,
+            0.0,
+            self._take_operator,
+            lambda member: member.operator_version,
+        )
+        self.targets = self._follow(
+            TARGET_TABLE,
+            TARGET_WAIT,
+            TARGET_PAUSE,
+            self._take_targets,
+            lambda member: member.target_version,
+            registry.store_returned,
+        )
+        self.member_rows = self._follow(
+            MEMBER_TABLE, MEMBER_WAIT, MEMBER_PAUSE, self._take_members, lambda _: 0
+        )
+
+    def snapshot(self, table):
+        """Return the copy of a followed table."""
+        followers = {OPERATOR_TABLE: self.operator, TARGET_TABLE: self.targets}
+        return followers[table].snapshot()
+
+    async def register(self):
+        """Write this VM's row, so that others find it."""
+        settings = self._settings
+        row = [settings.ip, settings.failure_domain, settings.region, token_hex(4)]
+        while True:
+            try:
+                value = msgpack.packb(row)
+                await self._own_store.write(MEMBER_TABLE, settings.vm, value)
+                return
+            except PlatformError as error:
+                self._journal.write(Event.PLATFORM_FAILED, reason=str(error))
+                await sleep(REGISTER_INTERVAL)
+
+    async def deregister(self):
+        """Remove this VM's row; others notice its silence if that fails."""
+        try:
+            await self._own_store.write(MEMBER_TABLE, self._settings.vm, None)
+        except PlatformError as error:
+            self._journal.write(Event.PLATFORM_FAILED, reason=str(error))
+
+    def _new_store(self):
+        return TableStore(self._settings.store, self._clock, STORE_TIMEOUT)
+
+    def _follow(self, table, wait, pause, apply, version_of, on_return=lambda: None):
+        async def relay(version):
+            return await self._ask_peers(table, version, version_of)
+
+        return TableFollower(
+            table,
+            self._new_store(),
+            wait,
+            pause,
+            apply,
+            relay,
+            on_return,
+            self._journal,
+            self._clock,
+        )
+
+    def _take_operator(self, snapshot, whole):
+        """Take the whole table again: it is small and a removed row matters."""
+        try:
+            rows = self.operator.snapshot().rows
+            table, evacuated = decode_operator_rows(rows)
+        except ValueError as error:
+            self._journal.write(
+                Event.CONFIGURATION_REJECTED,
+                version=snapshot.version,
+                reason=str(error),
+            )
+            return
+        self._registry.evacuate(evacuated)
+        if table is not None:
+            self._adopt(table)
+
+    def _take_targets(self, snapshot, whole):
+        entries = list(self._decode_targets(snapshot.rows))
+        if whole:
+            self._registry.replace(entries)
+        else:
+            removed = [row.key for row in snapshot.rows if row.value is None]
+            self._registry.update(entries, removed)
+
+    def _decode_targets(self, rows):
+        for row in rows:
+            if row.value is None:
+                continue
+            try:
+                yield decode_target(row)
+            except ValueError as error:
+                self._journal.write(Event.ROW_REJECTED, key=row.key, reason=str(error))
+
+    def _take_members(self, snapshot, whole):
+        for row in snapshot.rows:
+            if row.value is None:
+                continue
+            try:
+                ip, failure_domain, region, _ = msgpack.unpackb(row.value)
+            except (ValueError, TypeError) as error:
+                self._journal.write(Event.ROW_REJECTED, key=row.key, reason=repr(error))
+                continue
+            if row.key != self._settings.vm:
+                self._members.introduce(row.key, ip, failure_domain, region)
+
+    async def _ask_peers(self, table, version, version_of):
+        """Return a newer snapshot from the VM that has the newest, or ``None``."""
+        newest = max(self._members.live_others(), key=version_of, default=None)
+        if newest is None or version_of(newest) <= version:
+            return None
+        deadline = self._clock.now() + RELAY_TIMEOUT
+        try:
+            return await before(deadline, self._clock, self._fetch(newest.ip, table))
+        except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
+            raise PeerError(f"{newest.vm}: {error!r}") from None
+
+    async def _fetch(self, ip, table):
+        port = self._settings.forward_port
+        stream = await self._pool.checkout(ip, port)
+        message = Message(path=STATE_PATH.decode() + table)
+        whole = False
+        try:
+            answer = await exchange(stream, message, MAX_STATE_BYTES)
+            whole = True
+        finally:
+            if whole:
+                await self._pool.give_back(ip, port, stream)
+            else:
+                await self._pool.discard(ip, port, stream)
+        return read_state(answer.body)
--- /dev/null
+++ b/src/heathercleat/steering/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request."""
--- /dev/null
+++ b/src/heathercleat/steering/request/call.py
@@ -0,0 +1,88 @@
+"""A client's request on its way to a target."""
+
+#: A client that repeats a request has less time left than at first: a wait below this
+#: share of the longest one seen on the route marks a repeat.
+REPEAT_SHARE = 0.97
+
+
+class ClientHead:
+    """What the headers of a request tell.
+
+    :param wait: seconds for which the client waits for the answer.
+    :param affinity: names the object that the request is about, or ``None``.
+    """
+
+    __slots__ = ("request_id", "wait", "affinity")
+
+    def __init__(self, request_id, wait, affinity):
+        self.request_id = request_id
+        self.wait = wait
+        self.affinity = affinity
+
+
+class Call:
+    """One request; instants are those of ``Clock.now()``.
+
+    :param path: the request target as bytes, unchanged.
+    :param headers: the end-to-end headers, pairs of bytes.
+    :param route: what the caller's VM matched; on the owner's VM a part of it.
+    :param service: name of the service that runs it.
+    :param arrived_at: when its head was read.
+    :param deadline: when the final answer is due.
+    :param aim_at: when the answer should be there.
+    :param returned: whether it came back after a refusal.
+    :param affinity: key of the object that it is about, or ``None``.
+    """
+
+    __slots__ = (
+        "id",
+        "method",
+        "path",
+        "headers",
+        "body",
+        "route",
+        "service",
+        "arrived_at",
+        "deadline",
+        "aim_at",
+        "returned",
+        "affinity",
+        "left",
+        "on_leave",
+        "stream",
+    )
+
+    def __init__(self, id, method, path, headers, body, route, service, stream):
+        self.id = id
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.route = route
+        self.service = service
+        self.stream = stream
+        self.arrived_at = 0.0
+        self.deadline = 0.0
+        self.aim_at = 0.0
+        self.returned = False
+        self.affinity = None
+        self.left = False
+        #: What to wake or cut when the client leaves: a curio event or a stream.
+        self.on_leave = None
+
+
+class RepeatDetector:
+    """Tells repeats from first requests by the time that the client has left."""
+
+    __slots__ = ("_longest",)
+
+    def __init__(self):
+        self._longest = {}
+
+    def is_repeat(self, route, wait):
+        """Return whether a request with ``wait`` seconds left is a repeat."""
+        longest = self._longest.get(route, 0.0)
+        if wait > longest:
+            self._longest[route] = wait
+            return False
+        return wait < REPEAT_SHARE * longest
--- /dev/null
+++ b/src/heathercleat/steering/request/local.py
@@ -0,0 +1,121 @@
+"""One try at a request at a target that this VM owns."""
+
+from heathercleat.connection.http import before
+from heathercleat.events import Event
+from heathercleat.steering.request.answer import End, TryResult
+from heathercleat.steering.request.exchange import TargetExchange
+
+#: Seconds in which a target has to accept a connection: a lost opening packet is sent
+#: again after one second, and by then another target has answered.
+CONNECT_TIMEOUT = 0.4
+#: Age in seconds up to which an idle connection carries requests that may run once
+#: only; a target may drop an older one just as the request is on its way.
+UNSAFE_IDLE_AGE = 2.0
+#: Margin in seconds by which a connection is given up before the target closes it.
+KEEP_MARGIN = 1.5
+_SERVER_ERROR = 500
+
+
+class LocalTry:
+    """Tries requests at owned targets.
+
+    :param admission: hands out slots.
+    :param ledger: the owned targets.
+    :param registry: learns that a target was replaced.
+    :param pool: connections to targets.
+    :param work_times: the :class:`WorkTimes`.
+    """
+
+    def __init__(self, admission, ledger, registry, pool, work_times, journal, clock):
+        self._admission = admission
+        self._ledger = ledger
+        self._registry = registry
+        self._pool = pool
+        self._work_times = work_times
+        self._journal = journal
+        self._clock = clock
+
+    async def run(self, call, preferred, avoid, until):
+        """Return the :class:`TryResult` of one try.
+
+        :param preferred: id of the target to use if it is free, or ``None``.
+        :param avoid: ids of targets not to use.
+        :param until: instant at which to give up waiting for a slot.
+        """
+        use = await self._admission.acquire(call, preferred, avoid, until)
+        if use is None:
+            wait = self._admission.expected_wait(call.service)
+            return TryResult(End.NOT_SENT, wait=wait, reason="no free slot")
+        result = None
+        try:
+            if call.left:
+                return TryResult(End.NOT_SENT, reason="client left")
+            result = await self._send(call, use)
+            return result
+        finally:
+            answered = result is not None and result.end is End.ANSWERED
+            await self._admission.release(use, answered)
+
+    async def _send(self, call, use):
+        target = use.target
+        entry = target.entry
+        began_at = self._clock.now()
+        try:
+            stream = await self._connect(call, entry, began_at)
+        except (OSError, TimeoutError) as error:
+            self._rest(target, f"connect: {error!r}")
+            return TryResult(End.NOT_SENT, target=entry.id, reason=repr(error))
+        exchange = TargetExchange(stream, call, entry, self._clock)
+        call.on_leave = stream
+        try:
+            result = await exchange.run()
+        except BaseException:
+            await self._pool.discard(entry.host, entry.port, stream)
+            raise
+        finally:
+            call.on_leave = None
+        result.work = self._clock.now() - began_at
+        await self._put_back(entry, stream, exchange.head)
+        self._learn(call, target, exchange.head, result)
+        return result
+
+    async def _connect(self, call, entry, now):
+        max_age = None if call.route.kind.idempotent else UNSAFE_IDLE_AGE
+        checkout = self._pool.checkout(entry.host, entry.port, max_age=max_age)
+        deadline = min(call.deadline, now + CONNECT_TIMEOUT)
+        return await before(deadline, self._clock, checkout)
+
+    async def _put_back(self, entry, stream, head):
+        if head is None:
+            await self._pool.discard(entry.host, entry.port, stream)
+            return
+        keep_for = head.keep_for and max(0.0, head.keep_for - KEEP_MARGIN)
+        await self._pool.give_back(entry.host, entry.port, stream, keep_for)
+
+    def _learn(self, call, target, head, result):
+        now = self._clock.now()
+        if head is not None and head.running is not None:
+            target.reported(head.running, head.waiting, now)
+        if call.left:
+            return
+        if result.reason == "replaced":
+            self._registry.forget(target.entry.id, "another incarnation answered")
+        elif result.end is End.ANSWERED and result.answer.status < _SERVER_ERROR:
+            target.health.succeeded(result.work)
+            self._work_times.observe(call.route.name, result.work)
+        elif target.health.failed(now):
+            self._log_rest(target, result.reason or "server errors")
+
+    def _rest(self, target, reason):
+        target.health.rest(self._clock.now())
+        self._log_rest(target, reason)
+
+    def _log_rest(self, target, reason):
+        self._journal.write(
+            Event.TARGET_EJECTED,
+            target=target.entry.id,
+            service=target.entry.service,
+            reason=reason,
+            seconds=round(target.health.rest_until - self._clock.now(), 3),
+            rests=target.health.rests,
+        )
--- /dev/null
+++ b/src/heathercleat/steering/request/places.py
@@ -0,0 +1,184 @@
+"""Where a request may be tried next, the best place first."""
+
+from heathercleat.version.hashing import weight
+
+#: Bytes of a body from which a target in the own failure domain goes before one that
+#: knows the object: crossing twice with a larger body costs more than the work saved.
+LARGE_BODY = 16 << 10
+#: Part of a region's slots that stay free for its own clients when others ask.
+RESERVED_SHARE = 0.15
+
+
+class Place:
+    """A target with a free slot, or a VM to wait at when ``target`` is ``None``."""
+
+    __slots__ = ("vm", "target", "remote")
+
+    def __init__(self, vm, target, remote):
+        self.vm = vm
+        self.target = target
+        self.remote = remote
+
+
+class Places:
+    """Finds places for requests.
+
+    :param members: the live VMs.
+    :param registry: the usable targets.
+    :param owners: the owner of each target.
+    :param ledger: the free slots of own targets.
+    :param admission: the waits at own targets.
+    :param rooms: what is believed of other owners' targets.
+    :param shift: the :class:`ShiftLimit`.
+    :param trip: returns the round trip to a VM in seconds.
+    :param work_times: the :class:`WorkTimes`.
+    """
+
+    def __init__(
+        self,
+        members,
+        registry,
+        owners,
+        ledger,
+        admission,
+        rooms,
+        shift,
+        trip,
+        work_times,
+        clock,
+    ):
+        self._members = members
+        self._registry = registry
+        self._owners = owners
+        self._ledger = ledger
+        self._admission = admission
+        self._rooms = rooms
+        self._shift = shift
+        self._trip = trip
+        self._work_times = work_times
+        self._clock = clock
+
+    def free(self, call, avoid, avoid_vms):
+        """Return the best :class:`Place` with a free slot, or ``None``."""
+        now = self._clock.now()
+        near, far = [], []
+        for entry, owner in self._candidates(call, avoid, avoid_vms):
+            free = self._free(entry, owner, now)
+            if self._is_near(entry):
+                near.append((entry, owner, free))
+            else:
+                far.append((entry, owner, free))
+        found = self._best_near(call, near)
+        if found is not None:
+            return found
+        return self._best_far(call, far, now)
+
+    def waiting(self, call, avoid_vms):
+        """Return the :class:`Place` of this region with the shortest wait, or ``None``.
+
+        The wait is ``None`` where an owner's targets are all out of service.
+        """
+        own = self._members.own.vm
+        best, shortest = None, None
+        for vm in self._near_owners(call, avoid_vms):
+            wait = self._wait(vm, call.service)
+            if wait is None:
+                continue
+            # Equal waits stay here: a forwarded request crosses the network twice.
+            key = (wait, vm != own)
+            if shortest is None or key < shortest:
+                best, shortest = vm, key
+        return None if best is None else Place(best, None, False)
+
+    def expected_wait(self, call):
+        """Return the shortest known wait in this region in seconds, or ``None``."""
+        waits = [
+            self._wait(vm, call.service) for vm in self._near_owners(call, frozenset())
+        ]
+        return min((each for each in waits if each is not None), default=None)
+
+    def allowed_target_exists(self, call):
+        """Return whether any usable target may run the request."""
+        return any(True for _ in self._candidates(call, frozenset(), frozenset()))
+
+    def _candidates(self, call, avoid, avoid_vms):
+        """Yield each allowed target and its owner."""
+        for entry in self._registry.of_service(call.service):
+            if entry.id in avoid:
+                continue
+            if not call.route.allows(self._members.region_of(entry.failure_domain)):
+                continue
+            owner = self._owners.of(entry.id)
+            if owner is None or owner in avoid_vms:
+                continue
+            member = self._members.live(owner)
+            if member is not None and self._may_carry(call, member):
+                yield entry, owner
+
+    def _may_carry(self, call, member):
+        """Return whether a request's body may pass through a VM."""
+        own_region = self._members.own.region
+        return member.region == own_region or call.route.allows(member.region)
+
+    def _free(self, entry, owner, now):
+        if owner == self._members.own.vm:
+            return self._ledger.free(entry.id, now)
+        return self._rooms.free(entry.id, owner)
+
+    def _is_near(self, entry):
+        region = self._members.region_of(entry.failure_domain)
+        return region == self._members.own.region
+
+    def _best_near(self, call, near):
+        free = [each for each in near if each[2] > 0]
+        if not free:
+            return None
+        if len(call.body) >= LARGE_BODY:
+            here = self._members.own.failure_domain
+            free = [each for each in free if each[0].failure_domain == here] or free
+        entry, owner, _ = max(free, key=lambda each: self._preference(call, each))
+        return Place(owner, entry.id, False)
+
+    def _preference(self, call, candidate):
+        """Return the order among near targets with room."""
+        entry, owner, free = candidate
+        if call.affinity is not None and call.route.sticky:
+            return weight(call.affinity, entry.id)
+        return owner == self._members.own.vm, free / entry.slots
+
+    def _best_far(self, call, far, now):
+        regions = {}
+        for entry, owner, free in far:
+            region = self._members.region_of(entry.failure_domain)
+            regions.setdefault(region, []).append((entry, owner, free))
+        best, most = None, 0.0
+        for candidates in regions.values():
+            slots = sum(each[0].slots for each in candidates)
+            room = sum(each[2] for each in candidates) - RESERVED_SHARE * slots
+            in_time = [each for each in candidates if self._in_time(call, each, now)]
+            if room > most and in_time:
+                best, most = in_time, room
+        if best is None or not self._shift.may_move():
+            return None
+        entry, owner, _ = max(best, key=lambda each: self._preference(call, each))
+        return Place(owner, entry.id, True)
+
+    def _in_time(self, call, candidate, now):
+        _, owner, free = candidate
+        if free <= 0:
+            return False
+        expected = self._trip(owner) + self._work_times.of(call.route.name)
+        return now + expected <= call.aim_at
+
+    def _near_owners(self, call, avoid_vms):
+        owners = {
+            owner
+            for entry, owner in self._candidates(call, frozenset(), avoid_vms)
+            if self._is_near(entry)
+        }
+        return owners
+
+    def _wait(self, vm, service):
+        if vm == self._members.own.vm:
+            return self._admission.expected_wait(service)
+        return self._rooms.wait(vm, service)
--- /dev/null
+++ b/src/heathercleat/steering/request/steer.py
@@ -0,0 +1,241 @@
+"""Steering a request: places, tries, repeats and the final answer."""
+
+from random import uniform
+
+from heathercleat.codes import ResultCode
+from heathercleat.errors import CallerLeftError, RequestError
+from heathercleat.events import Event
+from heathercleat.steering.request.answer import End
+
+#: Part of the latency aim for which a first request waits for a slot: a refusal within
+#: a quarter of it can still be answered in time when the client comes back, and a
+#: request that waits longer is mostly late.
+FIRST_PATIENCE = 0.18
+#: Part of its remaining time for which a request waits that came back after a refusal:
+#: a second refusal loses it.
+RETURNED_PATIENCE = 0.4
+#: Seconds for which a request may wait at an owner whose report said that a slot was
+#: free: reports are old by half a heartbeat interval.
+STALE_PATIENCE = 0.03
+#: Tries without a send after which a request is refused.
+MOST_UNSENT = 5
+#: Bounds in seconds on the time after which a refused client is asked to come back.
+LEAST_RETURN = 0.05
+#: Part of the client's remaining time up to which it honours the advice.
+RETURN_SHARE = 0.3
+_SERVER_ERROR = 500
+
+
+class Steering:
+    """Steers requests of clients.
+
+    :param places: finds where to try next.
+    :param local: tries at own targets, a :class:`LocalTry`.
+    :param forward: tries at targets of other VMs, a :class:`ForwardTry`.
+    :param members: the live VMs.
+    :param rooms: the :class:`RoomView`.
+    :param shift: the :class:`ShiftLimit`.
+    :param trip: returns the round trip to a VM in seconds.
+    :param budget: returns the :class:`RetryBudget` of a service.
+    :param work_times: the :class:`WorkTimes`.
+    """
+
+    def __init__(
+        self,
+        places,
+        local,
+        forward,
+        members,
+        rooms,
+        shift,
+        trip,
+        budget,
+        work_times,
+        journal,
+        clock,
+    ):
+        self._places = places
+        self._local = local
+        self._forward = forward
+        self._members = members
+        self._rooms = rooms
+        self._shift = shift
+        self._trip = trip
+        self._budget = budget
+        self._work_times = work_times
+        self._journal = journal
+        self._clock = clock
+
+    async def run(self, call):
+        """Return the final :class:`Answer` of a target.
+
+        :raises RequestError: with the final answer when there is none of a target.
+        :raises CallerLeftError: when the client left.
+        """
+        self._budget(call.service).count_request(self._clock.now())
+        return await _Run(self, call).run()
+
+
+class _Run:
+    """The tries of one request."""
+
+    def __init__(self, steering, call):
+        self._steering = steering
+        self._call = call
+        self._avoid = set()
+        self._avoid_vms = set()
+        self._sends = 0
+        self._runs = 0
+        self._unsent = 0
+        self._failed_answer = None
+        self._last_reason = None
+        self._patient_until = self._patience()
+
+    async def run(self):
+        call, clock = self._call, self._steering._clock
+        while True:
+            if call.left:
+                raise CallerLeftError
+            now = clock.now()
+            place = self._next_place(now)
+            if place is None:
+                return self._give_up()
+            if self._sends and not self._spend_repeat(now):
+                return self._give_up()
+            result = await self._try(place, now)
+            if call.left:
+                raise CallerLeftError
+            final = self._take(place, result)
+            if final is not None:
+                return final
+
+    def _next_place(self, now):
+        """Return where to try next, or ``None`` when it is time to give up."""
+        if now >= self._call.deadline or self._unsent >= MOST_UNSENT:
+            return None
+        places = self._steering._places
+        place = places.free(self._call, self._avoid, self._avoid_vms)
+        if place is not None:
+            return place
+        if now >= self._patient_until:
+            return None
+        return places.waiting(self._call, self._avoid_vms)
+
+    def _spend_repeat(self, now):
+        budget = self._steering._budget(self._call.service)
+        spent = budget.spend(now)
+        self._steering._journal.write(
+            Event.ROUTE_RETRIED,
+            request=self._call.id,
+            service=self._call.service,
+            reason=self._last_reason,
+            allowed=spent,
+            left=round(budget.left(now), 1),
+        )
+        return spent
+
+    async def _try(self, place, now):
+        steering, call = self._steering, self._call
+        own = steering._members.own.vm
+        until = min(self._until(place, now), call.deadline)
+        if place.vm == own:
+            return await steering._local.run(call, place.target, self._avoid, until)
+        member = steering._members.live(place.vm)
+        trip = steering._trip(place.vm)
+        steering._rooms.sent(place.target)
+        result = await steering._forward.run(
+            call, member.ip, place.target, self._avoid, until, trip
+        )
+        if result.end is not End.NOT_SENT:
+            steering._rooms.done(place.target)
+        return result
+
+    def _until(self, place, now):
+        """Return the instant until which the request may wait for a slot."""
+        if place.target is None:
+            return self._patient_until
+        patient = now + STALE_PATIENCE
+        if place.remote:
+            return patient + self._steering._trip(place.vm)
+        return max(patient, self._patient_until)
+
+    def _patience(self):
+        call = self._call
+        first = call.arrived_at + FIRST_PATIENCE * call.route.latency_aim
+        if not call.returned:
+            return first
+        work = self._steering._work_times.of(call.route.name)
+        longest = call.deadline - work
+        remaining = call.deadline - call.arrived_at
+        return max(first, min(longest, call.arrived_at + RETURNED_PATIENCE * remaining))
+
+    def _take(self, place, result):
+        """Take the result of a try; return the final answer, or ``None`` to go on."""
+        self._last_reason = result.reason
+        if result.target is not None:
+            self._avoid.add(result.target)
+        if result.end is End.NOT_SENT:
+            self._take_unsent(place, result)
+            return None
+        self._sends += 1
+        self._steering._shift.count(place.remote)
+        if result.end is End.REFUSED:
+            return None
+        self._runs += 1
+        if result.end is End.ANSWERED:
+            self._observe(place, result)
+            if result.answer.status < _SERVER_ERROR or not self._may_run_again():
+                return result.answer
+            self._failed_answer = result.answer
+            return None
+        if result.end is End.UNKNOWN and self._may_run_again():
+            return None
+        raise self._unknown(result)
+
+    def _take_unsent(self, place, result):
+        self._unsent += 1
+        if self._sends:
+            self._steering._budget(self._call.service).refund()
+        own = self._steering._members.own.vm
+        if place.vm == own or result.target is not None:
+            return
+        if result.wait is None and result.reason != "no free slot":
+            self._avoid_vms.add(place.vm)
+        self._steering._rooms.full(
+            place.target, place.vm, self._call.service, result.wait
+        )
+
+    def _observe(self, place, result):
+        if result.work is not None and place.vm != self._steering._members.own.vm:
+            self._steering._work_times.observe(self._call.route.name, result.work)
+
+    def _may_run_again(self):
+        call = self._call
+        if not call.route.kind.idempotent or self._runs >= call.route.max_attempts:
+            return False
+        work = self._steering._work_times.of(call.route.name)
+        return self._steering._clock.now() + work < call.deadline
+
+    def _unknown(self, result):
+        timed_out = result.end is End.TIMED_OUT
+        code = ResultCode.DEADLINE_IN_RUN if timed_out else ResultCode.ANSWER_LOST
+        return RequestError(code, f"{result.target}: {result.reason}")
+
+    def _give_up(self):
+        """Return a failed answer that is left, or raise the final refusal."""
+        if self._failed_answer is not None:
+            return self._failed_answer
+        if self._runs:
+            message = f"no whole answer: {self._last_reason}"
+            raise RequestError(ResultCode.ANSWER_LOST, message)
+        wait = self._return_after()
+        reason = self._last_reason or "no free slot within reach"
+        raise RequestError(ResultCode.NO_ROOM, reason, retry_at=wait)
+
+    def _return_after(self):
+        """Return the instant from which the client is welcome again."""
+        now = self._steering._clock.now()
+        expected = self._steering._places.expected_wait(self._call) or 0.0
+        mean = max(LEAST_RETURN, expected)
+        longest = RETURN_SHARE * max(0.0, self._call.deadline - now)
+        return now + min(longest, uniform(0.5, 1.5) * mean)
--- /dev/null
+++ b/src/heathercleat/steering/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one version of the operators' configuration."""
--- /dev/null
+++ b/src/heathercleat/steering/version/routing.py
@@ -0,0 +1,144 @@
+"""The operators' configuration as routes and services."""
+
+from enum import Enum
+
+
+class Kind(Enum):
+    """What may be repeated: safe requests may run more than once, others may not."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    UPLOAD = "upload"
+
+    @property
+    def idempotent(self):
+        """Return whether a request may run more than once."""
+        return self is Kind.SAFE
+
+
+class Share:
+    """A service's part of the requests of a route."""
+
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service, weight):
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Requests of one host and path prefix; ``timeout`` and ``latency_aim`` in seconds.
+
+    :param priority: rank of the requests, 0 is the most urgent.
+    :param max_attempts: targets that may run one request.
+    :param sticky: whether a target that knows the object of a request is faster.
+    :param regions: the only regions that may serve it; empty for all.
+    :param shares: the :class:`Share` of each service.
+    """
+
+    __slots__ = (
+        "name",
+        "host",
+        "prefix",
+        "kind",
+        "timeout",
+        "latency_aim",
+        "priority",
+        "max_attempts",
+        "sticky",
+        "regions",
+        "shares",
+    )
+
+    def __init__(
+        self,
+        name,
+        host,
+        prefix,
+        kind,
+        timeout,
+        latency_aim,
+        priority,
+        max_attempts,
+        sticky,
+        regions,
+        shares,
+    ):
+        self.name = name
+        self.host = host
+        self.prefix = prefix
+        self.kind = kind
+        self.timeout = timeout
+        self.latency_aim = latency_aim
+        self.priority = priority
+        self.max_attempts = max_attempts
+        self.sticky = sticky
+        self.regions = regions
+        self.shares = shares
+
+    def allows(self, region):
+        """Return whether requests may be served in ``region``."""
+        return not self.regions or region in self.regions
+
+
+class Service:
+    """What the operators say of a service.
+
+    :param max_connections: connections that a target takes from all VMs together.
+    :param cold_rate: requests a second that a cold target stands.
+    :param cold_start: seconds for which a target is cold after its start.
+    """
+
+    __slots__ = ("name", "health_path", "max_connections", "cold_rate", "cold_start")
+
+    def __init__(self, name, health_path, max_connections, cold_rate, cold_start):
+        self.name = name
+        self.health_path = health_path
+        self.max_connections = max_connections
+        self.cold_rate = cold_rate
+        self.cold_start = cold_start
+
+
+class Limits:
+    """Bounds on what a client sends, in bytes and seconds."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_timeout", "idle_timeout")
+
+    def __init__(self, header_bytes, body_bytes, header_timeout, idle_timeout):
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout = header_timeout
+        self.idle_timeout = idle_timeout
+
+
+class RoutingTable:
+    """All routes and services of one version.
+
+    :raises ValueError: when a route names a service that the version does not have.
+    """
+
+    __slots__ = ("version", "services", "limits", "_hosts")
+
+    def __init__(self, version, routes, services, limits):
+        self.version = version
+        self.services = services
+        self.limits = limits
+        self._hosts = {}
+        for route in routes:
+            self._check(route)
+            self._hosts.setdefault(route.host, []).append(route)
+        for each in self._hosts.values():
+            each.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def match(self, host, path):
+        """Return the route with the longest prefix of ``path``, or ``None``."""
+        for route in self._hosts.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def _check(self, route):
+        for share in route.shares:
+            if share.service not in self.services:
+                message = f'route "{route.name}" names no service "{share.service}"'
+                raise ValueError(message)
