Look for room in other regions while waiting; tests of the steering parts

Cause: requests of regions with few targets waited or were refused there: the limit on moves started at nothing, cold objects made every far answer look late, and a request that waited did not look elsewhere again.

--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/admission.py
@@ -49,7 +49,7 @@
             use = self._try(waiter)
             if use is not None:
                 return use
-        if not self._may_wait(call.service, until):
+        if until <= self._clock.now() or not self._has_slots(call.service):
             return None
         queue.waiters.append(waiter)
         await self.pump(call.service)
@@ -89,9 +89,9 @@
         for service in list(self._queues):
             await self.pump(service)
 
-    def _may_wait(self, service, until):
-        wait = self.expected_wait(service)
-        return wait is not None and self._clock.now() + wait <= until
+    def _has_slots(self, service):
+        """Return whether a slot may come free at all."""
+        return self.expected_wait(service) is not None
 
     async def _wait(self, waiter, until):
         """Wait for a turn; a client that leaves ends it as well."""
--- a/src/heathercleat/steering/process/record.py
+++ b/src/heathercleat/steering/process/record.py
@@ -40,6 +40,7 @@
                 status=answer.status,
                 seconds=round(seconds, 4),
                 returned=call.returned,
+                tries=call.tries,
             )
 
     def refused(self, call, error, now):
@@ -58,6 +59,7 @@
             reason=str(error),
             seconds=round(seconds, 4),
             returned=call.returned if call else None,
+            tries=call.tries if call else [],
             retry_in=retry_in,
         )
 
@@ -72,6 +74,7 @@
             request=call.id,
             route=call.route.name,
             seconds=round(seconds, 4),
+            tries=call.tries,
         )
 
     def flush(self, **beliefs):
--- a/src/heathercleat/steering/process/rooms.py
+++ b/src/heathercleat/steering/process/rooms.py
@@ -63,8 +63,7 @@
         room = self._rooms.get(target_id)
         if room is not None and room.owner == owner:
             room.free = 0
-        if wait is not None:
-            self._waits.setdefault(owner, {})[service] = wait
+        self._waits.setdefault(owner, {})[service] = wait
 
     def forget(self, owner):
         """Drop what a VM reported."""
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -32,6 +32,7 @@
     :param aim_at: when the answer should be there.
     :param returned: whether it came back after a refusal.
     :param affinity: key of the object that it is about, or ``None``.
+    :param tries: a line of text for each try so far, for the log.
     """
 
     __slots__ = (
@@ -50,6 +51,7 @@
         "left",
         "on_leave",
         "stream",
+        "tries",
     )
 
     def __init__(self, id, method, path, headers, body, route, service, stream):
@@ -66,6 +68,7 @@
         self.aim_at = 0.0
         self.returned = False
         self.affinity = None
+        self.tries = []
         self.left = False
         #: What to wake or cut when the client leaves: a curio event or a stream.
         self.on_leave = None
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -7,6 +7,9 @@
 LARGE_BODY = 16 << 10
 #: Part of a region's slots that stay free for its own clients when others ask.
 RESERVED_SHARE = 0.15
+#: Seconds of waiting that are worth it to stay here: a forwarded request crosses the
+#: network twice, with its body, and its report of the wait is old.
+FORWARD_COST = 0.03
 
 
 class Place:
@@ -68,10 +71,14 @@
                 near.append((entry, owner, free))
             else:
                 far.append((entry, owner, free))
+        if self._shift.must_move():
+            return self._best_far(call, far, now, 0.0) or self._best_near(call, near)
         found = self._best_near(call, near)
         if found is not None:
             return found
-        return self._best_far(call, far, now)
+        if not far or not self._shift.may_move():
+            return None
+        return self._best_far(call, far, now, self._near_wait(call, near))
 
     def waiting(self, call, avoid_vms):
         """Return the :class:`Place` of this region with the shortest wait, or ``None``.
@@ -84,10 +91,9 @@
             wait = self._wait(vm, call.service)
             if wait is None:
                 continue
-            # Equal waits stay here: a forwarded request crosses the network twice.
-            key = (wait, vm != own)
-            if shortest is None or key < shortest:
-                best, shortest = vm, key
+            cost = wait if vm == own else wait + FORWARD_COST
+            if shortest is None or cost < shortest:
+                best, shortest = vm, cost
         return None if best is None else Place(best, None, False)
 
     def expected_wait(self, call):
@@ -146,7 +152,11 @@
             return weight(call.affinity, entry.id)
         return owner == self._members.own.vm, free / entry.slots
 
-    def _best_far(self, call, far, now):
+    def _best_far(self, call, far, now, near_wait):
+        """Return the :class:`Place` in the region with the most room, or ``None``.
+
+        :param near_wait: seconds that the request would wait in this region.
+        """
         regions = {}
         for entry, owner, free in far:
             region = self._members.region_of(entry.failure_domain)
@@ -155,20 +165,30 @@
         for candidates in regions.values():
             slots = sum(each[0].slots for each in candidates)
             room = sum(each[2] for each in candidates) - RESERVED_SHARE * slots
-            in_time = [each for each in candidates if self._in_time(call, each, now)]
-            if room > most and in_time:
-                best, most = in_time, room
-        if best is None or not self._shift.may_move():
+            useful = [
+                each for each in candidates if self._helps(call, each, now, near_wait)
+            ]
+            if room > most and useful:
+                best, most = useful, room
+        if best is None:
             return None
         entry, owner, _ = max(best, key=lambda each: self._preference(call, each))
         return Place(owner, entry.id, True)
 
-    def _in_time(self, call, candidate, now):
+    def _helps(self, call, candidate, now, near_wait):
+        """Return whether a request is answered in time there, or sooner than here."""
         _, owner, free = candidate
         if free <= 0:
             return False
-        expected = self._trip(owner) + self._work_times.of(call.route.name)
-        return now + expected <= call.aim_at
+        trip = self._trip(owner)
+        expected = trip + self._work_times.of(call.route.name)
+        return now + expected <= call.aim_at or trip < near_wait
+
+    def _near_wait(self, call, near):
+        if not near:
+            return float("inf")
+        wait = self.expected_wait(call)
+        return float("inf") if wait is None else wait
 
     def _near_owners(self, call, avoid_vms):
         owners = {
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -7,17 +7,20 @@
 from heathercleat.events import Event
 from heathercleat.steering.request.answer import End
 
-#: Part of the latency aim for which a first request waits for a slot: a refusal within
-#: a quarter of it can still be answered in time when the client comes back, and a
-#: request that waits longer is mostly late.
-FIRST_PATIENCE = 0.18
+#: Part of the latency aim for which a first request waits for a slot at most: a refusal
+#: within a quarter of it can still be answered in time when the client comes back.
+FIRST_PATIENCE = 0.2
 #: Part of its remaining time for which a request waits that came back after a refusal:
-#: a second refusal loses it.
-RETURNED_PATIENCE = 0.4
+#: a second refusal loses it, and a late answer is worth something.
+RETURNED_PATIENCE = 0.8
+#: Seconds after which a request that waits looks for room elsewhere again.
+WAIT_SLICE = 0.08
+#: The same where another VM owns the targets: each slice sends the body again.
+FORWARDED_SLICE = 0.25
 #: Seconds for which a request may wait at an owner whose report said that a slot was
 #: free: reports are old by half a heartbeat interval.
 STALE_PATIENCE = 0.03
-#: Tries without a send after which a request is refused.
+#: Tries at places with room that sent nothing, after which a request is refused.
 MOST_UNSENT = 5
 #: Bounds in seconds on the time after which a refused client is asked to come back.
 LEAST_RETURN = 0.05
@@ -151,27 +154,28 @@
         return result
 
     def _until(self, place, now):
-        """Return the instant until which the request may wait for a slot."""
+        """Return the instant until which the request may wait for a slot there."""
         if place.target is None:
-            return self._patient_until
-        patient = now + STALE_PATIENCE
-        if place.remote:
-            return patient + self._steering._trip(place.vm)
-        return max(patient, self._patient_until)
+            here = place.vm == self._steering._members.own.vm
+            length = WAIT_SLICE if here else FORWARDED_SLICE
+            return min(self._patient_until, now + length)
+        return now + STALE_PATIENCE
 
     def _patience(self):
+        """Return the instant at which the request is given up without a slot."""
         call = self._call
         first = call.arrived_at + FIRST_PATIENCE * call.route.latency_aim
         if not call.returned:
             return first
         work = self._steering._work_times.of(call.route.name)
-        longest = call.deadline - work
         remaining = call.deadline - call.arrived_at
-        return max(first, min(longest, call.arrived_at + RETURNED_PATIENCE * remaining))
+        longest = min(RETURNED_PATIENCE * remaining, remaining - work)
+        return max(first, call.arrived_at + longest)
 
     def _take(self, place, result):
         """Take the result of a try; return the final answer, or ``None`` to go on."""
         self._last_reason = result.reason
+        self._call.tries.append(self._describe(place, result))
         if result.target is not None:
             self._avoid.add(result.target)
         if result.end is End.NOT_SENT:
@@ -192,8 +196,17 @@
             return None
         raise self._unknown(result)
 
+    def _describe(self, place, result):
+        """Return a try as text: place, end, what the target took, all it took."""
+        work = "-" if result.work is None else f"{result.work:.3f}"
+        took = self._steering._clock.now() - self._call.arrived_at
+        target = result.target or place.target
+        reason = f" {result.reason}" if result.reason else ""
+        return f"{place.vm} {target} {result.end.value} {work} {took:.3f}{reason}"
+
     def _take_unsent(self, place, result):
-        self._unsent += 1
+        if place.target is not None:
+            self._unsent += 1
         if self._sends:
             self._steering._budget(self._call.service).refund()
         own = self._steering._members.own.vm
--- /dev/null
+++ b/tests/steering_parts.py
@@ -0,0 +1,79 @@
+"""Parts of a steering VM for tests, with fakes at the interfaces."""
+
+from heathercleat.platform.settings import decode_node_settings
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.gossip import Beat
+from heathercleat.steering.process.members import Members
+from heathercleat.steering.process.owners import Owners
+from heathercleat.steering.process.registry import TargetRegistry
+from heathercleat.steering.process.slots import SlotLedger
+from heathercleat.steering.process.target import TargetEntry
+from heathercleat.steering.request.call import Call
+from heathercleat.steering.version.routing import Kind, Route, Service, Share
+from tests.fakes import ManualClock
+from tests.platform_samples import SETTINGS
+
+COLD_RATE = 10.0
+
+
+def entry(id="t1", service="s1", domain="north-a", slots=2, draining=False, cold=0.0):
+    return TargetEntry(id, service, "127.0.0.9", 80, domain, slots, draining, cold)
+
+
+def route(kind=Kind.SAFE, regions=(), sticky=False, attempts=2, priority=1):
+    return Route(
+        "r1",
+        "a.example",
+        "/",
+        kind,
+        1.0,
+        0.3,
+        priority,
+        attempts,
+        sticky,
+        frozenset(regions),
+        (Share("s1", 1.0),),
+    )
+
+
+def call(clock, route=None, returned=False, affinity=None, id="c1"):
+    made = Call(id, b"GET", b"/", [], b"", route or _ROUTE, "s1", None)
+    made.arrived_at = clock.now()
+    made.deadline = clock.now() + 1.0
+    made.aim_at = clock.now() + 0.3
+    made.returned = returned
+    made.affinity = affinity
+    return made
+
+
+def beat(vm="vm-2", domain="north-a", region="north", serving=True, incarnation=1):
+    return Beat(
+        vm, "127.0.9.2", domain, region, incarnation, serving, 0.15, 0, 0, [], []
+    )
+
+
+class Parts:
+    """One VM's beliefs, without sockets."""
+
+    def __init__(self, entries=(), serving=True):
+        self.clock = ManualClock()
+        self.journal = Journal("vm-1", "north-a")
+        self.settings = decode_node_settings(SETTINGS)
+        self.registry = TargetRegistry(self.journal, self.clock)
+        self.members = Members(self.settings, self.journal, self.clock, 1)
+        self.owners = Owners(self.registry, self.members)
+        self.ledger = SlotLedger(
+            self.owners,
+            self.registry,
+            lambda name: Service(name, None, 100, COLD_RATE, 3.0),
+            self.settings.bounds,
+            self.journal,
+            self.clock,
+        )
+        if serving:
+            self.members.set_serving(True)
+        if entries:
+            self.registry.replace(list(entries))
+
+
+_ROUTE = route()
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,89 @@
+import pytest
+
+from heathercleat.steering.process.budget import RetryBudget
+from heathercleat.steering.process.shift import ShiftLimit
+from heathercleat.steering.request.call import RepeatDetector
+from heathercleat.steering.version.routing import Share
+from heathercleat.steering.version.split import Splitter
+from tests.fakes import ManualClock
+
+
+def spend_all(budget, now):
+    spent = 0
+    while budget.spend(now):
+        spent += 1
+    return spent
+
+
+@pytest.mark.parametrize("vms", [1, 3, 10])
+def test_all_vms_together_stay_within_the_budget(vms):
+    ratio, slack, requests = 0.2, 60.0, 50
+    total = 0
+    for _ in range(vms):
+        budget = RetryBudget(ratio, slack, 10.0, lambda: vms)
+        for _ in range(requests):
+            budget.count_request(0.0)
+        total += spend_all(budget, 0.0)
+    assert 0 < total <= ratio * requests * vms + slack
+
+
+def test_budget_of_a_window_does_not_return_before_its_end():
+    budget = RetryBudget(0.2, 20.0, 10.0, lambda: 1)
+    assert spend_all(budget, 0.0) > 0
+    assert spend_all(budget, 9.0) == 0
+    assert spend_all(budget, 10.5) > 0
+
+
+def test_refunded_repeat_can_be_spent_again():
+    budget = RetryBudget(0.2, 20.0, 10.0, lambda: 1)
+    spent = spend_all(budget, 0.0)
+    budget.refund()
+    assert spent > 0
+    assert spend_all(budget, 0.0) == 1
+
+
+def run_windows(limit, clock, wanted, windows, requests=100):
+    """Return the share moved in each window when ``wanted`` of the requests may."""
+    shares = []
+    for _ in range(windows):
+        moved = 0
+        for number in range(requests):
+            wants = (number % 10) < wanted * 10
+            moves = limit.must_move() or (wants and limit.may_move())
+            limit.count(moves)
+            moved += moves
+        shares.append(moved / requests)
+        clock.time += 1.0
+    return shares
+
+
+def test_first_requests_may_all_move():
+    clock = ManualClock()
+    shares = run_windows(ShiftLimit(0.15, clock), clock, 0.8, 1)
+    assert shares == [0.8]
+
+
+@pytest.mark.parametrize(("before", "after"), [(0.0, 0.8), (0.8, 0.0)])
+def test_share_changes_slowly_both_ways(before, after):
+    clock = ManualClock()
+    limit = ShiftLimit(0.15, clock)
+    shares = run_windows(limit, clock, before, 3) + run_windows(limit, clock, after, 20)
+    pairs = [(shares[i] + shares[i + 1]) / 2 for i in range(len(shares) - 1)]
+    changes = [abs(pairs[i + 2] - pairs[i]) for i in range(len(pairs) - 2)]
+    assert max(changes) <= 0.15
+    assert shares[-1] == pytest.approx(after, abs=0.06)
+
+
+def test_repeat_is_told_by_the_time_that_is_left():
+    repeats = RepeatDetector()
+    assert not repeats.is_repeat("r1", 1.2)
+    assert repeats.is_repeat("r1", 0.9)
+    assert not repeats.is_repeat("r1", 1.2)
+    assert not repeats.is_repeat("r2", 0.9)
+
+
+def test_split_is_exact_over_any_run():
+    splitter = Splitter((Share("a", 90.0), Share("b", 10.0)))
+    chosen = [splitter.next() for _ in range(100)]
+    assert chosen.count("b") == 10
+    assert chosen[:20].count("b") == 2
--- /dev/null
+++ b/tests/test_owned_slots.py
@@ -0,0 +1,129 @@
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tests.steering_parts import COLD_RATE, Parts, entry
+
+
+def owned(parts, id="t1"):
+    return next(each for each in parts.ledger.all() if each.entry.id == id)
+
+
+def test_slots_are_counted_exactly():
+    parts = Parts([entry("t1", slots=2)])
+    target = owned(parts)
+    first = target.take(parts.clock.now())
+    target.take(parts.clock.now())
+    assert target.free(parts.clock.now()) == 0
+    parts.ledger.release(first)
+    assert target.free(parts.clock.now()) == 1
+
+
+def test_releasing_twice_frees_one_slot():
+    parts = Parts([entry("t1", slots=2)])
+    target = owned(parts)
+    use = target.take(parts.clock.now())
+    target.take(parts.clock.now())
+    parts.ledger.release(use)
+    parts.ledger.release(use)
+    assert target.free(parts.clock.now()) == 1
+
+
+def test_requests_of_a_former_owner_count_for_a_while():
+    parts = Parts([entry("t1", slots=3)])
+    target = owned(parts)
+    now = parts.clock.now()
+    target.take(now)
+    target.reported(2, 1, now)
+    assert target.free(now) == 0
+    assert target.free(now + 0.5) == 2
+
+
+def test_cold_target_gets_a_share_of_the_rate_it_stands():
+    parts = Parts([entry("t1", slots=1000, cold=5.0)])
+    target = owned(parts)
+    sent = 0
+    while target.free(parts.clock.now()):
+        parts.ledger.release(target.take(parts.clock.now()))
+        sent += 1
+    assert 1 <= 2 * sent <= 1.5 * COLD_RATE
+    parts.clock.time += 1.1
+    assert target.free(parts.clock.now()) > 0
+
+
+def test_failing_target_rests_and_is_tried_by_one_request():
+    parts = Parts([entry("t1", slots=4)])
+    target = owned(parts)
+    while not target.health.failed(parts.clock.now()):
+        pass
+    assert target.free(parts.clock.now()) == 0
+    parts.clock.time += 5.0
+    assert target.free(parts.clock.now()) == 1
+    target.health.succeeded(0.1)
+    assert target.free(parts.clock.now()) == 4
+
+
+def test_silent_target_gets_no_more_requests():
+    parts = Parts([entry("t1", slots=4)])
+    target = owned(parts)
+    target.take(parts.clock.now())
+    assert target.free(parts.clock.now() + 0.5) == 3
+    assert target.free(parts.clock.now() + 2.0) == 0
+
+
+@pytest.mark.parametrize(("latency", "slow"), [(0.1, False), (0.9, True)])
+def test_target_that_is_much_slower_than_the_others_takes_one_request(latency, slow):
+    parts = Parts([entry(f"t{number}", slots=4) for number in range(5)])
+    for target in parts.ledger.all():
+        target.health.succeeded(0.1)
+    odd = owned(parts, "t3")
+    odd.health.latency = latency
+    parts.ledger.judge_speeds()
+    assert odd.slow is slow
+    assert odd.free(parts.clock.now()) == (1 if slow else 4)
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Targets change owners and state while requests come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.parts = Parts([entry(f"t{number}", slots=2) for number in range(3)])
+        self.uses = []
+
+    @rule(number=st.integers(0, 2))
+    def take(self, number):
+        now = self.parts.clock.now()
+        for target in self.parts.ledger.all():
+            if target.entry.id == f"t{number}" and target.free(now):
+                self.uses.append(target.take(now))
+
+    @rule(data=st.data())
+    def release(self, data):
+        if self.uses:
+            use = self.uses.pop(data.draw(st.integers(0, len(self.uses) - 1)))
+            self.parts.ledger.release(use)
+
+    @rule(number=st.integers(0, 2), draining=st.booleans())
+    def change(self, number, draining):
+        changed = entry(f"t{number}", slots=2, draining=draining)
+        self.parts.registry.update([changed], [])
+
+    @rule(serving=st.booleans())
+    def serve(self, serving):
+        self.parts.members.set_serving(serving)
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def wait(self, seconds):
+        self.parts.clock.time += seconds
+
+    @invariant()
+    def no_target_has_more_uses_than_slots(self):
+        for target in self.parts.ledger.all():
+            assert len(target.uses) <= target.entry.slots
+            assert target.free(self.parts.clock.now()) >= 0
+
+
+LedgerMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+TestLedger = LedgerMachine.TestCase
--- /dev/null
+++ b/tests/test_owners.py
@@ -0,0 +1,55 @@
+from tests.steering_parts import Parts, beat, entry
+
+TARGETS = [entry(f"t{number}") for number in range(8)]
+
+
+def test_only_serving_vms_own_targets():
+    parts = Parts(TARGETS, serving=False)
+    assert parts.owners.owned() == []
+    parts.members.set_serving(True)
+    assert len(parts.owners.owned()) == len(TARGETS)
+
+
+def test_vms_of_a_domain_share_its_targets_evenly():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2"))
+    owners = [parts.owners.of(each.id) for each in TARGETS]
+    assert owners.count("vm-1") == owners.count("vm-2") == len(TARGETS) // 2
+
+
+def test_vm_of_another_domain_owns_only_what_has_no_nearer_vm():
+    parts = Parts([entry("t1"), entry("t2", domain="south-a")])
+    parts.members.heard(beat("vm-2", domain="north-b"))
+    assert parts.owners.of("t1") == "vm-1"
+    assert parts.owners.of("t2") is not None
+    parts.members.heard(beat("vm-3", domain="south-a", region="south"))
+    assert parts.owners.of("t2") == "vm-3"
+
+
+def test_silent_vm_loses_its_targets():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2"))
+    parts.clock.time += 2.0
+    parts.members.check()
+    assert {parts.owners.of(each.id) for each in TARGETS} == {"vm-1"}
+
+
+def test_vm_that_leaves_hands_its_targets_over_at_once():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2"))
+    parts.members.heard(beat("vm-2", serving=False))
+    assert {parts.owners.of(each.id) for each in TARGETS} == {"vm-1"}
+
+
+def test_heartbeat_of_an_earlier_process_is_ignored():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2", incarnation=5))
+    assert parts.members.heard(beat("vm-2", incarnation=4, serving=False)) is None
+    assert parts.members.live("vm-2").serving
+
+
+def test_vm_known_from_the_store_only_is_not_live():
+    parts = Parts(TARGETS)
+    parts.members.introduce("vm-9", "127.0.9.9", "north-a", "north")
+    assert parts.members.live("vm-9") is None
+    assert [each.vm for each in parts.members.others()] == ["vm-9"]
--- /dev/null
+++ b/tests/test_platform_decode.py
@@ -0,0 +1,181 @@
+import json
+
+import pytest
+
+from heathercleat import FindingsError, HeathercleatError
+from heathercleat.platform.decode import (
+    decode_config,
+    decode_operator_rows,
+    decode_target,
+)
+from heathercleat.platform.headers import (
+    read_answer_head,
+    read_client_head,
+    request_headers,
+)
+from heathercleat.platform.settings import decode_node_settings, load_node_settings
+from heathercleat.platform.units import seconds, version_number
+from heathercleat.steering.process.store import StoreRow
+from heathercleat.steering.version.routing import Kind
+from tests.platform_samples import SETTINGS, config, target
+
+
+def row(key, document):
+    return StoreRow(key, json.dumps(document).encode(), 7)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"), [("1500ms", 1.5), ("2.5s", 2.5), ("0ms", 0.0)]
+)
+def test_times_have_a_unit(text, expected):
+    assert seconds(text) == expected
+
+
+@pytest.mark.parametrize("text", ["12", "3m", "", "xms"])
+def test_malformed_times_are_named(text):
+    with pytest.raises(ValueError):
+        seconds(text)
+
+
+def test_versions_compare_as_numbers():
+    assert version_number("r12") > version_number("r9")
+    with pytest.raises(ValueError, match="v12"):
+        version_number("v12")
+
+
+def test_routes_match_by_host_and_longest_prefix():
+    table = decode_config(json.dumps(config()).encode())
+    assert table.version == 7
+    assert table.match("a.example", "/one/x").name == "one"
+    assert table.match("a.example", "/one/two/x").name == "two"
+    assert table.match("a.example", "/other") is None
+    assert table.match("b.example", "/one/x") is None
+
+
+def test_route_keeps_what_operators_demand():
+    table = decode_config(json.dumps(config()).encode())
+    route = table.match("a.example", "/one/x")
+    assert (route.kind, route.timeout, route.latency_aim) == (Kind.UNSAFE, 1.0, 0.3)
+    assert [(each.service, each.weight) for each in route.shares] == [
+        ("s1", 90.0),
+        ("s2", 10.0),
+    ]
+    assert route.allows("north") and not route.allows("south")
+    assert table.services["s1"].cold_rate == 14.0
+
+
+@pytest.mark.parametrize("broken", ["services", "hosts", "limits", "version"])
+def test_configuration_without_a_part_is_refused(broken):
+    document = config()
+    del document[broken]
+    with pytest.raises(ValueError):
+        decode_config(json.dumps(document).encode())
+
+
+def test_configuration_with_an_unknown_service_is_refused():
+    document = config()
+    document["hosts"][0]["paths"][1]["service"] = "missing"
+    with pytest.raises(ValueError, match="missing"):
+        decode_config(json.dumps(document).encode())
+
+
+def test_operator_rows_tell_configuration_and_evacuations():
+    rows = [row("config", config()), row("evacuate/north-a", {}), row("other", {})]
+    table, evacuated = decode_operator_rows(rows)
+    assert table.version == 7
+    assert evacuated == {"north-a"}
+
+
+def test_target_entry_is_decoded():
+    entry = decode_target(row("i-1", target(state="draining", coldRemaining="1500ms")))
+    assert (entry.id, entry.host, entry.port) == ("i-1", "127.0.0.9", 8080)
+    assert entry.draining
+    assert entry.cold_for == 1.5
+
+
+@pytest.mark.parametrize("broken", ["service", "address", "zone", "slots", "state"])
+def test_target_without_a_field_is_refused(broken):
+    document = target()
+    del document[broken]
+    with pytest.raises(ValueError):
+        decode_target(row("i-1", document))
+
+
+def test_client_head_with_a_malformed_wait_has_the_usual_one():
+    head = read_client_head([(b"deadline-ms", b"soon"), (b"cookie", b"a=1")])
+    assert head.wait == 30.0
+    assert head.affinity is None
+
+
+def test_client_head_is_decoded():
+    headers = [
+        (b"request-id", b"r1"),
+        (b"deadline-ms", b"1200"),
+        (b"cookie", b"x=y; Affinity-Key=17"),
+    ]
+    head = read_client_head(headers)
+    assert (head.request_id, head.wait, head.affinity) == ("r1", 1.2, "17")
+
+
+def test_headers_of_the_system_replace_those_of_the_client():
+    sent = dict(
+        request_headers(
+            [(b"deadline-ms", b"9999"), (b"expected-instance", b"x"), (b"a", b"b")],
+            0.25,
+            "i-1",
+        )
+    )
+    assert sent == {
+        b"a": b"b",
+        b"deadline-ms": b"250",
+        b"expected-instance": b"i-1",
+    }
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run", "promises"),
+    [
+        (503, [(b"not-executed", b"1")], True, True),
+        (421, [], True, True),
+        (503, [], False, True),
+        (500, [], False, False),
+    ],
+)
+def test_only_a_refusal_says_that_a_request_has_not_run(
+    status, headers, not_run, promises
+):
+    head = read_answer_head(status, headers)
+    assert (head.not_run, head.promises) == (not_run, promises)
+
+
+@pytest.mark.parametrize("load", [b"3", b"a,b,c", b"1,2,3,4"])
+def test_malformed_load_is_no_load(load):
+    assert read_answer_head(200, [(b"server-load", load)]).running is None
+
+
+def test_settings_are_decoded():
+    settings = decode_node_settings(SETTINGS)
+    assert (settings.vm, settings.region) == ("vm-1", "north")
+    assert (settings.gossip_port, settings.forward_port) == (7200, 7201)
+    assert settings.bounds.stop_grace == 6.0
+    assert settings.memory == 300 << 20
+
+
+def test_all_missing_settings_are_reported_at_once():
+    broken = {name: value for name, value in SETTINGS.items() if name != "ip"}
+    broken["listen"] = {"front": "nonsense"}
+    with pytest.raises(FindingsError) as caught:
+        decode_node_settings(broken)
+    pointers = {finding.pointer for finding in caught.value.exceptions}
+    assert {"/ip", "/listen/front", "/listen/ready"} <= pointers
+
+
+def test_unreadable_settings_are_named(tmp_path):
+    with pytest.raises(HeathercleatError, match="nowhere"):
+        load_node_settings(str(tmp_path / "nowhere.yaml"))
+
+
+def test_settings_are_read_from_yaml(tmp_path):
+    path = tmp_path / "node.yaml"
+    path.write_text(json.dumps(SETTINGS))
+    assert load_node_settings(str(path)).vm == "vm-1"
