Stand-ins for the store and targets, and the whole path with real processes

The store stand-in speaks the platform's published calls with faults (busy, silent, reset, slow, lost replies, refused callers, dropped history); the fleet runs it, targets and steering VMs as processes on loopback. Found by it: calls to the store left from another address than the VM's own; they are bound now.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -30,12 +30,14 @@
     :param address: the store's :class:`Address`.
     :param clock: source of instants.
     :param timeout: seconds that a call may take, waiting of a feed not included.
+    :param source_ip: the local IP number to connect from.
     """
 
-    def __init__(self, address, clock, timeout):
+    def __init__(self, address, clock, timeout, source_ip=None):
         self._address = address
         self._clock = clock
         self._timeout = timeout
+        self._source_ip = source_ip
         self._lock = Lock()
         self._stream = None
         self._calls = 0
@@ -134,7 +136,7 @@
     async def _connect(self):
         deadline = self._clock.now() + self._timeout
         host, port = self._address.host, self._address.port
-        stream = await connect(host, port, deadline, self._clock)
+        stream = await connect(host, port, deadline, self._clock, self._source_ip)
         watch_silence(stream.socket)
         return stream
 
--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/tables.py
@@ -96,7 +96,8 @@
             self._journal.write(Event.PLATFORM_FAILED, reason=str(error))
 
     def _new_store(self):
-        return TableStore(self._settings.store, self._clock, STORE_TIMEOUT)
+        settings = self._settings
+        return TableStore(settings.store, self._clock, STORE_TIMEOUT, settings.ip)
 
     def _follow(self, table, wait, pause, apply, version_of, on_return=lambda: None):
         async def relay(version):
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -31,6 +31,47 @@
 MSGPACK = {"content-type": "application/msgpack"}
 
 
+class Processes:
+    """Processes started from here, with a log file each, killed at the end."""
+
+    def __init__(self):
+        self._folder = tempfile.TemporaryDirectory(prefix="heathercleat-")
+        self._processes = []
+
+    @property
+    def folder(self):
+        """Return the folder of settings and logs."""
+        return Path(self._folder.name)
+
+    def start(self, name, command, **variables):
+        """Start a process whose output goes to ``NAME.log``."""
+        with (self.folder / f"{name}.log").open("ab") as log:
+            process = subprocess.Popen(
+                command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**_env(), **variables},
+            )
+        self._processes.append(process)
+        return process
+
+    def log(self, name):
+        """Return the log lines of a process as objects."""
+        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def stop(self):
+        """Kill every process that was started, and wait for it."""
+        for process in self._processes:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait(STOP_SECONDS)
+        self._folder.cleanup()
+
+
 class Vm:
     """One entry VM of the fleet."""
 
@@ -52,11 +93,10 @@
     """
 
     def __init__(self, text, vms, program=None, subnet=10, settings=None):
-        self._folder = tempfile.TemporaryDirectory(prefix="heathercleat-")
+        self._processes = Processes()
         self._program = program or [sys.executable, "-m", "heathercleat"]
         self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._settings = settings or {}
-        self._processes = []
         self.platform = (f"127.{subnet}.200.1", PLATFORM[1])
         self.text = text
         self.targets = self._place_targets(text)
@@ -76,7 +116,7 @@
     @property
     def folder(self):
         """Return the folder of settings and logs."""
-        return Path(self._folder.name)
+        return self._processes.folder
 
     def start(self):
         """Start everything and wait until each VM has a version in force."""
@@ -130,18 +170,12 @@
 
     def stop(self):
         """Kill every process that was started, and wait for it."""
-        for process in self._processes:
-            with suppress(ProcessLookupError):
-                process.send_signal(signal.SIGCONT)
-                process.kill()
-        for process in self._processes:
-            process.wait(STOP_SECONDS)
-        self._folder.cleanup()
+        self._processes.stop()
 
     def start_vm(self, vm):
         """Start the process of an entry VM."""
         command = [*self._program, "serve", "--settings", vm.settings]
-        vm.process = self._popen(vm.name, command)
+        vm.process = self._processes.start(vm.name, command)
 
     def cut(self, domain, others):
         """Cut the VMs of a failure domain off from others, and the others from it.
@@ -243,8 +277,7 @@
 
     def log(self, vm):
         """Return the log lines of a VM as objects."""
-        lines = (self.folder / f"{vm.name}.log").read_text().splitlines()
-        return [json.loads(line) for line in lines if line.startswith("{")]
+        return self._processes.log(vm.name)
 
     def _place_targets(self, text):
         targets = {}
@@ -283,15 +316,7 @@
         return str(path)
 
     def _spawn(self, name, module_args):
-        self._popen(name, [sys.executable, "-m", *module_args])
-
-    def _popen(self, name, command):
-        with (self.folder / f"{name}.log").open("ab") as log:
-            process = subprocess.Popen(
-                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL, env=_env()
-            )
-        self._processes.append(process)
-        return process
+        self._processes.start(name, [sys.executable, "-m", *module_args])
 
 
 def call(host, port, method, path, body=None, headers=None, timeout=10.0, source=None):
--- /dev/null
+++ b/standins/slotted_target.py
@@ -0,0 +1,162 @@
+"""Stand-in for a target on the platform: slots, incarnation, faults and a run record.
+
+``POST /switch`` with a JSON map sets: ``work_s`` (seconds that a request takes), ``id``
+(its incarnation), ``shed`` (share of requests refused), ``status`` (of its answers),
+``cut`` (close in the middle of the answer), ``stray`` (an answer to another request
+goes first), ``unsigned`` (no signature), ``encoded`` (an encoding header) and ``lose``
+(run the request and reset). ``GET /record`` tells the runs and the most requests at
+once.
+"""
+
+import json
+from argparse import ArgumentParser
+from hashlib import sha256
+
+import h11
+from curio import TaskGroup, run, sleep, tcp_server
+
+from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
+from heathercleat.platform.names import (
+    DEADLINE_MS,
+    EXPECTED_INSTANCE,
+    NOT_EXECUTED,
+    REQUEST_ID,
+    SIGNATURE,
+    TARGET_LOAD,
+)
+
+MAX_BODY_BYTES = 16 << 20
+
+
+class SlottedTarget:
+    """One target with a number of slots."""
+
+    def __init__(self, instance, slots):
+        self._slots = slots
+        self._running = 0
+        self._most = 0
+        self._runs = []
+        self._shed = 0
+        self._switches = {
+            "id": instance,
+            "work_s": 0.02,
+            "shed": 0.0,
+            "status": 200,
+            "cut": False,
+            "stray": False,
+            "unsigned": False,
+            "encoded": False,
+            "lose": False,
+        }
+
+    async def serve(self, sock, address):
+        """Answer requests on one connection."""
+        stream = HttpStream(sock, h11.SERVER)
+        try:
+            while await self._serve_one(stream):
+                pass
+        except CONNECTION_ERRORS:
+            return
+
+    async def _serve_one(self, stream):
+        head = await stream.next_event()
+        if not isinstance(head, h11.Request):
+            return False
+        body = await read_body(stream, MAX_BODY_BYTES)
+        if head.target == b"/switch":
+            self._switches.update(json.loads(body))
+            await self._send(stream, 200, [], b"")
+        elif head.target == b"/record":
+            record = {"runs": self._runs, "most": self._most, "shed": self._shed}
+            await self._send(stream, 200, [], json.dumps(record).encode())
+        else:
+            await self._serve_request(stream, head, body)
+        return stream.next_cycle()
+
+    async def _serve_request(self, stream, head, body):
+        headers = dict(head.headers)
+        echo = [(REQUEST_ID, headers.get(REQUEST_ID, b""))]
+        if headers.get(EXPECTED_INSTANCE) != self._switches["id"].encode():
+            await self._send(stream, 421, echo, b"")
+            return
+        if self._must_shed():
+            self._shed += 1
+            await self._send(stream, 503, [*echo, (NOT_EXECUTED, b"1")], b"")
+            return
+        self._running += 1
+        self._most = max(self._most, self._running)
+        self._runs.append(
+            [
+                headers[REQUEST_ID].decode(),
+                head.target.decode(),
+                int(headers[DEADLINE_MS]),
+                sha256(body).hexdigest(),
+            ]
+        )
+        try:
+            await sleep(self._switches["work_s"])
+        finally:
+            self._running -= 1
+        await self._answer(stream, echo, body)
+
+    def _must_shed(self):
+        share = self._switches["shed"]
+        total = len(self._runs) + self._shed + 1
+        return self._running >= self._slots or self._shed < share * total
+
+    async def _answer(self, stream, echo, body):
+        load = f"{self._running},0,{self._slots}".encode()
+        headers = [*echo, (TARGET_LOAD, load)]
+        if not self._switches["unsigned"]:
+            headers.append((SIGNATURE, b"signed"))
+        if self._switches["encoded"]:
+            headers.append((b"content-encoding", b"x-other"))
+        if self._switches["lose"]:
+            stream.abort()
+            return
+        if self._switches["stray"]:
+            stray = [(REQUEST_ID, b"another"), (SIGNATURE, b"signed")]
+            await stream.socket.sendall(_raw(200, stray, b"stray"))
+        text = sha256(body).hexdigest().encode()
+        if self._switches["cut"]:
+            data = _raw(200, headers, text)
+            await stream.socket.sendall(data[:-10])
+            stream.abort()
+            return
+        await self._send(stream, self._switches["status"], headers, text)
+
+    async def _send(self, stream, status, headers, body):
+        headers = [*headers, (b"content-length", str(len(body)).encode())]
+        events = [h11.Response(status_code=status, headers=headers)]
+        if body:
+            events.append(h11.Data(data=body))
+        await stream.send(*events, h11.EndOfMessage())
+
+
+def _raw(status, headers, body):
+    """Return the bytes of an answer."""
+    lines = [b"HTTP/1.1 %d X" % status]
+    lines += [name + b": " + value for name, value in headers]
+    lines.append(b"content-length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+async def serve_all(specs):
+    """Serve targets given as ``id=host:port:slots``."""
+    async with TaskGroup() as group:
+        for spec in specs:
+            instance, _, place = spec.partition("=")
+            host, port, slots = place.split(":")
+            target = SlottedTarget(instance, int(slots))
+            await group.spawn(tcp_server, host, int(port), target.serve)
+
+
+def main():
+    """Run targets until killed."""
+    parser = ArgumentParser(description=main.__doc__)
+    parser.add_argument("targets", nargs="+", metavar="ID=HOST:PORT:SLOTS")
+    run(serve_all, parser.parse_args().targets)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/steering_fleet.py
@@ -0,0 +1,243 @@
+"""Starts a store, targets and steering VMs as separate processes on loopback."""
+
+import json
+import os
+import signal
+import sys
+from http.client import HTTPException
+
+from standins.fleet import SUBNET_VARIABLE, Processes, call, wait_for
+
+STORE_PORT = 7000
+TARGET_PORT = 9000
+FRONT_PORT = 8381
+READY_PORT = 8388
+METRICS_PORT = 9464
+INNER_PORTS = [7200, 7215]
+
+
+class SteeringVm:
+    """One VM of the fleet."""
+
+    def __init__(self, name, host, domain, region, settings):
+        self.name = name
+        self.host = host
+        self.domain = domain
+        self.region = region
+        self.settings = settings
+        self.process = None
+
+
+class SteeringFleet:
+    """The processes of one deployment.
+
+    :param config: the operators' document.
+    :param domains: ``{failure domain: region}``.
+    :param vms: ``{failure domain: number of VMs}``.
+    :param targets: ``{id: (service, failure domain, slots)}``.
+    :param subnet: the second number of every IP, to keep fleets apart.
+    :param bounds: texts as in the settings file.
+    """
+
+    def __init__(self, config, domains, vms, targets, subnet, bounds=("grace=6s",)):
+        self._processes = Processes()
+        self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
+        self._domains = domains
+        self._bounds = list(bounds)
+        self.config = config
+        self.store = (f"127.{subnet}.200.1", STORE_PORT)
+        self.targets = targets
+        self.vms = {vm.name: vm for vm in self._place_vms(vms)}
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    def start(self):
+        """Start everything and wait until each VM is ready."""
+        self.start_store()
+        self.start_targets()
+        self.put("op", "config", self.config)
+        for target_id in self.targets:
+            self.announce(target_id)
+        for vm in self.vms.values():
+            self.start_vm(vm)
+        self.wait_ready()
+
+    def start_store(self):
+        """Start the store, empty."""
+        self._spawn("store", "standins.table_store", *map(str, self.store))
+        wait_for(self._store_answers)
+
+    def start_targets(self):
+        """Start every target."""
+        specs = [
+            f"{target_id}={self.target_host(target_id)}:{TARGET_PORT}:{slots}"
+            for target_id, (_, _, slots) in self.targets.items()
+        ]
+        self._spawn("targets", "standins.slotted_target", *specs)
+        for target_id in self.targets:
+            wait_for(lambda each=target_id: self._answers(each))
+
+    def wait_ready(self):
+        """Wait until every VM is ready and knows all others."""
+        count = len(self.vms)
+        for vm in self.vms.values():
+            wait_for(lambda vm=vm: self.is_ready(vm))
+            wait_for(lambda vm=vm: len(self.resolve(vm, "", "")) == count)
+
+    def stop(self):
+        """Kill every process that was started, and wait for it."""
+        self._processes.stop()
+
+    def start_vm(self, vm):
+        """Start the process of a VM."""
+        command = [sys.executable, "-m", "heathercleat", "steer"]
+        command += ["--metrics-port", str(METRICS_PORT)]
+        vm.process = self._processes.start(
+            vm.name, command, HEATHERCLEAT_SETTINGS=vm.settings
+        )
+
+    def stop_vm(self, vm, signum=signal.SIGTERM):
+        """Send a signal to the process of a VM."""
+        vm.process.send_signal(signum)
+
+    def log(self, vm):
+        """Return the log lines of a VM as objects."""
+        return self._processes.log(vm.name)
+
+    def put(self, table, key, document):
+        """Write a row as operators and targets do."""
+        body = json.dumps([table, key, document])
+        assert call(*self.store, "POST", "/put", body)[0] == 200
+
+    def announce(self, target_id, **changes):
+        """Write the entry of a target."""
+        service, domain, slots = self.targets[target_id]
+        entry = {
+            "service": service,
+            "address": f"{self.target_host(target_id)}:{TARGET_PORT}",
+            "zone": domain,
+            "version": "v1",
+            "slots": slots,
+            "state": "ready",
+            "coldRemaining": "0ms",
+            "sequence": 1,
+            **changes,
+        }
+        self.put("servers", target_id, entry)
+
+    def switch_store(self, **switches):
+        """Set faults of the store."""
+        call(*self.store, "POST", "/switch", json.dumps(switches))
+
+    def store_counts(self):
+        """Return the number of calls to the store by path."""
+        return json.loads(call(*self.store, "GET", "/counts")[2])
+
+    def switch_target(self, target_id, **switches):
+        """Set faults of a target."""
+        host = self.target_host(target_id)
+        call(host, TARGET_PORT, "POST", "/switch", json.dumps(switches))
+
+    def record(self, target_id):
+        """Return what a target ran."""
+        host = self.target_host(target_id)
+        return json.loads(call(host, TARGET_PORT, "GET", "/record")[2])
+
+    def runs(self):
+        """Return ``[request id, path, milliseconds, digest]`` of every run."""
+        return [run for each in self.targets for run in self.record(each)["runs"]]
+
+    def target_host(self, target_id):
+        """Return the IP number of a target."""
+        number = list(self.targets).index(target_id)
+        return f"127.{self._subnet}.100.{1 + number}"
+
+    def is_ready(self, vm):
+        """Return whether a VM says that it takes clients."""
+        return self._get(vm, "/v1/ready") == 200
+
+    def resolve(self, vm, region, domain):
+        """Return the addresses that a VM names for a client."""
+        path = f"/v1/resolve?name=a.example&region={region}&zone={domain}"
+        try:
+            status, _, body = call(vm.host, READY_PORT, "GET", path)
+        except (OSError, HTTPException):
+            return []
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def metrics(self, vm):
+        """Return the text of a VM's metrics."""
+        return call(vm.host, METRICS_PORT, "GET", "/metrics")[2].decode()
+
+    def send(self, vm, method, path, request_id, body=None, wait_ms=1000, **headers):
+        """Send a request through a VM and return ``(status, headers, body)``."""
+        sent = {
+            "Host": "a.example",
+            "Request-Id": request_id,
+            "Deadline-Ms": str(wait_ms),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        return call(vm.host, FRONT_PORT, method, path, body, sent)
+
+    def _get(self, vm, path):
+        try:
+            return call(vm.host, READY_PORT, "GET", path)[0]
+        except (OSError, HTTPException):
+            return None
+
+    def _answers(self, target_id):
+        try:
+            return self.record(target_id)
+        except (OSError, HTTPException):
+            return None
+
+    def _store_answers(self):
+        try:
+            return call(*self.store, "GET", "/counts")[0] == 200
+        except (OSError, HTTPException):
+            return False
+
+    def _place_vms(self, counts):
+        for index, (domain, count) in enumerate(counts.items(), start=1):
+            for number in range(1, count + 1):
+                name = f"{domain}-{number}"
+                host = f"127.{self._subnet}.{index}.{number}"
+                region = self._domains[domain]
+                path = self._write_settings(name, host, domain, region)
+                yield SteeringVm(name, host, domain, region, path)
+
+    def _write_settings(self, name, host, domain, region):
+        settings = {
+            "node": name,
+            "ip": host,
+            "zone": domain,
+            "region": region,
+            "zones": self._domains,
+            "listen": {
+                "front": f"{host}:{FRONT_PORT}",
+                "ready": f"{host}:{READY_PORT}",
+                "directory": f"{host}:{READY_PORT}",
+            },
+            "internalPorts": INNER_PORTS,
+            "seeds": [],
+            "limits": {"cpuShare": 1.0, "memoryMb": 300, "linkMbps": 1000.0},
+            "heartbeat": "1500ms",
+            "bounds": self._bounds,
+            "platform": {"address": f"{self.store[0]}:{self.store[1]}"},
+        }
+        path = self._processes.folder / f"{name}.yaml"
+        # JSON is YAML as well.
+        path.write_text(json.dumps(settings, indent=1))
+        return str(path)
+
+    def _spawn(self, name, module, *args):
+        self._processes.start(name, [sys.executable, "-m", module, *args])
--- /dev/null
+++ b/standins/table_store.py
@@ -0,0 +1,185 @@
+"""Stand-in for the platform's store: rows, changes, conditions and faults, in memory.
+
+``POST /switch`` with a JSON map sets faults: ``down`` (``busy``, ``silent``, ``reset``
+or null), ``slow_s`` (seconds before each answer), ``lose_replies`` (how many writes
+take effect without an answer), ``refused`` (IP numbers that get 503) and ``history``
+(how many changes are kept). ``POST /put`` with ``[table, key, document]`` writes a row
+as operators and targets do; a document of null removes it. ``GET /counts`` tells the
+calls.
+"""
+
+import json
+from argparse import ArgumentParser
+from base64 import b64decode, b64encode
+from urllib.parse import parse_qs, urlsplit
+
+import h11
+from curio import run, sleep, tcp_server
+
+from heathercleat.connection.http import HttpStream, Message, serve_messages
+from heathercleat.platform.names import (
+    FEED_PATH,
+    OPERATOR_TABLE,
+    READ_PATH,
+    TARGET_TABLE,
+    TRANSACT_PATH,
+)
+
+MAX_BODY_BYTES = 1 << 20
+POLL_SECONDS = 0.01
+FOREVER = 3600.0
+_READ_ONLY = (OPERATOR_TABLE, TARGET_TABLE)
+
+
+class TableStoreStandin:
+    """All rows, and the changes in their order."""
+
+    def __init__(self):
+        self._rows = {}
+        self._changes = []
+        self._version = 0
+        self._counts = {}
+        self._dropped_until = 0
+        self._switches = {
+            "down": None,
+            "slow_s": 0.0,
+            "lose_replies": 0,
+            "refused": [],
+            "history": 1000,
+        }
+
+    async def serve(self, sock, address):
+        """Answer calls on one connection."""
+        stream = HttpStream(sock, h11.SERVER)
+
+        async def handle(message):
+            return await self._handle(stream, address[0], message)
+
+        await serve_messages(stream, handle, MAX_BODY_BYTES)
+
+    async def _handle(self, stream, caller, message):
+        url = urlsplit(message.path)
+        if url.path == "/switch":
+            self._switches.update(json.loads(message.body))
+            self._forget_history()
+            return Message()
+        if url.path == "/put":
+            self._put(*json.loads(message.body))
+            return Message()
+        if url.path == "/counts":
+            return _json(self._counts)
+        self._counts[url.path] = self._counts.get(url.path, 0) + 1
+        failure = await self._fail(stream, caller)
+        if failure is not None:
+            return failure
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        return await self._answer(stream, url.path, query, message)
+
+    async def _fail(self, stream, caller):
+        """Return the answer of a store in trouble, or ``None`` when it is well."""
+        await sleep(self._switches["slow_s"])
+        down = self._switches["down"]
+        if down == "silent":
+            await sleep(FOREVER)
+        if down == "reset":
+            stream.abort()
+        if down is not None or caller in self._switches["refused"]:
+            return Message(status=503)
+        return None
+
+    async def _answer(self, stream, path, query, message):
+        if path == READ_PATH:
+            return self._read(query)
+        if path == FEED_PATH:
+            return await self._feed(query)
+        if path == TRANSACT_PATH:
+            answer = self._transact(json.loads(message.body))
+            if answer.status == 200 and self._switches["lose_replies"]:
+                self._switches["lose_replies"] -= 1
+                stream.abort()
+            return answer
+        return Message(status=404)
+
+    def _read(self, query):
+        start = query.get("from", "")
+        limit = int(query.get("limit", 500))
+        rows = [
+            row
+            for (table, key), row in sorted(self._rows.items())
+            if table == query["table"] and key >= start
+        ]
+        page = rows[:limit]
+        return self._page({"rows": page, "truncated": len(rows) > limit})
+
+    async def _feed(self, query):
+        after, waited = int(query["after"]), 0.0
+        while True:
+            if after < self._dropped_until:
+                return Message(status=410)
+            rows = [
+                row
+                for row in self._changes
+                if row["ver"] > after and row["table"] == query["table"]
+            ]
+            if rows or waited >= int(query["waitMs"]) / 1000:
+                return self._page({"rows": rows})
+            await sleep(POLL_SECONDS)
+            waited += POLL_SECONDS
+
+    def _transact(self, body):
+        for entry in [*body["writes"], *body["remove"]]:
+            if entry["table"] in _READ_ONLY:
+                return Message(status=403)
+        for entry in body["expect"]:
+            row = self._rows.get((entry["table"], entry["key"]))
+            if (row["ver"] if row else 0) != entry["ver"]:
+                return Message(status=412, body=json.dumps({"rows": []}).encode())
+        for entry in body["writes"]:
+            self._write(entry["table"], entry["key"], entry["value"])
+        for entry in body["remove"]:
+            self._write(entry["table"], entry["key"], None)
+        return self._page({})
+
+    def _put(self, table, key, document):
+        value = None
+        if document is not None:
+            value = b64encode(json.dumps(document).encode()).decode()
+        self._write(table, key, value)
+
+    def _write(self, table, key, value):
+        self._version += 1
+        row = {"table": table, "part": "", "key": key, "ver": self._version}
+        if value is None:
+            self._rows.pop((table, key), None)
+            row["tombstone"] = True
+        else:
+            b64decode(value, validate=True)
+            row["value"] = value
+            self._rows[table, key] = row
+        self._changes.append(row)
+        self._forget_history()
+
+    def _forget_history(self):
+        while len(self._changes) > self._switches["history"]:
+            self._dropped_until = self._changes.pop(0)["ver"]
+
+    def _page(self, fields):
+        return _json({**fields, "ver": self._version, "now": "0ms"})
+
+
+def _json(document):
+    body = json.dumps(document).encode()
+    return Message(headers={"content-type": "application/json"}, body=body)
+
+
+def main():
+    """Run the stand-in on one address."""
+    parser = ArgumentParser(description=main.__doc__)
+    parser.add_argument("host")
+    parser.add_argument("port", type=int)
+    args = parser.parse_args()
+    run(tcp_server, args.host, args.port, TableStoreStandin().serve)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_steering_path.py
@@ -0,0 +1,257 @@
+import signal
+import socket
+import threading
+import time
+from hashlib import sha256
+
+import pytest
+
+from standins.fleet import wait_for
+from standins.steering_fleet import FRONT_PORT, SteeringFleet
+from tests.platform_samples import config
+
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+TARGETS = {
+    "i-1": ("s1", "north-a", 2),
+    "i-2": ("s1", "north-b", 2),
+    "i-3": ("s1", "south-a", 2),
+    "i-4": ("s2", "north-a", 2),
+}
+
+
+@pytest.fixture
+def fleet():
+    with SteeringFleet(
+        config(), DOMAINS, dict.fromkeys(DOMAINS, 1), TARGETS, subnet=31
+    ) as started:
+        yield started
+
+
+@pytest.fixture
+def vm(fleet):
+    return fleet.vms["north-a-1"]
+
+
+def together(count, send):
+    """Return the results of ``send(number)`` for ``count`` numbers at once."""
+    results = [None] * count
+
+    def run(number):
+        results[number] = send(number)
+
+    threads = [threading.Thread(target=run, args=(each,)) for each in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return results
+
+
+def test_requests_reach_targets_unchanged(fleet, vm):
+    body = b"x" * 100_000
+    status, headers, answer = fleet.send(vm, "POST", "/one/a?b=c", "q1", body)
+    assert status == 200
+    assert headers["response-signature"] == "signed"
+    assert answer == sha256(body).hexdigest().encode()
+    ((request_id, path, left, digest),) = fleet.runs()
+    assert (request_id, path) == ("q1", "/one/a?b=c")
+    assert digest == sha256(body).hexdigest()
+    assert 0 < left <= 1000
+
+
+def test_unknown_route_is_refused(fleet, vm):
+    assert fleet.send(vm, "GET", "/other", "q1")[0] == 404
+
+
+def test_no_target_runs_more_than_its_slots_whoever_sends(fleet):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=0.1)
+    vms = list(fleet.vms.values())
+
+    def send(number):
+        vm = vms[number % len(vms)]
+        return fleet.send(vm, "GET", "/one/two/x", f"q{number}", wait_ms=3000)[0]
+
+    statuses = together(24, send)
+    assert set(statuses) <= {200, 503}
+    assert statuses.count(200) >= 6
+    records = [fleet.record(each) for each in TARGETS]
+    assert max(each["most"] for each in records) <= 2
+    assert sum(each["shed"] for each in records) == 0
+
+
+def test_route_with_regions_is_served_nowhere_else(fleet):
+    statuses = together(
+        12,
+        lambda number: fleet.send(
+            fleet.vms["south-a-1"], "POST", "/one/x", f"q{number}", b"b"
+        )[0],
+    )
+    assert 200 in statuses
+    assert fleet.record("i-3")["runs"] == []
+
+
+@pytest.mark.parametrize("fault", ["cut", "unsigned", "encoded", "lose"])
+def test_broken_answer_to_an_unsafe_request_is_a_failure_and_never_repeated(
+    fleet, vm, fault
+):
+    for each in TARGETS:
+        fleet.switch_target(each, **{fault: True})
+    status, headers, _ = fleet.send(vm, "POST", "/one/x", "q1", b"b")
+    assert status == 502
+    assert "response-signature" not in headers
+    assert len(fleet.runs()) == 1
+
+
+@pytest.mark.parametrize("fault", ["cut", "unsigned", "lose"])
+def test_broken_answer_to_a_safe_request_is_repeated_elsewhere(fleet, vm, fault):
+    fleet.switch_target("i-1", **{fault: True})
+    for number in range(4):
+        assert fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] == 200
+
+
+def test_stray_answer_is_not_taken_for_the_own_one(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, stray=True)
+    for number in range(4):
+        status, headers, answer = fleet.send(vm, "GET", "/one/two/x", f"q{number}")
+        assert status == 200
+        assert headers["request-id"] == f"q{number}"
+        assert answer == sha256(b"").hexdigest().encode()
+
+
+def test_refusal_of_a_target_is_tried_elsewhere(fleet, vm):
+    fleet.switch_target("i-1", shed=1.0)
+    for number in range(5):
+        assert fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] == 200
+
+
+def test_replaced_target_never_runs_the_request(fleet, vm):
+    fleet.switch_target("i-1", id="i-9")
+    for number in range(5):
+        assert fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] == 200
+    assert fleet.record("i-1")["runs"] == []
+
+
+def test_full_targets_refuse_at_once_and_say_when_to_come_back(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=1.5)
+    answers = together(
+        12, lambda number: fleet.send(vm, "GET", "/one/two/x", f"q{number}", None, 900)
+    )
+    refused = [headers for status, headers, _ in answers if status == 503]
+    assert refused
+    assert all(0 < float(headers["retry-after"]) <= 0.3 for headers in refused)
+
+
+def test_request_past_its_routes_timeout_gets_its_answer(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=5.0)
+    begun = time.monotonic()
+    status, _, _ = fleet.send(vm, "GET", "/one/two/x", "q1", wait_ms=8000)
+    assert status == 504
+    assert time.monotonic() - begun < 4.0
+
+
+def test_client_that_leaves_frees_the_slot(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=30.0)
+    head = b"GET /one/two/x HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 30000\r\n\r\n"
+    with socket.create_connection((vm.host, FRONT_PORT)) as sock:
+        sock.sendall(head)
+        wait_for(lambda: 'requests_under_way"} 1.0' in fleet.metrics(vm))
+    wait_for(lambda: 'requests_under_way"} 0.0' in fleet.metrics(vm), seconds=5)
+
+
+def test_evacuated_domain_gets_nothing_until_it_is_taken_back(fleet, vm):
+    fleet.put("op", "evacuate/north-a", {})
+    wait_for(lambda: fleet.send(vm, "POST", "/one/x", "before", b"")[0] == 200)
+    wait_for(
+        lambda: any(line["name"] == "evacuation_changed" for line in fleet.log(vm))
+    )
+    runs = len(fleet.record("i-1")["runs"])
+    for number in range(6):
+        fleet.send(vm, "GET", "/one/two/x", f"q{number}")
+    assert len(fleet.record("i-1")["runs"]) == runs
+    fleet.put("op", "evacuate/north-a", None)
+
+    def served_there():
+        fleet.send(vm, "GET", "/one/two/x", "again")
+        return len(fleet.record("i-1")["runs"]) > runs
+
+    wait_for(served_there)
+
+
+def test_new_configuration_comes_into_force(fleet, vm):
+    changed = config("r9")
+    changed["hosts"][0]["paths"][0]["prefix"] = "/new/"
+    fleet.put("op", "config", changed)
+    wait_for(lambda: fleet.send(vm, "POST", "/new/x", "q1", b"")[0] == 200)
+    assert fleet.send(vm, "POST", "/one/x", "q2", b"")[0] == 404
+
+
+def test_configuration_that_does_not_decode_changes_nothing(fleet, vm):
+    fleet.put("op", "config", {"version": "r9"})
+    wait_for(
+        lambda: any(line["name"] == "configuration_rejected" for line in fleet.log(vm))
+    )
+    assert fleet.send(vm, "POST", "/one/x", "q1", b"")[0] == 200
+
+
+@pytest.mark.parametrize("down", ["busy", "reset", "silent"])
+def test_store_that_is_away_stops_nothing(fleet, vm, down):
+    fleet.switch_store(down=down)
+    wait_for(lambda: any(line["name"] == "store_lost" for line in fleet.log(vm)))
+    for number in range(5):
+        assert fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] == 200
+
+
+def test_history_that_was_dropped_is_read_anew(fleet, vm):
+    fleet.switch_store(history=1)
+    for number in range(5):
+        fleet.announce("i-1", sequence=number)
+    fleet.put("op", "config", config("r9"))
+    wait_for(lambda: '"configuration"} 9.0' in fleet.metrics(vm))
+
+
+def test_vm_that_the_store_turns_away_learns_from_another(fleet, vm):
+    fleet.switch_store(refused=[vm.host])
+    wait_for(lambda: any(line["name"] == "store_lost" for line in fleet.log(vm)))
+    fleet.put("op", "config", config("r9"))
+    wait_for(lambda: '"configuration"} 9.0' in fleet.metrics(vm))
+
+
+def test_killed_vm_is_named_no_more_and_its_targets_are_taken_over(fleet, vm):
+    fleet.stop_vm(vm, signal.SIGKILL)
+    other = fleet.vms["north-b-1"]
+    wait_for(lambda: f"{vm.host}:{FRONT_PORT}" not in fleet.resolve(other, "", ""))
+    wait_for(lambda: fleet.send(other, "GET", "/one/two/x", "q1")[0] == 200)
+    statuses = {
+        fleet.send(other, "POST", "/one/x", f"q{number}", b"")[0]
+        for number in range(10)
+    }
+    assert statuses == {200}
+
+
+def test_planned_stop_cuts_no_request(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=0.8)
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(fleet.send(vm, "POST", "/one/x", "q1", b"")[0])
+    )
+    thread.start()
+    wait_for(lambda: fleet.runs())
+    fleet.stop_vm(vm)
+    thread.join()
+    assert answers == [200]
+    assert vm.process.wait(10) == 0
+
+
+def test_lookup_names_the_vms_of_the_clients_region(fleet, vm):
+    near = fleet.resolve(vm, "north", "north-a")
+    assert sorted(near) == [
+        f"{fleet.vms[name].host}:{FRONT_PORT}" for name in ("north-a-1", "north-b-1")
+    ]
+    far = fleet.resolve(vm, "south", "south-a")
+    assert far == [f"{fleet.vms['south-a-1'].host}:{FRONT_PORT}"]
