--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/admission.py
@@ -4,7 +4,6 @@
 from curio.errors import TaskTimeout
 
 from heathercleat.steering.process.queue import ServiceQueue, Waiter
-from heathercleat.version.hashing import weight
 
 
 class Admission:
@@ -23,6 +22,10 @@
         queue = self._queues.get(service)
         return len(queue.waiters) if queue else 0
 
+    def room(self, target, now):
+        """Return the slots of an owned target that another VM may hope for."""
+        return 0 if self.waiting(target.entry.service) else target.free(now)
+
     def expected_wait(self, service):
         """Return the seconds that a new waiter would wait, ``None`` without a slot."""
         now = self._clock.now()
@@ -39,7 +42,7 @@
     async def acquire(self, call, preferred, avoid, until):
         """Return a :class:`Use`, or ``None`` when no slot came free in time.
 
-        :param preferred: id of the target to use if it is free, or ``None``.
+        :param preferred: ids of the targets to use if they are free, the best first.
         :param avoid: ids of targets not to use.
         :param until: instant at which to give up waiting.
         """
@@ -49,7 +52,7 @@
             use = self._try(waiter)
             if use is not None:
                 return use
-        if until <= self._clock.now() or not self._has_slots(call.service):
+        if until <= self._clock.now() or self.expected_wait(call.service) is None:
             return None
         queue.waiters.append(waiter)
         await self.pump(call.service)
@@ -72,26 +75,28 @@
         await self.pump(service)
 
     async def pump(self, service):
-        """Give free slots to the waiters of a service, in order."""
+        """Give free slots to the waiters of a service."""
         queue = self._queue(service)
         if not queue.waiters:
             return
-        for waiter in queue.in_order(self._clock.now()):
-            use = self._try(waiter)
-            if use is None:
-                continue
-            queue.waiters.remove(waiter)
-            waiter.permit = use
-            await waiter.signal.set()
+        for target in self._ledger.of_service(service):
+            await self._fill(queue, target)
 
     async def pump_all(self):
         """Give out the slots that came free by the passing of time."""
         for service in list(self._queues):
             await self.pump(service)
 
-    def _has_slots(self, service):
-        """Return whether a slot may come free at all."""
-        return self.expected_wait(service) is not None
+    async def _fill(self, queue, target):
+        """Give the free slots of a target to waiters."""
+        now = self._clock.now()
+        while queue.waiters and target.free(now):
+            waiter = queue.next_for(target.entry.id, now)
+            if waiter is None:
+                return
+            queue.waiters.remove(waiter)
+            waiter.permit = target.take(now)
+            await waiter.signal.set()
 
     async def _wait(self, waiter, until):
         """Wait for a turn; a client that leaves ends it as well."""
@@ -108,7 +113,7 @@
             waiter.call.on_leave = None
 
     def _try(self, waiter):
-        """Take a free slot: of the preferred target, else by affinity."""
+        """Take a free slot, of the target that knows the object best."""
         now = self._clock.now()
         free = [
             target
@@ -117,13 +122,11 @@
         ]
         if not free:
             return None
-        for target in free:
-            if target.entry.id == waiter.preferred:
-                return target.take(now)
-        key = waiter.call.affinity
-        if key is None:
-            return max(free, key=lambda each: each.free(now)).take(now)
-        return max(free, key=lambda each: weight(key, each.entry.id)).take(now)
+
+        def order(target):
+            return waiter.place(target.entry.id), -target.free(now)
+
+        return min(free, key=order).take(now)
 
     def _queue(self, service):
         queue = self._queues.get(service)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -24,6 +24,7 @@
 from heathercleat.steering.process.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.owners import Owners
+from heathercleat.steering.process.pressure import Pressure
 from heathercleat.steering.process.record import RequestRecord
 from heathercleat.steering.process.registry import TargetRegistry
 from heathercleat.steering.process.rooms import RoomView
@@ -102,6 +103,7 @@
         self._admission = Admission(self._ledger, clock)
         self._rooms = RoomView(clock)
         self._work_times = WorkTimes()
+        self._pressure = Pressure()
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
         self._gossip = Gossip(
             settings, self._members, self._rooms, self._compose_beat, journal, clock
@@ -152,6 +154,7 @@
             self._gossip.trip,
             self._budget,
             self._work_times,
+            self._pressure,
             journal,
             clock,
         )
@@ -360,7 +363,7 @@
     def _compose_beat(self, interval):
         own, now = self._members.own, self.clock.now()
         rooms = [
-            [target.entry.id, target.free(now), target.entry.slots]
+            [target.entry.id, self._admission.room(target, now), target.entry.slots]
             for target in self._ledger.all()
         ]
         waits = [
--- a/src/heathercleat/steering/process/queue.py
+++ b/src/heathercleat/steering/process/queue.py
@@ -8,7 +8,11 @@
 
 
 class Waiter:
-    """A request in a queue; ``permit`` is set when its turn comes."""
+    """A request in a queue; ``permit`` is set when its turn comes.
+
+    :param preferred: ids of the targets that know its object, the best first.
+    :param avoid: ids of targets not to use.
+    """
 
     __slots__ = ("call", "preferred", "avoid", "signal", "permit")
 
@@ -19,16 +23,23 @@
         self.signal = Signal()
         self.permit = None
 
-    def rank(self, now, hold):
-        """Return the order of service, the lowest first.
+    def place(self, target_id):
+        """Return how well a target knows the object: 0 is best."""
+        if target_id in self.preferred:
+            return self.preferred.index(target_id)
+        return len(self.preferred)
+
+    def rank(self, now, hold, target_id):
+        """Return the order in which waiters get a slot of a target, the lowest first.
 
-        A request that came back after a refusal goes first: refused again it is lost.
-        One that cannot be answered within its aim goes last. Then come the more urgent
-        route and the earlier aim.
+        One that cannot be answered within its aim goes last. One that came back after a
+        refusal goes first: refused again it is lost. Then come the more urgent route,
+        the one whose object the target knows, and the earlier aim.
         """
         call = self.call
         late = now + hold > call.aim_at
-        return late, not call.returned, call.route.priority, call.aim_at
+        known = self.place(target_id)
+        return late, not call.returned, call.route.priority, known, call.aim_at
 
 
 class ServiceQueue:
@@ -49,9 +60,14 @@
         """Take the time for which a request held its slot."""
         self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
 
-    def in_order(self, now):
-        """Return the waiters, the next one first."""
-        return sorted(self.waiters, key=lambda each: each.rank(now, self._mean_hold))
+    def next_for(self, target_id, now):
+        """Return the waiter that gets a free slot of a target, or ``None``."""
+        willing = [each for each in self.waiters if target_id not in each.avoid]
+        return min(
+            willing,
+            key=lambda each: each.rank(now, self._mean_hold, target_id),
+            default=None,
+        )
 
     def expected_wait(self, slots):
         """Return the seconds that a new waiter would wait for one of ``slots``."""
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -53,7 +53,7 @@
             call.route.priority,
             call.affinity,
             call.returned,
-            preferred,
+            list(preferred),
             list(avoid),
             call.deadline - now,
             call.aim_at - now,
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -38,7 +38,7 @@
     async def run(self, call, preferred, avoid, until):
         """Return the :class:`TryResult` of one try.
 
-        :param preferred: id of the target to use if it is free, or ``None``.
+        :param preferred: ids of the targets to use if they are free, the best first.
         :param avoid: ids of targets not to use.
         :param until: instant at which to give up waiting for a slot.
         """
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -5,6 +5,12 @@
 #: Bytes of a body from which a target in the own failure domain goes before one that
 #: knows the object: crossing twice with a larger body costs more than the work saved.
 LARGE_BODY = 16 << 10
+#: Targets of a region that get the requests for one object as long as they have room:
+#: with one, popular objects overload it; with many, each target sees every object and
+#: keeps none.
+HOMES_OF_OBJECT = 3
+#: Part of the work time that a target loses which does not know the object.
+UNKNOWN_COST = 0.5
 #: Part of a region's slots that stay free for its own clients when others ask.
 RESERVED_SHARE = 0.15
 #: Seconds of waiting that are worth it to stay here: a forwarded request crosses the
@@ -13,13 +19,20 @@
 
 
 class Place:
-    """A target with a free slot, or a VM to wait at when ``target`` is ``None``."""
+    """A target with a free slot, or a VM to wait at when ``target`` is ``None``.
 
-    __slots__ = ("vm", "target", "remote")
+    :param vm: name of the owner.
+    :param preferred: ids of the targets of the region that know the object of the
+        request, the best first.
+    :param remote: whether it lies in another region.
+    """
+
+    __slots__ = ("vm", "target", "preferred", "remote")
 
-    def __init__(self, vm, target, remote):
+    def __init__(self, vm, target, preferred, remote):
         self.vm = vm
         self.target = target
+        self.preferred = preferred
         self.remote = remote
 
 
@@ -80,21 +93,38 @@
             return None
         return self._best_far(call, far, now, self._near_wait(call, near))
 
-    def waiting(self, call, avoid_vms):
-        """Return the :class:`Place` of this region with the shortest wait, or ``None``.
+    def waiting(self, call, avoid, avoid_vms):
+        """Return the :class:`Place` of this region to wait at, or ``None``.
 
-        The wait is ``None`` where an owner's targets are all out of service.
+        It is the one with the shortest wait, where a target that does not know the
+        object counts as a longer one. The wait is ``None`` where an owner's targets are
+        all out of service.
         """
-        own = self._members.own.vm
-        best, shortest = None, None
-        for vm in self._near_owners(call, avoid_vms):
-            wait = self._wait(vm, call.service)
-            if wait is None:
-                continue
-            cost = wait if vm == own else wait + FORWARD_COST
-            if shortest is None or cost < shortest:
-                best, shortest = vm, cost
-        return None if best is None else Place(best, None, False)
+        near = [
+            (entry, owner, 0)
+            for entry, owner in self._candidates(call, avoid, avoid_vms)
+            if self._is_near(entry)
+        ]
+        preferred = self._preferred(call, near)
+        costs = {}
+        for entry, owner, _ in near:
+            cost = self._waiting_cost(call, entry, owner, preferred)
+            if cost is not None:
+                costs[owner] = min(cost, costs.get(owner, cost))
+        if not costs:
+            return None
+        return Place(min(costs, key=costs.get), None, preferred, False)
+
+    def _waiting_cost(self, call, entry, owner, preferred):
+        """Return the seconds that waiting at an owner costs, or ``None``."""
+        wait = self._wait(owner, call.service)
+        if wait is None:
+            return None
+        if owner != self._members.own.vm:
+            wait += FORWARD_COST
+        if preferred and entry.id not in preferred:
+            wait += UNKNOWN_COST * self._work_times.of(call.route.name)
+        return wait
 
     def expected_wait(self, call):
         """Return the shortest known wait in this region in seconds, or ``None``."""
@@ -142,15 +172,32 @@
         if len(call.body) >= LARGE_BODY:
             here = self._members.own.failure_domain
             free = [each for each in free if each[0].failure_domain == here] or free
-        entry, owner, _ = max(free, key=lambda each: self._preference(call, each))
-        return Place(owner, entry.id, False)
-
-    def _preference(self, call, candidate):
-        """Return the order among near targets with room."""
+        return self._place(call, near, free, False)
+
+    def _place(self, call, candidates, free, remote):
+        """Return the :class:`Place` of the best free target of a region."""
+        preferred = self._preferred(call, candidates)
+        entry, owner, _ = min(free, key=lambda each: self._order(each, preferred))
+        return Place(owner, entry.id, preferred or (entry.id,), remote)
+
+    def _preferred(self, call, candidates):
+        """Return the ids of the targets that know the object, the best first."""
+        if call.affinity is None or not call.route.sticky:
+            return ()
+        ranked = sorted(
+            (entry.id for entry, _, _ in candidates),
+            key=lambda target_id: weight(call.affinity, target_id),
+            reverse=True,
+        )
+        return tuple(ranked[:HOMES_OF_OBJECT])
+
+    def _order(self, candidate, preferred):
+        """Return the order among free targets, the lowest first."""
         entry, owner, free = candidate
-        if call.affinity is not None and call.route.sticky:
-            return weight(call.affinity, entry.id)
-        return owner == self._members.own.vm, free / entry.slots
+        known = len(preferred)
+        if entry.id in preferred:
+            known = preferred.index(entry.id)
+        return known, owner != self._members.own.vm, -free / entry.slots
 
     def _best_far(self, call, far, now, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
@@ -161,7 +208,7 @@
         for entry, owner, free in far:
             region = self._members.region_of(entry.failure_domain)
             regions.setdefault(region, []).append((entry, owner, free))
-        best, most = None, 0.0
+        best, region, most = None, None, 0.0
         for candidates in regions.values():
             slots = sum(each[0].slots for each in candidates)
             room = sum(each[2] for each in candidates) - RESERVED_SHARE * slots
@@ -169,11 +216,10 @@
                 each for each in candidates if self._helps(call, each, now, near_wait)
             ]
             if room > most and useful:
-                best, most = useful, room
+                best, region, most = useful, candidates, room
         if best is None:
             return None
-        entry, owner, _ = max(best, key=lambda each: self._preference(call, each))
-        return Place(owner, entry.id, True)
+        return self._place(call, region, best, True)
 
     def _helps(self, call, candidate, now, near_wait):
         """Return whether a request is answered in time there, or sooner than here."""
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -10,8 +10,9 @@
 #: Part of the latency aim for which a first request waits for a slot at most: a refusal
 #: within a quarter of it can still be answered in time when the client comes back.
 FIRST_PATIENCE = 0.2
-#: Part of its remaining time for which a request waits that came back after a refusal:
-#: a second refusal loses it, and a late answer is worth something.
+#: Part of its remaining time for which a request waits that came back after a refusal,
+#: while its service is not overloaded: a second refusal loses it, and a late answer is
+#: worth something. In overload those in time take every slot, and waiting is in vain.
 RETURNED_PATIENCE = 0.8
 #: Seconds after which a request that waits looks for room elsewhere again.
 WAIT_SLICE = 0.08
@@ -41,6 +42,7 @@
     :param trip: returns the round trip to a VM in seconds.
     :param budget: returns the :class:`RetryBudget` of a service.
     :param work_times: the :class:`WorkTimes`.
+    :param pressure: the :class:`Pressure`.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         trip,
         budget,
         work_times,
+        pressure,
         journal,
         clock,
     ):
@@ -66,6 +69,7 @@
         self._trip = trip
         self._budget = budget
         self._work_times = work_times
+        self._pressure = pressure
         self._journal = journal
         self._clock = clock
 
@@ -122,7 +126,7 @@
             return place
         if now >= self._patient_until:
             return None
-        return places.waiting(self._call, self._avoid_vms)
+        return places.waiting(self._call, self._avoid, self._avoid_vms)
 
     def _spend_repeat(self, now):
         budget = self._steering._budget(self._call.service)
@@ -142,12 +146,12 @@
         own = steering._members.own.vm
         until = min(self._until(place, now), call.deadline)
         if place.vm == own:
-            return await steering._local.run(call, place.target, self._avoid, until)
+            return await steering._local.run(call, place.preferred, self._avoid, until)
         member = steering._members.live(place.vm)
         trip = steering._trip(place.vm)
         steering._rooms.sent(place.target)
         result = await steering._forward.run(
-            call, member.ip, place.target, self._avoid, until, trip
+            call, member.ip, place.preferred, self._avoid, until, trip
         )
         if result.end is not End.NOT_SENT:
             steering._rooms.done(place.target)
@@ -155,19 +159,19 @@
 
     def _until(self, place, now):
         """Return the instant until which the request may wait for a slot there."""
-        if place.target is None:
-            here = place.vm == self._steering._members.own.vm
-            length = WAIT_SLICE if here else FORWARDED_SLICE
-            return min(self._patient_until, now + length)
-        return now + STALE_PATIENCE
+        if place.remote:
+            return now + STALE_PATIENCE
+        here = place.vm == self._steering._members.own.vm
+        until = now + (WAIT_SLICE if here else FORWARDED_SLICE)
+        return max(now + STALE_PATIENCE, min(self._patient_until, until))
 
     def _patience(self):
         """Return the instant at which the request is given up without a slot."""
-        call = self._call
+        call, steering = self._call, self._steering
         first = call.arrived_at + FIRST_PATIENCE * call.route.latency_aim
-        if not call.returned:
+        if not call.returned or steering._pressure.is_overloaded(call.service):
             return first
-        work = self._steering._work_times.of(call.route.name)
+        work = steering._work_times.of(call.route.name)
         remaining = call.deadline - call.arrived_at
         longest = min(RETURNED_PATIENCE * remaining, remaining - work)
         return max(first, call.arrived_at + longest)
@@ -182,6 +186,7 @@
             self._take_unsent(place, result)
             return None
         self._sends += 1
+        self._steering._pressure.observe(self._call.service, False)
         self._steering._shift.count(place.remote)
         if result.end is End.REFUSED:
             return None
@@ -241,6 +246,7 @@
         if self._runs:
             message = f"no whole answer: {self._last_reason}"
             raise RequestError(ResultCode.ANSWER_LOST, message)
+        self._steering._pressure.observe(self._call.service, not self._sends)
         wait = self._return_after()
         reason = self._last_reason or "no free slot within reach"
         raise RequestError(ResultCode.NO_ROOM, reason, retry_at=wait)
