--- /dev/null
+++ b/tests/test_steer.py
@@ -0,0 +1,224 @@
+import pytest
+from curio import run
+
+from heathercleat import ResultCode
+from heathercleat.errors import CallerLeftError, RequestError
+from heathercleat.steering.process.admission import Admission
+from heathercleat.steering.process.budget import RetryBudget
+from heathercleat.steering.process.pressure import Pressure
+from heathercleat.steering.process.rooms import RoomView
+from heathercleat.steering.process.shift import ShiftLimit
+from heathercleat.steering.process.work import WorkTimes
+from heathercleat.steering.request.answer import Answer, End, TryResult
+from heathercleat.steering.request.places import Places
+from heathercleat.steering.request.steer import Steering
+from heathercleat.steering.version.routing import Kind
+from tests.steering_parts import Parts, beat, call, entry, route
+
+
+class ScriptedTry:
+    """Answers tries with the next results of a list; records where they went."""
+
+    def __init__(self, clock, results):
+        self.clock = clock
+        self.results = list(results)
+        self.tried = []
+
+    async def run(self, call, *where):
+        self.tried.append(where)
+        self.clock.time += 0.01
+        result = self.results.pop(0)
+        if callable(result):
+            return result(call)
+        return result
+
+
+def answered(status=200, target="t1"):
+    return TryResult(End.ANSWERED, Answer(status, [], b""), target, 0.01)
+
+
+def ended(end, target="t1", reason="why"):
+    return TryResult(end, target=target, reason=reason)
+
+
+def no_slot():
+    return TryResult(End.NOT_SENT, reason="no free slot", wait=0.01)
+
+
+class Scene:
+    """Steering with scripted tries at own and at other VMs' targets."""
+
+    def __init__(self, results, entries=None, forwarded=(), slack=60.0):
+        entries = entries or [entry(f"t{number}") for number in range(1, 4)]
+        self.parts = Parts(entries)
+        clock, members = self.parts.clock, self.parts.members
+        self.local = ScriptedTry(clock, results)
+        self.forward = ScriptedTry(clock, forwarded)
+        self.rooms = RoomView(clock)
+        self.shift = ShiftLimit(0.15, clock)
+        self.work_times = WorkTimes()
+        self.budget = RetryBudget(0.0, slack, 10.0, lambda: 1)
+        places = Places(
+            members,
+            self.parts.registry,
+            self.parts.owners,
+            self.parts.ledger,
+            Admission(self.parts.ledger, clock),
+            self.rooms,
+            self.shift,
+            lambda vm: 0.11,
+            self.work_times,
+            clock,
+        )
+        self.steering = Steering(
+            places,
+            self.local,
+            self.forward,
+            members,
+            self.rooms,
+            self.shift,
+            lambda vm: 0.11,
+            lambda service: self.budget,
+            self.work_times,
+            Pressure(),
+            self.parts.journal,
+            clock,
+        )
+
+    def run(self, made):
+        return run(self.steering.run, made)
+
+    def call(self, kind=Kind.SAFE, **fields):
+        return call(self.parts.clock, route(kind, **fields))
+
+
+def test_answer_of_a_target_is_final():
+    scene = Scene([answered(404)])
+    assert scene.run(scene.call()).status == 404
+
+
+@pytest.mark.parametrize("kind", [Kind.UNSAFE, Kind.UPLOAD])
+@pytest.mark.parametrize("end", [End.UNKNOWN, End.TIMED_OUT])
+def test_request_that_may_have_run_is_not_sent_again(kind, end):
+    scene = Scene([ended(end), answered()])
+    with pytest.raises(RequestError) as caught:
+        scene.run(scene.call(kind))
+    assert len(scene.local.tried) == 1
+    assert caught.value.code.status in (502, 504)
+    assert caught.value.retry_at is None
+
+
+@pytest.mark.parametrize("kind", list(Kind))
+def test_request_that_a_target_refused_is_sent_to_another(kind):
+    scene = Scene([ended(End.REFUSED, "t1"), answered(target="t2")])
+    assert scene.run(scene.call(kind)).status == 200
+    assert "t1" in scene.local.tried[1][1]
+
+
+def test_safe_request_without_an_answer_is_sent_again():
+    scene = Scene([ended(End.UNKNOWN), answered(target="t2")])
+    assert scene.run(scene.call()).status == 200
+
+
+def test_safe_request_runs_on_no_more_targets_than_its_route_allows():
+    scene = Scene([ended(End.UNKNOWN, "t1"), ended(End.UNKNOWN, "t2"), answered()])
+    with pytest.raises(RequestError) as caught:
+        scene.run(scene.call(attempts=2))
+    assert caught.value.code is ResultCode.ANSWER_LOST
+    assert len(scene.local.tried) == 2
+
+
+def test_server_error_is_the_answer_when_nothing_better_comes():
+    scene = Scene([answered(500, "t1"), answered(500, "t2")])
+    assert scene.run(scene.call(attempts=2)).status == 500
+
+
+def test_without_budget_a_refused_request_is_given_back_as_not_run():
+    scene = Scene([ended(End.REFUSED), answered()], slack=0.0)
+    with pytest.raises(RequestError) as caught:
+        scene.run(scene.call(Kind.UNSAFE))
+    assert caught.value.code is ResultCode.NO_ROOM
+    assert caught.value.retry_at > scene.parts.clock.now()
+    assert len(scene.local.tried) == 1
+
+
+def test_without_budget_a_safe_request_that_may_have_run_is_not_called_not_run():
+    scene = Scene([ended(End.UNKNOWN), answered()], slack=0.0)
+    with pytest.raises(RequestError) as caught:
+        scene.run(scene.call())
+    assert caught.value.code is ResultCode.ANSWER_LOST
+
+
+def test_try_that_sent_nothing_costs_no_budget():
+    scene = Scene([no_slot(), no_slot(), answered()], slack=0.0)
+    assert scene.run(scene.call()).status == 200
+
+
+def test_request_without_a_slot_is_refused_within_a_quarter_of_its_aim():
+    scene = Scene([no_slot()] * 50)
+    made = scene.call()
+    with pytest.raises(RequestError) as caught:
+        scene.run(made)
+    assert caught.value.code is ResultCode.NO_ROOM
+    assert scene.parts.clock.now() - made.arrived_at <= made.route.latency_aim / 4
+
+
+def test_request_that_came_back_waits_longer():
+    scene = Scene([no_slot()] * 500)
+    for target in scene.parts.ledger.all():
+        while target.free(scene.parts.clock.now()):
+            target.take(scene.parts.clock.now())
+    made = scene.call()
+    made.returned = True
+    with pytest.raises(RequestError):
+        scene.run(made)
+    assert scene.parts.clock.now() - made.arrived_at > made.route.latency_aim / 2
+
+
+def test_request_of_a_client_that_left_is_not_sent_again():
+    def leave(made):
+        made.left = True
+        return ended(End.REFUSED)
+
+    scene = Scene([leave, answered()])
+    with pytest.raises(CallerLeftError):
+        scene.run(scene.call())
+    assert len(scene.local.tried) == 1
+
+
+def far_scene(free, forwarded):
+    """A VM of the north whose own target is full, and a target in the south."""
+    far = entry("t9", domain="south-a", slots=10)
+    scene = Scene([no_slot()] * 50, [entry("t1", slots=1), far], forwarded)
+    scene.parts.members.heard(beat("vm-3", domain="south-a", region="south"))
+    (own,) = scene.parts.ledger.all()
+    own.take(scene.parts.clock.now())
+    scene.rooms.report("vm-3", [["t9", free, 10]], [["s1", 0.0]])
+    return scene
+
+
+def test_request_moves_to_a_region_with_room():
+    scene = far_scene(10, [answered(target="t9")])
+    assert scene.run(scene.call()).status == 200
+    assert len(scene.forward.tried) == 1
+
+
+def test_last_slots_of_a_region_are_left_to_its_own_clients():
+    scene = far_scene(1, [answered(target="t9")])
+    with pytest.raises(RequestError):
+        scene.run(scene.call())
+    assert scene.forward.tried == []
+
+
+def test_request_stays_in_the_regions_of_its_route():
+    scene = far_scene(10, [answered(target="t9")])
+    with pytest.raises(RequestError):
+        scene.run(scene.call(regions=["north"]))
+    assert scene.forward.tried == []
+
+
+def test_vm_that_cannot_be_reached_is_not_asked_again():
+    scene = far_scene(10, [TryResult(End.NOT_SENT, reason="VM: refused")])
+    with pytest.raises(RequestError):
+        scene.run(scene.call())
+    assert len(scene.forward.tried) == 1
