--- a/src/heathercleat/connection/pool.py
+++ b/src/heathercleat/connection/pool.py
@@ -85,6 +85,16 @@
         kept = _Kept(stream, now, expires_at)
         self._idle.setdefault((host, port), deque()).append(kept)
 
+    async def keep_new(self, host, port, stream):
+        """Keep a connection on which nothing was sent yet."""
+        now = self._clock.now()
+        kept = _Kept(stream, now, now + self._idle_seconds)
+        self._idle.setdefault((host, port), deque()).append(kept)
+
+    def idle_count(self, host, port):
+        """Return the number of idle connections to an address."""
+        return len(self._idle.get((host, port), ()))
+
     async def discard(self, host, port, stream):
         """Close a connection for good."""
         self._open[host, port] -= 1
--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -68,7 +68,7 @@
         now = self._clock.now()
         passed = [each for each in end_to_end(headers) if each[0] != b"content-length"]
         call = call_of(order, head, passed, body, self._stream, now)
-        until = now + order.patience
+        until = now + order.wait_for
         with self._leavers.watch(call):
             avoid = frozenset(order.avoid)
             result = await self._local.run(call, order.preferred, avoid, until)
--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/admission.py
@@ -56,7 +56,7 @@
             use = self._try(waiter)
             if use is not None:
                 return use
-        if not self._may_wait(call.service, until):
+        if until <= self._clock.now() or self._is_hopeless(call):
             return None
         queue.waiters.append(waiter)
         await self.pump(call.service)
@@ -91,11 +91,10 @@
         for service in list(self._queues):
             await self.pump(service)
 
-    def _may_wait(self, service, until):
-        """Return whether a slot may come free before the instant ``until``."""
-        wait = self.expected_wait(service)
-        now = self._clock.now()
-        return wait is not None and until > now and now + wait <= until + SLACK
+    def _is_hopeless(self, call):
+        """Return whether no slot will come free while the request is patient."""
+        wait = self.expected_wait(call.service)
+        return wait is None or self._clock.now() + wait > call.patient_until + SLACK
 
     async def _fill(self, queue, target):
         """Give the free slots of a target to waiters."""
--- a/src/heathercleat/steering/process/gossip.py
+++ b/src/heathercleat/steering/process/gossip.py
@@ -24,6 +24,7 @@
     :param interval: seconds until the next one.
     :param rooms: see :meth:`RoomView.report`.
     :param waits: see :meth:`RoomView.report`.
+    :param losses: see :meth:`RoomView.report`.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "target_version",
         "rooms",
         "waits",
+        "losses",
     )
 
     def __init__(self, *fields):
@@ -137,7 +139,7 @@
         self._echoes[beat.vm] = (sent_at, now)
         if echoed is not None:
             self._observe_trip(beat.vm, now - echoed - held)
-        self._rooms.report(beat.vm, beat.rooms, beat.waits)
+        self._rooms.report(beat.vm, beat.rooms, beat.waits, beat.losses)
 
     def _observe_trip(self, vm, seconds):
         mean = self._trips.get(vm, seconds)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -31,6 +31,7 @@
 from heathercleat.steering.process.shift import ShiftLimit
 from heathercleat.steering.process.slots import SlotLedger
 from heathercleat.steering.process.tables import Tables
+from heathercleat.steering.process.warm import WarmConnections
 from heathercleat.steering.process.work import WorkTimes
 from heathercleat.steering.request.call import RepeatDetector
 from heathercleat.steering.request.forward import ForwardTry
@@ -142,6 +143,7 @@
             self._shift,
             self._gossip.trip,
             self._work_times,
+            self._pressure,
             clock,
         )
         self._steering = Steering(
@@ -158,6 +160,9 @@
             journal,
             clock,
         )
+        self._warm = WarmConnections(
+            self._peer_pool, self._members, settings.forward_port, clock
+        )
         self._directory = Directory(
             self._members, settings.front.port, settings.bounds.lookup_ttl
         )
@@ -230,6 +235,7 @@
             self.leavers.run,
             self._keep_up,
             self._summarise,
+            self._warm.run,
         )
 
     async def _guard(self, run):
@@ -370,6 +376,10 @@
             [service, self._admission.expected_wait(service)]
             for service in self._ledger.services()
         ]
+        losses = [
+            [service, round(self._pressure.lost(service), 3)]
+            for service in (self._table.services if self._table else ())
+        ]
         return Beat(
             own.vm,
             own.ip,
@@ -382,6 +392,7 @@
             self._tables.targets.version,
             rooms,
             waits,
+            losses,
         )
 
     def _beliefs(self):
--- a/src/heathercleat/steering/process/rooms.py
+++ b/src/heathercleat/steering/process/rooms.py
@@ -23,17 +23,20 @@
         self._clock = clock
         self._rooms = {}
         self._waits = {}
+        self._losses = {}
 
-    def report(self, owner, rooms, waits):
+    def report(self, owner, rooms, waits, losses):
         """Take an owner's report.
 
         :param rooms: ``(target id, free slots, slots)`` of each target that it owns.
         :param waits: ``(service, seconds)`` that a new request would wait there.
+        :param losses: ``(service, part)`` of their worth that its clients lose.
         """
         valid_until = self._clock.now() + REPORT_LIFE
         for target_id, free, limit in rooms:
             self._rooms[target_id] = Room(owner, free, limit, valid_until)
         self._waits[owner] = dict(waits)
+        self._losses[owner] = dict(losses)
 
     def free(self, target_id, owner):
         """Return the free slots that ``owner`` is believed to have at a target."""
@@ -46,6 +49,10 @@
         """Return the seconds a new request would wait at an owner, or ``None``."""
         return self._waits.get(owner, {}).get(service)
 
+    def loss(self, owner, service):
+        """Return the part of their worth that an owner's clients lose."""
+        return self._losses.get(owner, {}).get(service, 0.0)
+
     def sent(self, target_id):
         """Note a request sent to a target through its owner."""
         room = self._rooms.get(target_id)
@@ -68,6 +75,7 @@
     def forget(self, owner):
         """Drop what a VM reported."""
         self._waits.pop(owner, None)
+        self._losses.pop(owner, None)
         self._rooms = {
             target: room for target, room in self._rooms.items() if room.owner != owner
         }
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -30,6 +30,7 @@
     :param arrived_at: when its head was read.
     :param deadline: when the final answer is due.
     :param aim_at: when the answer should be there.
+    :param patient_until: when it is given up without a slot.
     :param returned: whether it came back after a refusal.
     :param affinity: key of the object that it is about, or ``None``.
     :param tries: a line of text for each try so far, for the log.
@@ -46,6 +47,7 @@
         "arrived_at",
         "deadline",
         "aim_at",
+        "patient_until",
         "returned",
         "affinity",
         "left",
@@ -66,6 +68,7 @@
         self.arrived_at = 0.0
         self.deadline = 0.0
         self.aim_at = 0.0
+        self.patient_until = 0.0
         self.returned = False
         self.affinity = None
         self.tries = []
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -35,6 +35,7 @@
         "avoid",
         "remaining",
         "aim_in",
+        "wait_for",
         "patience",
     )
 
@@ -43,8 +44,11 @@
             setattr(self, name, value)
 
     @classmethod
-    def of(cls, call, preferred, avoid, until, now):
-        """Return the order for a call that may wait for a slot until ``until``."""
+    def of(cls, call, preferred, avoid, until, trip, now):
+        """Return the order for a call that may wait for a slot until ``until``.
+
+        :param trip: the round trip to the owner; it shortens what is left there.
+        """
         return cls(
             call.id,
             call.service,
@@ -56,8 +60,9 @@
             list(preferred),
             list(avoid),
             call.deadline - now,
-            call.aim_at - now,
+            call.aim_at - now - trip,
             until - now,
+            call.patient_until - now,
         )
 
     def pack(self):
@@ -94,6 +99,7 @@
     call.arrived_at = now
     call.deadline = now + order.remaining
     call.aim_at = now + order.aim_in
+    call.patient_until = now + order.patience
     call.returned = order.returned
     call.affinity = order.affinity
     return call
@@ -131,13 +137,14 @@
             return TryResult(End.NOT_SENT, reason=f"VM {ip}: {error!r}")
         call.on_leave = stream
         try:
-            return await self._exchange(call, ip, stream, preferred, avoid, until)
+            now = self._clock.now()
+            order = ForwardOrder.of(call, preferred, avoid, until, trip, now)
+            return await self._exchange(call, ip, stream, order)
         finally:
             call.on_leave = None
 
-    async def _exchange(self, call, ip, stream, preferred, avoid, until):
+    async def _exchange(self, call, ip, stream, order):
         whole = False
-        order = ForwardOrder.of(call, preferred, avoid, until, self._clock.now())
         deadline = call.deadline + ANSWER_MARGIN
         try:
             sending = self._send(stream, call, order)
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -14,6 +14,11 @@
 #: A request is refused at once where the reported wait is so many times its patience:
 #: forwarding it in vain would cost both VMs 1.2 ms of processor time.
 HOPELESS_FACTOR = 2.0
+#: Difference between what two regions' clients lose from which requests of the worse
+#: one wait in the better one: below it the means are noise.
+LEAST_RELIEF = 0.08
+#: Wait in seconds at an owner in another region beyond which its report leaves no hope.
+FAR_WAIT = 0.1
 #: Part of a region's slots that stay free for its own clients when others ask.
 RESERVED_SHARE = 0.15
 #: Seconds of waiting that are worth it to stay here: a forwarded request crosses the
@@ -51,6 +56,7 @@
     :param shift: the :class:`ShiftLimit`.
     :param trip: returns the round trip to a VM in seconds.
     :param work_times: the :class:`WorkTimes`.
+    :param pressure: what this VM's clients lose, a :class:`Pressure`.
     """
 
     def __init__(
@@ -64,6 +70,7 @@
         shift,
         trip,
         work_times,
+        pressure,
         clock,
     ):
         self._members = members
@@ -75,6 +82,7 @@
         self._shift = shift
         self._trip = trip
         self._work_times = work_times
+        self._pressure = pressure
         self._clock = clock
 
     def free(self, call, avoid, avoid_vms):
@@ -88,19 +96,17 @@
             else:
                 far.append((entry, owner, free))
         if self._shift.must_move():
-            return self._best_far(call, far, now, 0.0) or self._best_near(call, near)
+            return self._best_far(call, far, 0.0) or self._best_near(call, near)
         found = self._best_near(call, near)
         if found is not None:
             return found
         if not far or not self._shift.may_move():
             return None
-        return self._best_far(call, far, now, self._near_wait(call, near))
+        return self._best_far(call, far, self._near_wait(call, near))
 
-    def waiting(self, call, avoid, avoid_vms, patience):
+    def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` of this region to wait at, or ``None``.
 
-        :param patience: seconds for which the request may wait.
-
         It is the one with the shortest wait, where a target that does not know the
         object counts as a longer one. The wait is ``None`` where an owner's targets are
         all out of service.
@@ -110,9 +116,46 @@
             for entry, owner in self._candidates(call, avoid, avoid_vms)
             if self._is_near(entry)
         ]
-        preferred = self._preferred(call, near)
+        patience = call.patient_until - self._clock.now()
+        return self._shortest_wait(call, near, patience, False)
+
+    def relief(self, call, avoid, avoid_vms):
+        """Return the :class:`Place` to wait at where clients lose less, or ``None``.
+
+        It lies in another region, which can answer in time and whose own clients lose
+        less of their worth than those of this region.
+        """
+        if not self._shift.may_move():
+            return None
+        own_loss = self._region_loss(self._members.own.region, call.service)
+        regions = {}
+        for entry, owner in self._candidates(call, avoid, avoid_vms):
+            if not self._is_near(entry) and self._is_in_time(call, owner):
+                region = self._members.region_of(entry.failure_domain)
+                regions.setdefault(region, []).append((entry, owner, 0))
+        losses = {each: self._region_loss(each, call.service) for each in regions}
+        least = min(losses, key=losses.get, default=None)
+        if least is None or own_loss - losses[least] < LEAST_RELIEF:
+            return None
+        return self._shortest_wait(call, regions[least], FAR_WAIT, True)
+
+    def _region_loss(self, region, service):
+        """Return the mean loss of the clients of a region's VMs."""
+        own = self._members.own.vm
+        losses = [
+            self._pressure.lost(service)
+            if member.vm == own
+            else self._rooms.loss(member.vm, service)
+            for member in self._members.serving()
+            if member.region == region
+        ]
+        return sum(losses) / len(losses) if losses else 1.0
+
+    def _shortest_wait(self, call, candidates, patience, remote):
+        """Return the :class:`Place` to wait at among candidates, or ``None``."""
+        preferred = self._preferred(call, candidates)
         costs = {}
-        for entry, owner, _ in near:
+        for entry, owner, _ in candidates:
             if self._is_hopeless(owner, call.service, patience):
                 continue
             cost = self._waiting_cost(call, entry, owner, preferred)
@@ -120,7 +163,7 @@
                 costs[owner] = min(cost, costs.get(owner, cost))
         if not costs:
             return None
-        return Place(min(costs, key=costs.get), None, preferred, False)
+        return Place(min(costs, key=costs.get), None, preferred, remote)
 
     def _is_hopeless(self, owner, service, patience):
         """Return whether no slot will come free in time, by an old report."""
@@ -211,7 +254,7 @@
             known = preferred.index(entry.id)
         return known, owner != self._members.own.vm, -free / entry.slots
 
-    def _best_far(self, call, far, now, near_wait):
+    def _best_far(self, call, far, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
 
         :param near_wait: seconds that the request would wait in this region.
@@ -224,23 +267,24 @@
         for candidates in regions.values():
             slots = sum(each[0].slots for each in candidates)
             room = sum(each[2] for each in candidates) - RESERVED_SHARE * slots
-            useful = [
-                each for each in candidates if self._helps(call, each, now, near_wait)
-            ]
+            useful = [each for each in candidates if self._helps(call, each, near_wait)]
             if room > most and useful:
                 best, region, most = useful, candidates, room
         if best is None:
             return None
         return self._place(call, region, best, True)
 
-    def _helps(self, call, candidate, now, near_wait):
+    def _helps(self, call, candidate, near_wait):
         """Return whether a request is answered in time there, or sooner than here."""
         _, owner, free = candidate
         if free <= 0:
             return False
-        trip = self._trip(owner)
-        expected = trip + self._work_times.of(call.route.name)
-        return now + expected <= call.aim_at or trip < near_wait
+        return self._is_in_time(call, owner) or self._trip(owner) < near_wait
+
+    def _is_in_time(self, call, owner):
+        """Return whether a request is in time through an owner that has room."""
+        expected = self._trip(owner) + self._work_times.of(call.route.name)
+        return self._clock.now() + expected <= call.aim_at
 
     def _near_wait(self, call, near):
         if not near:
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -21,6 +21,8 @@
 #: Seconds for which a request may wait at an owner whose report said that a slot was
 #: free: reports are old by half a heartbeat interval.
 STALE_PATIENCE = 0.03
+#: The longest wait for a slot in another region, whose queue is not seen from here.
+FAR_PATIENCE = 0.15
 #: Tries at places with room that sent nothing, after which a request is refused.
 MOST_UNSENT = 5
 #: Bounds in seconds on the time after which a refused client is asked to come back.
@@ -96,7 +98,8 @@
         self._unsent = 0
         self._failed_answer = None
         self._last_reason = None
-        self._patient_until = self._patience()
+        self._relieved = False
+        call.patient_until = self._patience()
 
     async def run(self):
         call, clock = self._call, self._steering._clock
@@ -109,10 +112,11 @@
                 return self._give_up()
             if self._sends and not self._spend_repeat(now):
                 return self._give_up()
-            result = await self._try(place, now)
+            until = min(self._until(place, now), call.deadline)
+            result = await self._try(place, until)
             if call.left:
                 raise CallerLeftError
-            final = self._take(place, result)
+            final = self._take(place, result, until)
             if final is not None:
                 return final
 
@@ -120,14 +124,25 @@
         """Return where to try next, or ``None`` when it is time to give up."""
         if now >= self._call.deadline or self._unsent >= MOST_UNSENT:
             return None
+        if now >= self._call.patient_until and self._unsent:
+            return None
         places = self._steering._places
         place = places.free(self._call, self._avoid, self._avoid_vms)
         if place is not None:
             return place
-        if now >= self._patient_until:
+        if now >= self._call.patient_until:
+            return None
+        return self._relief() or places.waiting(
+            self._call, self._avoid, self._avoid_vms
+        )
+
+    def _relief(self):
+        """Return a place to wait at in a region whose clients lose less, once."""
+        if self._relieved:
             return None
-        patience = self._patient_until - now
-        return places.waiting(self._call, self._avoid, self._avoid_vms, patience)
+        place = self._steering._places.relief(self._call, self._avoid, self._avoid_vms)
+        self._relieved = place is not None
+        return place
 
     def _spend_repeat(self, now):
         budget = self._steering._budget(self._call.service)
@@ -142,10 +157,9 @@
         )
         return spent
 
-    async def _try(self, place, now):
+    async def _try(self, place, until):
         steering, call = self._steering, self._call
         own = steering._members.own.vm
-        until = min(self._until(place, now), call.deadline)
         if place.vm == own:
             return await steering._local.run(call, place.preferred, self._avoid, until)
         member = steering._members.live(place.vm)
@@ -161,10 +175,17 @@
     def _until(self, place, now):
         """Return the instant until which the request may wait for a slot there."""
         if place.remote:
-            return now + STALE_PATIENCE
+            return self._until_far(place, now)
         here = place.vm == self._steering._members.own.vm
         until = now + (WAIT_SLICE if here else FORWARDED_SLICE)
-        return max(now + STALE_PATIENCE, min(self._patient_until, until))
+        return max(now + STALE_PATIENCE, min(self._call.patient_until, until))
+
+    def _until_far(self, place, now):
+        """Return how long to wait in another region and still be answered in time."""
+        call, steering = self._call, self._steering
+        work = steering._work_times.of(call.route.name)
+        latest = call.aim_at - steering._trip(place.vm) - work
+        return min(max(now + STALE_PATIENCE, latest), now + FAR_PATIENCE)
 
     def _patience(self):
         """Return the instant at which the request is given up without a slot."""
@@ -177,23 +198,24 @@
         longest = min(RETURNED_PATIENCE * remaining, remaining - work)
         return max(first, call.arrived_at + longest)
 
-    def _take(self, place, result):
+    def _take(self, place, result, until):
         """Take the result of a try; return the final answer, or ``None`` to go on."""
         self._last_reason = result.reason
         self._call.tries.append(self._describe(place, result))
         if result.target is not None:
             self._avoid.add(result.target)
         if result.end is End.NOT_SENT:
-            self._take_unsent(place, result)
+            self._take_unsent(place, result, until)
             return None
         self._sends += 1
-        self._steering._pressure.observe(self._call.service, False)
         self._steering._shift.count(place.remote)
         if result.end is End.REFUSED:
             return None
         self._runs += 1
         if result.end is End.ANSWERED:
             self._observe(place, result)
+            late = self._steering._clock.now() > self._call.aim_at
+            self._steering._pressure.answered(self._call.service, late)
             if result.answer.status < _SERVER_ERROR or not self._may_run_again():
                 return result.answer
             self._failed_answer = result.answer
@@ -210,8 +232,9 @@
         reason = f" {result.reason}" if result.reason else ""
         return f"{place.vm} {target} {result.end.value} {work} {took:.3f}{reason}"
 
-    def _take_unsent(self, place, result):
-        if place.target is not None:
+    def _take_unsent(self, place, result, until):
+        # A place that has no hope for a request returns it at once.
+        if place.target is not None or self._steering._clock.now() < until:
             self._unsent += 1
         if self._sends:
             self._steering._budget(self._call.service).refund()
@@ -247,7 +270,8 @@
         if self._runs:
             message = f"no whole answer: {self._last_reason}"
             raise RequestError(ResultCode.ANSWER_LOST, message)
-        self._steering._pressure.observe(self._call.service, not self._sends)
+        if not self._sends:
+            self._steering._pressure.refused(self._call.service)
         wait = self._return_after()
         reason = self._last_reason or "no free slot within reach"
         raise RequestError(ResultCode.NO_ROOM, reason, retry_at=wait)
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -15,6 +15,10 @@
 from heathercleat.steering.version.routing import Kind
 from tests.steering_parts import Parts, beat, call, entry, route
 
+NO_SLOT = "no free slot"
+#: Where the instant to wait until stands among the arguments of a try.
+UNTIL_HERE, UNTIL_THERE = 2, 3
+
 
 class ScriptedTry:
     """Answers tries with the next results of a list; records where they went."""
@@ -30,6 +34,9 @@
         result = self.results.pop(0)
         if callable(result):
             return result(call)
+        if result.reason == NO_SLOT:
+            until = where[UNTIL_HERE if len(where) == 3 else UNTIL_THERE]
+            self.clock.time = max(self.clock.time, until)
         return result
 
 
@@ -42,7 +49,7 @@
 
 
 def no_slot():
-    return TryResult(End.NOT_SENT, reason="no free slot", wait=0.01)
+    return TryResult(End.NOT_SENT, reason=NO_SLOT, wait=0.01)
 
 
 class Scene:
@@ -58,6 +65,7 @@
         self.shift = ShiftLimit(0.15, clock)
         self.work_times = WorkTimes()
         self.budget = RetryBudget(0.0, slack, 10.0, lambda: 1)
+        self.pressure = pressure = Pressure()
         places = Places(
             members,
             self.parts.registry,
@@ -68,6 +76,7 @@
             self.shift,
             lambda vm: 0.11,
             self.work_times,
+            pressure,
             clock,
         )
         self.steering = Steering(
@@ -80,7 +89,7 @@
             lambda vm: 0.11,
             lambda service: self.budget,
             self.work_times,
-            Pressure(),
+            pressure,
             self.parts.journal,
             clock,
         )
@@ -193,7 +202,7 @@
     scene.parts.members.heard(beat("vm-3", domain="south-a", region="south"))
     (own,) = scene.parts.ledger.all()
     own.take(scene.parts.clock.now())
-    scene.rooms.report("vm-3", [["t9", free, 10]], [["s1", 0.0]])
+    scene.rooms.report("vm-3", [["t9", free, 10]], [["s1", 0.0]], [])
     return scene
 
 
