--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -176,9 +176,11 @@
         """Return the instant until which the request may wait for a slot there."""
         if place.remote:
             return self._until_far(place, now)
+        if place.target is not None:
+            return now + STALE_PATIENCE
         here = place.vm == self._steering._members.own.vm
-        until = now + (WAIT_SLICE if here else FORWARDED_SLICE)
-        return max(now + STALE_PATIENCE, min(self._call.patient_until, until))
+        length = WAIT_SLICE if here else FORWARDED_SLICE
+        return min(self._call.patient_until, now + length)
 
     def _until_far(self, place, now):
         """Return how long to wait in another region and still be answered in time."""
