--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -21,6 +21,8 @@
 #: Seconds for which a request may wait at an owner whose report said that a slot was
 #: free: reports are old by half a heartbeat interval.
 STALE_PATIENCE = 0.03
+#: The same once the request's patience is over: what a hop inside a region takes.
+LEAST_PATIENCE = 0.005
 #: The longest wait for a slot in another region, whose queue is not seen from here.
 FAR_PATIENCE = 0.15
 #: Tries at places with room that sent nothing, after which a request is refused.
@@ -177,7 +179,8 @@
         if place.remote:
             return self._until_far(place, now)
         if place.target is not None:
-            return now + STALE_PATIENCE
+            least = max(self._call.patient_until, now + LEAST_PATIENCE)
+            return min(now + STALE_PATIENCE, least)
         here = place.vm == self._steering._members.own.vm
         length = WAIT_SLICE if here else FORWARDED_SLICE
         return min(self._call.patient_until, now + length)
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -159,7 +159,8 @@
 
 
 def test_try_that_sent_nothing_costs_no_budget():
-    scene = Scene([no_slot(), no_slot(), answered()], slack=0.0)
+    refused = ended(End.NOT_SENT, reason="connect")
+    scene = Scene([refused, refused, answered(target="t3")], slack=0.0)
     assert scene.run(scene.call()).status == 200
 
 
