--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/admission.py
@@ -4,6 +4,7 @@
 from curio.errors import TaskTimeout
 
 from heathercleat.steering.process.queue import ServiceQueue, Waiter
+from heathercleat.steering.process.slots import is_open
 
 #: Seconds by which an expected wait may exceed a request's patience: waits vary by
 #: about a quarter of the time for which a request holds a slot.
@@ -100,7 +101,7 @@
         """Give the free slots of a target to waiters."""
         now = self._clock.now()
         while queue.waiters and target.free(now):
-            waiter = queue.next_for(target.entry.id, now)
+            waiter = queue.next_for(target.entry, target.free(now), now)
             if waiter is None:
                 return
             queue.waiters.remove(waiter)
@@ -127,7 +128,9 @@
         free = [
             target
             for target in self._ledger.of_service(waiter.call.service)
-            if target.entry.id not in waiter.avoid and target.free(now)
+            if target.entry.id not in waiter.avoid
+            and target.free(now)
+            and is_open(target.entry, target.free(now), waiter.preferred)
         ]
         if not free:
             return None
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -369,7 +369,7 @@
     def _compose_beat(self, interval):
         own, now = self._members.own, self.clock.now()
         rooms = [
-            [target.entry.id, self._admission.room(target, now), target.entry.slots]
+            [target.entry.id, self._admission.room(target, now), target.limit(now)]
             for target in self._ledger.all()
         ]
         waits = [
--- a/src/heathercleat/steering/process/queue.py
+++ b/src/heathercleat/steering/process/queue.py
@@ -2,6 +2,8 @@
 
 from curio import Event as Signal
 
+from heathercleat.steering.process.slots import is_open
+
 #: Seconds that a request holds a slot, before the first one is measured.
 FIRST_HOLD = 0.2
 HOLD_WEIGHT = 0.05
@@ -60,12 +62,19 @@
         """Take the time for which a request held its slot."""
         self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
 
-    def next_for(self, target_id, now):
-        """Return the waiter that gets a free slot of a target, or ``None``."""
-        willing = [each for each in self.waiters if target_id not in each.avoid]
+    def next_for(self, entry, free, now):
+        """Return the waiter that gets one of the free slots of a target, or ``None``.
+
+        :param entry: the :class:`TargetEntry`.
+        """
+        willing = [
+            each
+            for each in self.waiters
+            if entry.id not in each.avoid and is_open(entry, free, each.preferred)
+        ]
         return min(
             willing,
-            key=lambda each: each.rank(now, self._mean_hold, target_id),
+            key=lambda each: each.rank(now, self._mean_hold, entry.id),
             default=None,
         )
 
--- a/src/heathercleat/steering/process/rooms.py
+++ b/src/heathercleat/steering/process/rooms.py
@@ -28,7 +28,8 @@
     def report(self, owner, rooms, waits, losses):
         """Take an owner's report.
 
-        :param rooms: ``(target id, free slots, slots)`` of each target that it owns.
+        :param rooms: ``(target id, free slots, slots in use at most)`` of each target
+            that it owns.
         :param waits: ``(service, seconds)`` that a new request would wait there.
         :param losses: ``(service, part)`` of their worth that its clients lose.
         """
@@ -45,6 +46,11 @@
             return 0
         return room.free if self._clock.now() < room.valid_until else 0
 
+    def limit(self, target_id, owner):
+        """Return how many requests a target takes at once, ``None`` if unknown."""
+        room = self._rooms.get(target_id)
+        return room.limit if room is not None and room.owner == owner else None
+
     def wait(self, owner, service):
         """Return the seconds a new request would wait at an owner, or ``None``."""
         return self._waits.get(owner, {}).get(service)
--- a/src/heathercleat/steering/process/slots.py
+++ b/src/heathercleat/steering/process/slots.py
@@ -14,6 +14,22 @@
 #: Window over which the rate of a cold target counts, in seconds.
 COLD_WINDOW = 1.0
 
+#: Share of a target's slots that must be free for requests whose object it does not
+#: know: such a request holds its slot 3.4 times as long (0.26 s in place of 0.075 s,
+#: measured on an overloaded deployment) and may push a known object out.
+IDLE_SHARE = 0.5
+
+
+def is_open(entry, free, preferred):
+    """Return whether a request may use one of the free slots of a target.
+
+    :param entry: the :class:`TargetEntry`.
+    :param preferred: ids of the targets that know its object; empty for any.
+    """
+    if not preferred or entry.id in preferred:
+        return True
+    return free >= IDLE_SHARE * entry.slots
+
 
 class Use:
     """A request that occupies a slot of a target."""
@@ -57,7 +73,7 @@
 
     def free(self, now):
         """Return how many more requests the target takes now."""
-        free = self._limit(now) - len(self.uses)
+        free = self.limit(now) - len(self.uses)
         if now < self._elsewhere_until:
             free -= self._elsewhere
         if now < self.cold_until and self.cold_limit is not None:
@@ -81,7 +97,8 @@
         self._elsewhere = max(0, running + waiting - len(self.uses))
         self._elsewhere_until = now + REPORT_LIFE
 
-    def _limit(self, now):
+    def limit(self, now):
+        """Return how many requests the target should have at once now."""
         if now < self.health.rest_until:
             return 0
         if self.uses and self.health.is_silent(now, self.uses[0].began_at):
@@ -137,6 +154,11 @@
         owned = self._owned.get(target_id)
         return owned.free(now) if owned else 0
 
+    def limit(self, target_id, now):
+        """Return how many requests an owned target takes at once, or ``None``."""
+        owned = self._owned.get(target_id)
+        return owned.limit(now) if owned else None
+
     def release(self, use):
         """Free the slot of a use."""
         if use in use.target.uses:
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -1,16 +1,16 @@
 """Where a request may be tried next, the best place first."""
 
+from heathercleat.steering.process.slots import IDLE_SHARE, is_open
 from heathercleat.version.hashing import weight
 
 #: Bytes of a body from which a target in the own failure domain goes before one that
 #: knows the object: crossing twice with a larger body costs more than the work saved.
 LARGE_BODY = 16 << 10
-#: Targets of a region that get the requests for one object as long as they have room:
-#: with one, popular objects overload it; with many, each target sees every object and
-#: keeps none.
-HOMES_OF_OBJECT = 3
-#: Part of the work time that a target loses which does not know the object.
-UNKNOWN_COST = 0.5
+#: Targets of a region that get the requests for one object. With one of many, popular
+#: objects overload it; each more one has to learn the object first.
+HOMES_OF_OBJECT = 2
+#: Targets in a region below which an object has one home: two of two see every object.
+FEW_TARGETS = 4
 #: A request is refused at once where the reported wait is so many times its patience:
 #: forwarding it in vain would cost both VMs 1.2 ms of processor time.
 HOPELESS_FACTOR = 2.0
@@ -44,6 +44,23 @@
         self.remote = remote
 
 
+class Candidate:
+    """A target that may run a request.
+
+    :param owner: name of the VM that owns it.
+    :param free: free slots, as far as this VM knows.
+    :param sound: whether it takes requests at its usual rate.
+    """
+
+    __slots__ = ("entry", "owner", "free", "sound")
+
+    def __init__(self, entry, owner, free, sound):
+        self.entry = entry
+        self.owner = owner
+        self.free = free
+        self.sound = sound
+
+
 class Places:
     """Finds places for requests.
 
@@ -87,14 +104,9 @@
 
     def free(self, call, avoid, avoid_vms):
         """Return the best :class:`Place` with a free slot, or ``None``."""
-        now = self._clock.now()
         near, far = [], []
-        for entry, owner in self._candidates(call, avoid, avoid_vms):
-            free = self._free(entry, owner, now)
-            if self._is_near(entry):
-                near.append((entry, owner, free))
-            else:
-                far.append((entry, owner, free))
+        for each in self._candidates(call, avoid, avoid_vms):
+            (near if self._is_near(each.entry) else far).append(each)
         if self._shift.must_move():
             return self._best_far(call, far, 0.0) or self._best_near(call, near)
         found = self._best_near(call, near)
@@ -107,14 +119,13 @@
     def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` of this region to wait at, or ``None``.
 
-        It is the one with the shortest wait, where a target that does not know the
-        object counts as a longer one. The wait is ``None`` where an owner's targets are
-        all out of service.
+        It is the one with the shortest wait among the owners of targets that know the
+        object. The wait is ``None`` where an owner's targets are all out of service.
         """
         near = [
-            (entry, owner, 0)
-            for entry, owner in self._candidates(call, avoid, avoid_vms)
-            if self._is_near(entry)
+            each
+            for each in self._candidates(call, avoid, avoid_vms)
+            if self._is_near(each.entry)
         ]
         patience = call.patient_until - self._clock.now()
         return self._shortest_wait(call, near, patience, False)
@@ -129,10 +140,10 @@
             return None
         own_loss = self._region_loss(self._members.own.region, call.service)
         regions = {}
-        for entry, owner in self._candidates(call, avoid, avoid_vms):
-            if not self._is_near(entry) and self._is_in_time(call, owner):
-                region = self._members.region_of(entry.failure_domain)
-                regions.setdefault(region, []).append((entry, owner, 0))
+        for each in self._candidates(call, avoid, avoid_vms):
+            if not self._is_near(each.entry) and self._is_in_time(call, each.owner):
+                region = self._members.region_of(each.entry.failure_domain)
+                regions.setdefault(region, []).append(each)
         losses = {each: self._region_loss(each, call.service) for each in regions}
         least = min(losses, key=losses.get, default=None)
         if least is None or own_loss - losses[least] < LEAST_RELIEF:
@@ -155,12 +166,14 @@
         """Return the :class:`Place` to wait at among candidates, or ``None``."""
         preferred = self._preferred(call, candidates)
         costs = {}
-        for entry, owner, _ in candidates:
-            if self._is_hopeless(owner, call.service, patience):
+        for each in candidates:
+            if preferred and each.entry.id not in preferred:
                 continue
-            cost = self._waiting_cost(call, entry, owner, preferred)
+            if self._is_hopeless(each.owner, call.service, patience):
+                continue
+            cost = self._waiting_cost(call, each.owner)
             if cost is not None:
-                costs[owner] = min(cost, costs.get(owner, cost))
+                costs[each.owner] = cost
         if not costs:
             return None
         return Place(min(costs, key=costs.get), None, preferred, remote)
@@ -170,16 +183,12 @@
         wait = self._wait(owner, service)
         return wait is not None and wait > HOPELESS_FACTOR * patience
 
-    def _waiting_cost(self, call, entry, owner, preferred):
+    def _waiting_cost(self, call, owner):
         """Return the seconds that waiting at an owner costs, or ``None``."""
         wait = self._wait(owner, call.service)
-        if wait is None:
-            return None
-        if owner != self._members.own.vm:
-            wait += FORWARD_COST
-        if preferred and entry.id not in preferred:
-            wait += UNKNOWN_COST * self._work_times.of(call.route.name)
-        return wait
+        if wait is None or owner == self._members.own.vm:
+            return wait
+        return wait + FORWARD_COST
 
     def expected_wait(self, call):
         """Return the shortest known wait in this region in seconds, or ``None``."""
@@ -188,12 +197,9 @@
         ]
         return min((each for each in waits if each is not None), default=None)
 
-    def allowed_target_exists(self, call):
-        """Return whether any usable target may run the request."""
-        return any(True for _ in self._candidates(call, frozenset(), frozenset()))
-
     def _candidates(self, call, avoid, avoid_vms):
-        """Yield each allowed target and its owner."""
+        """Yield a :class:`Candidate` for each allowed target."""
+        now = self._clock.now()
         for entry in self._registry.of_service(call.service):
             if entry.id in avoid:
                 continue
@@ -204,55 +210,67 @@
                 continue
             member = self._members.live(owner)
             if member is not None and self._may_carry(call, member):
-                yield entry, owner
+                yield self._candidate(entry, owner, now)
+
+    def _candidate(self, entry, owner, now):
+        if owner == self._members.own.vm:
+            free = self._ledger.free(entry.id, now)
+            limit = self._ledger.limit(entry.id, now)
+        else:
+            free = self._rooms.free(entry.id, owner)
+            limit = self._rooms.limit(entry.id, owner)
+        sound = limit is None or limit >= IDLE_SHARE * entry.slots
+        return Candidate(entry, owner, free, sound)
 
     def _may_carry(self, call, member):
         """Return whether a request's body may pass through a VM."""
         own_region = self._members.own.region
         return member.region == own_region or call.route.allows(member.region)
 
-    def _free(self, entry, owner, now):
-        if owner == self._members.own.vm:
-            return self._ledger.free(entry.id, now)
-        return self._rooms.free(entry.id, owner)
-
     def _is_near(self, entry):
         region = self._members.region_of(entry.failure_domain)
         return region == self._members.own.region
 
     def _best_near(self, call, near):
-        free = [each for each in near if each[2] > 0]
+        preferred = self._preferred(call, near)
+        free = [
+            each
+            for each in near
+            if each.free and is_open(each.entry, each.free, preferred)
+        ]
         if not free:
             return None
         if len(call.body) >= LARGE_BODY:
             here = self._members.own.failure_domain
-            free = [each for each in free if each[0].failure_domain == here] or free
-        return self._place(call, near, free, False)
+            free = [each for each in free if each.entry.failure_domain == here] or free
+        return self._place(free, preferred, False)
 
-    def _place(self, call, candidates, free, remote):
+    def _place(self, free, preferred, remote):
         """Return the :class:`Place` of the best free target of a region."""
-        preferred = self._preferred(call, candidates)
-        entry, owner, _ = min(free, key=lambda each: self._order(each, preferred))
-        return Place(owner, entry.id, preferred or (entry.id,), remote)
+        best = min(free, key=lambda each: self._order(each, preferred))
+        target = best.entry.id
+        return Place(best.owner, target, preferred or (target,), remote)
 
     def _preferred(self, call, candidates):
         """Return the ids of the targets that know the object, the best first."""
         if call.affinity is None or not call.route.sticky:
             return ()
         ranked = sorted(
-            (entry.id for entry, _, _ in candidates),
+            (each.entry.id for each in candidates if each.sound),
             key=lambda target_id: weight(call.affinity, target_id),
             reverse=True,
         )
-        return tuple(ranked[:HOMES_OF_OBJECT])
+        homes = 1 if len(ranked) < FEW_TARGETS else HOMES_OF_OBJECT
+        return tuple(ranked[:homes])
 
     def _order(self, candidate, preferred):
         """Return the order among free targets, the lowest first."""
-        entry, owner, free = candidate
+        entry = candidate.entry
         known = len(preferred)
         if entry.id in preferred:
             known = preferred.index(entry.id)
-        return known, owner != self._members.own.vm, -free / entry.slots
+        elsewhere = candidate.owner != self._members.own.vm
+        return known, elsewhere, -candidate.free / entry.slots
 
     def _best_far(self, call, far, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
@@ -260,25 +278,29 @@
         :param near_wait: seconds that the request would wait in this region.
         """
         regions = {}
-        for entry, owner, free in far:
-            region = self._members.region_of(entry.failure_domain)
-            regions.setdefault(region, []).append((entry, owner, free))
-        best, region, most = None, None, 0.0
+        for each in far:
+            region = self._members.region_of(each.entry.failure_domain)
+            regions.setdefault(region, []).append(each)
+        best, known, most = None, (), 0.0
         for candidates in regions.values():
-            slots = sum(each[0].slots for each in candidates)
-            room = sum(each[2] for each in candidates) - RESERVED_SHARE * slots
-            useful = [each for each in candidates if self._helps(call, each, near_wait)]
+            slots = sum(each.entry.slots for each in candidates)
+            room = sum(each.free for each in candidates) - RESERVED_SHARE * slots
+            preferred = self._preferred(call, candidates)
+            useful = [
+                each
+                for each in candidates
+                if is_open(each.entry, each.free, preferred)
+                and self._helps(call, each, near_wait)
+            ]
             if room > most and useful:
-                best, region, most = useful, candidates, room
-        if best is None:
-            return None
-        return self._place(call, region, best, True)
+                best, known, most = useful, preferred, room
+        return None if best is None else self._place(best, known, True)
 
     def _helps(self, call, candidate, near_wait):
         """Return whether a request is answered in time there, or sooner than here."""
-        _, owner, free = candidate
-        if free <= 0:
+        if candidate.free <= 0:
             return False
+        owner = candidate.owner
         return self._is_in_time(call, owner) or self._trip(owner) < near_wait
 
     def _is_in_time(self, call, owner):
@@ -293,12 +315,11 @@
         return float("inf") if wait is None else wait
 
     def _near_owners(self, call, avoid_vms):
-        owners = {
-            owner
-            for entry, owner in self._candidates(call, frozenset(), avoid_vms)
-            if self._is_near(entry)
+        return {
+            each.owner
+            for each in self._candidates(call, frozenset(), avoid_vms)
+            if self._is_near(each.entry)
         }
-        return owners
 
     def _wait(self, vm, service):
         if vm == self._members.own.vm:
