--- a/src/heathercleat/cli/_main.py
+++ b/src/heathercleat/cli/_main.py
@@ -8,11 +8,14 @@
 from heathercleat.cli._inspect import add_inspections
 from heathercleat.cli._serve import add_serve
 from heathercleat.cli._steer import add_steer
+from heathercleat.cli._trace import add_trace
 from heathercleat.errors import FindingsError, HeathercleatError
 
 EPILOG = """\
 examples:
   heathercleat serve --settings vm.jsonc
+  heathercleat steer --settings node.yaml
+  heathercleat trace 9c41d07be2a35f68 *.log
   heathercleat check text.jsonc
   heathercleat apply text.jsonc --settings vm.jsonc
   heathercleat drain plan d1 failure_domain north-a --dry-run --settings vm.jsonc
@@ -49,4 +52,5 @@
     add_edits(commands)
     add_drain(commands)
     add_inspections(commands)
+    add_trace(commands)
     return parser
--- /dev/null
+++ b/src/heathercleat/cli/_trace.py
@@ -0,0 +1,116 @@
+"""The ``trace`` command: a request's story from the logs of all VMs."""
+
+import json
+import sys
+from heapq import nsmallest
+
+from heathercleat.codes import ResultCode
+from heathercleat.errors import HeathercleatError
+from heathercleat.events import Event
+
+#: Changes of belief shown before a request's last line, and how far back in seconds.
+BELIEFS_SHOWN = 12
+BELIEF_SECONDS = 10.0
+#: Events that change what a VM believes and so where requests go.
+BELIEFS = frozenset(
+    event.name.lower()
+    for event in (
+        Event.CONFIGURATION_ADOPTED,
+        Event.EVACUATION_CHANGED,
+        Event.MEMBER_DEAD,
+        Event.MEMBER_JOINED,
+        Event.STORE_LOST,
+        Event.STORE_RETURNED,
+        Event.TARGET_EJECTED,
+        Event.TARGET_GONE,
+        Event.TARGET_SLOW,
+        Event.VM_LEAVING,
+        Event.VM_STARTED,
+    )
+)
+_LEFT_OUT = Event.LINES_LEFT_OUT.name.lower()
+
+
+def add_trace(commands):
+    """Add the command to the parser."""
+    parser = commands.add_parser(
+        "trace",
+        help="tell from logs what became of a request",
+        description="Print every log line on a request, over all VMs, and the changes "
+        "of belief shortly before its end.",
+    )
+    parser.add_argument("request", help="the request's id")
+    parser.add_argument(
+        "logs", nargs="*", metavar="LOG", help="default: standard input"
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="print log lines as they are"
+    )
+    parser.set_defaults(run=_trace)
+
+
+def _trace(args):
+    lines = sorted(_read_all(args.logs), key=lambda line: line["at"])
+    own = [line for line in lines if line.get("request") == args.request]
+    if not own:
+        left_out = sum(line["lines"] for line in lines if line["name"] == _LEFT_OUT)
+        message = (
+            f'no line on request "{args.request}": it was answered in time, or is one '
+            f"of {left_out} lines left out under load, or its VM's log is missing"
+        )
+        raise HeathercleatError(ResultCode.UNKNOWN_NAME, message)
+    for line in [*_beliefs(lines, own), *own]:
+        print(json.dumps(line) if args.json else _render(line))
+
+
+def _read_all(paths):
+    """Yield the log lines of files, or of standard input."""
+    if not paths:
+        yield from _read(sys.stdin)
+    for path in paths:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                yield from _read(file)
+        except OSError as error:
+            message = f'cannot read the log "{path}": {error.strerror}'
+            raise HeathercleatError(ResultCode.UNKNOWN_NAME, message) from None
+
+
+def _read(file):
+    """Yield the objects in a log; a collector may have put text before them."""
+    for text in file:
+        _, brace, rest = text.partition("{")
+        try:
+            line = json.loads(brace + rest)
+        except ValueError:
+            continue
+        if "at" in line and "name" in line:
+            yield line
+
+
+def _beliefs(lines, own):
+    """Return the last changes of belief of the VMs that a request met."""
+    end = own[-1]["at"]
+    vms = {line["vm"] for line in own}
+    for line in own:
+        vms.update(each.split(" ", 1)[0] for each in line.get("tries", ()))
+    found = [
+        line
+        for line in lines
+        if line["name"] in BELIEFS
+        and line["vm"] in vms
+        and end - BELIEF_SECONDS <= line["at"] <= end
+    ]
+    latest = nsmallest(BELIEFS_SHOWN, found, key=lambda line: end - line["at"])
+    return sorted(latest, key=lambda line: line["at"])
+
+
+def _render(line):
+    fields = {
+        name: value
+        for name, value in line.items()
+        if name not in ("at", "level", "event", "name", "vm", "tries")
+    }
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    tries = "".join(f"\n    try: {each}" for each in line.get("tries", ()))
+    return f"{line['at']:.3f} {line['vm']} {line['event']} {line['name']} {text}{tries}"
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,51 @@
+import json
+
+import pytest
+
+from heathercleat.cli import main
+
+
+def line(at, name, vm="vm-1", **fields):
+    return json.dumps({"at": at, "event": 1, "name": name, "vm": vm, **fields})
+
+
+@pytest.fixture
+def log(tmp_path):
+    path = tmp_path / "vm.log"
+    lines = [
+        line(1.0, "store_lost", table="op"),
+        line(80.0, "target_ejected", vm="vm-2", target="i-1"),
+        line(81.0, "member_dead", vm="vm-9", peer="vm-8"),
+        line(90.0, "request_refused", request="q1", tries=["vm-2 i-1 not-sent - 0.03"]),
+        line(91.0, "request_late", request="q2", tries=[]),
+        line(92.0, "lines_left_out", lines=7),
+        "2026-12-02 a collector's prefix " + line(89.0, "route_retried", request="q1"),
+        "not a log line {",
+    ]
+    path.write_text("\n".join(lines))
+    return str(path)
+
+
+def test_story_has_the_requests_lines_in_order_and_the_beliefs_before(log, capsys):
+    main(["trace", "q1", log])
+    names = [text.split()[3] for text in capsys.readouterr().out.splitlines()[:-1]]
+    assert names == ["target_ejected", "route_retried", "request_refused"]
+
+
+def test_story_as_json(log, capsys):
+    main(["trace", "q1", log, "--json"])
+    told = [json.loads(text) for text in capsys.readouterr().out.splitlines()]
+    assert told[-1]["tries"] == ["vm-2 i-1 not-sent - 0.03"]
+
+
+def test_unknown_request_tells_why_it_may_be_missing(log, capsys):
+    with pytest.raises(SystemExit) as caught:
+        main(["trace", "q9", log])
+    assert caught.value.code == 2
+    assert "7 lines left out" in capsys.readouterr().err
+
+
+def test_missing_log_is_named(capsys):
+    with pytest.raises(SystemExit):
+        main(["trace", "q9", "/nowhere.log"])
+    assert "/nowhere.log" in capsys.readouterr().err
