--- a/src/heathercleat/cli/_trace.py
+++ b/src/heathercleat/cli/_trace.py
@@ -91,14 +91,14 @@
 def _beliefs(lines, own):
     """Return the last changes of belief of the VMs that a request met."""
     end = own[-1]["at"]
-    vms = {line["vm"] for line in own}
-    for line in own:
-        vms.update(each.split(" ", 1)[0] for each in line.get("tries", ()))
+    # Where nothing was tried, what any VM believed of its targets may be the cause.
+    tried = {each.split(" ", 1)[0] for line in own for each in line.get("tries", ())}
+    vms = tried | {line["vm"] for line in own if tried}
     found = [
         line
         for line in lines
         if line["name"] in BELIEFS
-        and line["vm"] in vms
+        and (not vms or line["vm"] in vms)
         and end - BELIEF_SECONDS <= line["at"] <= end
     ]
     latest = nsmallest(BELIEFS_SHOWN, found, key=lambda line: end - line["at"])
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -197,6 +197,22 @@
         ]
         return min((each for each in waits if each is not None), default=None)
 
+    def describe(self, call):
+        """Return what is known of the targets that may run a request, for the log."""
+        found = list(self._candidates(call, frozenset(), frozenset()))
+        near = [each for each in found if self._is_near(each.entry)]
+        parts = []
+        for name, group in (
+            ("here", near),
+            ("elsewhere", [each for each in found if each not in near]),
+        ):
+            sound = sum(each.sound for each in group)
+            free = sum(each.free for each in group)
+            parts.append(f"{name} {len(group)} targets, {sound} sound, {free} free")
+        wait = self.expected_wait(call)
+        parts.append("no wait known" if wait is None else f"wait {wait:.3f} s")
+        return "; ".join(parts)
+
     def _candidates(self, call, avoid, avoid_vms):
         """Yield a :class:`Candidate` for each allowed target."""
         now = self._clock.now()
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -279,6 +279,7 @@
             self._steering._pressure.refused(self._call.service)
         wait = self._return_after()
         reason = self._last_reason or "no free slot within reach"
+        reason = f"{reason} ({self._steering._places.describe(self._call)})"
         raise RequestError(ResultCode.NO_ROOM, reason, retry_at=wait)
 
     def _return_after(self):
