--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -59,7 +59,8 @@
     async def _send_state(self, table):
         snapshot = self._snapshot(table)
         rows = [[row.key, row.value, row.version] for row in snapshot.rows]
-        await self._send(_NO_ANSWER, [], msgpack.packb([snapshot.version, rows]))
+        body = msgpack.packb([snapshot.version, snapshot.changed, rows])
+        await self._send(_NO_ANSWER, [], body)
 
     async def _serve_request(self, head, body):
         headers = list(head.headers)
@@ -94,5 +95,5 @@
 
     :raises ValueError: when it does not decode.
     """
-    version, rows = msgpack.unpackb(body)
-    return Snapshot(version, [StoreRow(*fields) for fields in rows])
+    version, changed, rows = msgpack.unpackb(body)
+    return Snapshot(version, [StoreRow(*fields) for fields in rows], changed)
--- a/src/heathercleat/steering/process/follower.py
+++ b/src/heathercleat/steering/process/follower.py
@@ -8,26 +8,47 @@
 from heathercleat.events import Event
 from heathercleat.steering.process.store import HistoryLostError, Snapshot
 
-#: Seconds between two tries while the store does not answer: short enough for a
-#: configuration to be in force within its bound after the store's return.
+#: Seconds between two tries of a reader while the store does not answer: short enough
+#: for a configuration to be in force within its bound after the store's return.
 RETRY_INTERVAL = 0.3
+#: The same for other VMs, which learn of its return from a reader.
+IDLE_RETRY_INTERVAL = 2.0
+#: Seconds between two looks of a VM that does not read the store at what others know.
+PEER_INTERVAL = 0.1
 
 
 class TableFollower:
     """Keeps a copy of one table up to date.
 
+    Some VMs read the store; the others fetch the table from a VM whose heartbeat tells
+    of a newer change. At 10 VMs that saves two of three calls to the store.
+
     :param table: name of the table.
     :param store: a :class:`Store` of its own.
     :param wait: seconds for which a call waits for a change.
     :param pause: seconds between two calls, to bound their number.
-    :param apply: called with the :class:`Snapshot` of changes and whether it is whole.
-    :param relay: fetches a newer whole :class:`Snapshot` from another VM, or ``None``;
-        a coroutine function of the version known here.
+    :param apply: called with a :class:`Snapshot` and whether it is whole; returns
+        whether anything mattered.
+    :param relay: fetches a whole :class:`Snapshot` with a newer change from another
+        VM, or returns ``None``; a coroutine function of the last change known here.
+    :param is_reader: returns whether this VM reads the store.
+    :param is_used: returns whether a removed row is still used, by its key.
     :param on_return: called when the store answers after it was away.
     """
 
     def __init__(
-        self, table, store, wait, pause, apply, relay, on_return, journal, clock
+        self,
+        table,
+        store,
+        wait,
+        pause,
+        apply,
+        relay,
+        is_reader,
+        is_used,
+        on_return,
+        journal,
+        clock,
     ):
         self._table = table
         self._store = store
@@ -35,19 +56,29 @@
         self._pause = pause
         self._apply = apply
         self._relay = relay
+        self._is_reader = is_reader
+        self._is_used = is_used
         self._on_return = on_return
         self._journal = journal
         self._clock = clock
         self._rows = {}
+        self._removed = {}
         self._version = 0
+        self._changed = 0
         self._loaded = False
         self._lost_at = None
         self._read_at = None
+        self._try_at = 0.0
+
+    @property
+    def changed(self):
+        """Return the store's version of the last change that mattered."""
+        return self._changed
 
     @property
-    def version(self):
-        """Return the store's version that the copy is current as of."""
-        return self._version
+    def lost(self):
+        """Return whether the store did not answer the last call."""
+        return self._lost_at is not None
 
     @property
     def read_at(self):
@@ -55,23 +86,37 @@
         return self._read_at
 
     def snapshot(self):
-        """Return all rows known here."""
-        return Snapshot(self._version, list(self._rows.values()))
+        """Return all rows known here, and the removed ones that are still used."""
+        kept = [row for key, row in self._removed.items() if self._is_used(key)]
+        return Snapshot(self._version, [*self._rows.values(), *kept], self._changed)
 
     async def run(self):
         """Follow the table until cancelled."""
         while True:
-            try:
-                await self._step()
-            except HistoryLostError:
-                self._loaded = False
-                continue
-            except PlatformError as error:
-                self._note_lost(error)
+            if self._may_read():
+                await sleep(await self._read_store())
+            else:
                 await self._ask_peer()
-                await sleep(uniform(0.5, 1.5) * RETRY_INTERVAL)
-                continue
-            await sleep(uniform(0.8, 1.2) * self._pause)
+                await sleep(PEER_INTERVAL)
+
+    def _may_read(self):
+        if not self._loaded or self._is_reader():
+            return True
+        return self.lost and self._clock.now() >= self._try_at
+
+    async def _read_store(self):
+        """Make one call and return the seconds until the next one."""
+        try:
+            await self._step()
+        except HistoryLostError:
+            self._loaded = False
+            return 0.0
+        except PlatformError as error:
+            self._note_lost(error)
+            await self._ask_peer()
+            self._try_at = self._clock.now() + IDLE_RETRY_INTERVAL
+            return uniform(0.5, 1.5) * RETRY_INTERVAL
+        return uniform(0.8, 1.2) * self._pause
 
     async def _step(self):
         if not self._loaded:
@@ -86,24 +131,27 @@
 
     async def _ask_peer(self):
         try:
-            snapshot = await self._relay(self._version)
+            snapshot = await self._relay(self._changed)
         except PeerError as error:
             self._journal.write(
                 Event.STATE_NOT_FETCHED, table=self._table, reason=str(error)
             )
             return
-        if snapshot is not None and snapshot.version > self._version:
+        if snapshot is not None and snapshot.changed > self._changed:
             self._journal.write(
-                Event.STATE_FROM_PEER, table=self._table, version=snapshot.version
+                Event.STATE_FROM_PEER, table=self._table, version=snapshot.changed
             )
             self._take_whole(snapshot)
+            self._loaded = True
 
     def _take_whole(self, snapshot):
-        # A peer may have been ahead of the answer that was on its way.
+        self._changed = max(self._changed, snapshot.changed)
+        # Another VM may have been ahead of the answer that was on its way.
         if snapshot.version < self._version:
             return
         self._version = snapshot.version
         self._rows = {row.key: row for row in snapshot.rows}
+        self._removed = {}
         self._apply(snapshot, True)
 
     def _take_changes(self, changes):
@@ -111,12 +159,12 @@
             return
         self._version = changes.version
         for row in changes.rows:
-            if row.value is None:
-                self._rows.pop(row.key, None)
-            else:
+            if row.value is not None:
                 self._rows[row.key] = row
-        if changes.rows or self._lost_at is not None:
-            self._apply(changes, False)
+            elif row.key in self._rows:
+                self._removed[row.key] = self._rows.pop(row.key)
+        if self._apply(changes, False):
+            self._changed = changes.version
 
     def _note_lost(self, error):
         if self._lost_at is None:
--- a/src/heathercleat/steering/process/gossip.py
+++ b/src/heathercleat/steering/process/gossip.py
@@ -22,6 +22,9 @@
     """A heartbeat.
 
     :param interval: seconds until the next one.
+    :param operator_version: version of the last change to the operators' table.
+    :param target_version: version of the last change to the targets that mattered.
+    :param store_lost: whether the store does not answer the VM.
     :param rooms: see :meth:`RoomView.report`.
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
@@ -37,6 +40,7 @@
         "interval",
         "operator_version",
         "target_version",
+        "store_lost",
         "rooms",
         "waits",
         "losses",
--- a/src/heathercleat/steering/process/members.py
+++ b/src/heathercleat/steering/process/members.py
@@ -30,6 +30,7 @@
         "interval",
         "operator_version",
         "target_version",
+        "store_lost",
     )
 
     def __init__(self, vm, ip, failure_domain, region):
@@ -43,6 +44,7 @@
         self.interval = 0.0
         self.operator_version = 0
         self.target_version = 0
+        self.store_lost = False
 
     @property
     def patience(self):
@@ -131,6 +133,7 @@
         member.interval = beat.interval
         member.operator_version = beat.operator_version
         member.target_version = beat.target_version
+        member.store_lost = beat.store_lost
         member.heard_at = self._clock.now()
         if changed:
             self._live[member.vm] = member
--- a/src/heathercleat/steering/process/registry.py
+++ b/src/heathercleat/steering/process/registry.py
@@ -51,6 +51,10 @@
         entry = self._targets.get(target_id)
         return entry if entry is not None and self._usable(entry) else None
 
+    def knows(self, target_id):
+        """Return whether a target is known, usable or not."""
+        return target_id in self._targets
+
     def usable(self):
         """Yield every usable target."""
         for entries in self._by_service.values():
@@ -75,12 +79,17 @@
         self._rebuild()
 
     def update(self, entries, removed):
-        """Take changed entries and the ids of removed ones."""
+        """Take changed entries and the ids of removed ones.
+
+        Return whether anything changed that matters for steering.
+        """
         changed = [self._put(entry) for entry in entries]
         for target_id in removed:
             changed.append(self._remove(target_id))
-        if any(changed) or self._expire_lapsed():
+        matters = self._expire_lapsed() or any(changed)
+        if matters:
             self._rebuild()
+        return matters
 
     def evacuate(self, failure_domains):
         """Set the failure domains whose targets get no requests."""
@@ -104,6 +113,7 @@
         """Keep an entry; return whether what matters for steering has changed."""
         now = self._clock.now()
         self._lapsing.pop(entry.id, None)
+        turned_cold = entry.cold_for > 0 and self.cold_until(entry.id) <= now
         if entry.cold_for > 0:
             self._cold_until[entry.id] = now + entry.cold_for
         before = self._targets.get(entry.id)
@@ -120,7 +130,8 @@
             return True
         if entry.draining and not before.draining:
             self._journal.write(Event.TARGET_DRAINING, target=entry.id, reason="entry")
-        return entry.draining != before.draining or entry.slots != before.slots
+        usual = entry.draining == before.draining and entry.slots == before.slots
+        return turned_cold or not usual
 
     def _remove(self, target_id):
         if target_id not in self._targets:
--- a/src/heathercleat/steering/process/store.py
+++ b/src/heathercleat/steering/process/store.py
@@ -19,13 +19,18 @@
 
 
 class Snapshot:
-    """Rows of a table and the store's version that they are current as of."""
+    """Rows of a table.
 
-    __slots__ = ("version", "rows")
+    :param version: the store's version that they are current as of.
+    :param changed: the version of the last change that mattered.
+    """
 
-    def __init__(self, version, rows):
+    __slots__ = ("version", "rows", "changed")
+
+    def __init__(self, version, rows, changed=None):
         self.version = version
         self.rows = rows
+        self.changed = version if changed is None else changed
 
 
 class Store(Protocol):
--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/tables.py
@@ -1,5 +1,6 @@
 """The tables of the store that a VM follows, and what it takes from them."""
 
+from math import ceil
 from secrets import token_hex
 
 import msgpack
@@ -13,6 +14,7 @@
 from heathercleat.platform.store import TableStore
 from heathercleat.steering.connection.forwarded import STATE_PATH, read_state
 from heathercleat.steering.process.follower import TableFollower
+from heathercleat.version.hashing import ranked
 
 MEMBER_TABLE = "heathercleat-members"
 #: Seconds that a call to the store may take beside the time it waits for a change.
@@ -22,10 +24,12 @@
 #: Targets change their entries at every check-in: pausing between calls bounds their
 #: number, and a target that leaves is noticed within half of the shortest drain.
 TARGET_WAIT = 1.0
-TARGET_PAUSE = 0.7
-#: VMs find each other by heartbeats; the table heals what those cannot.
-MEMBER_WAIT = 5.0
-MEMBER_PAUSE = 5.0
+TARGET_PAUSE = 0.6
+#: VMs find each other by heartbeats; the table tells a new VM of them.
+MEMBER_WAIT = 0.0
+MEMBER_PAUSE = 30.0
+#: VMs that read the store, over all regions: any of them tells all others.
+READERS = 3
 #: Seconds in which another VM has to answer for a table.
 RELAY_TIMEOUT = 0.5
 MAX_STATE_BYTES = 16 << 20
@@ -64,12 +68,23 @@
             TARGET_PAUSE,
             self._take_targets,
             lambda member: member.target_version,
-            registry.store_returned,
+            is_used=registry.knows,
+            on_return=registry.store_returned,
         )
         self.member_rows = self._follow(
-            MEMBER_TABLE, MEMBER_WAIT, MEMBER_PAUSE, self._take_members, lambda _: 0
+            MEMBER_TABLE,
+            MEMBER_WAIT,
+            MEMBER_PAUSE,
+            self._take_members,
+            lambda _: 0,
+            is_reader=lambda: True,
         )
 
+    @property
+    def store_lost(self):
+        """Return whether the store does not answer this VM."""
+        return self.operator.lost or self.targets.lost
+
     def snapshot(self, table):
         """Return the copy of a followed table."""
         followers = {OPERATOR_TABLE: self.operator, TARGET_TABLE: self.targets}
@@ -99,7 +114,17 @@
         settings = self._settings
         return TableStore(settings.store, self._clock, STORE_TIMEOUT, settings.ip)
 
-    def _follow(self, table, wait, pause, apply, version_of, on_return=lambda: None):
+    def _follow(
+        self,
+        table,
+        wait,
+        pause,
+        apply,
+        version_of,
+        is_reader=None,
+        is_used=lambda key: False,
+        on_return=lambda: None,
+    ):
         async def relay(version):
             return await self._ask_peers(table, version, version_of)
 
@@ -110,13 +135,35 @@
             pause,
             apply,
             relay,
+            is_reader or self._is_reader,
+            is_used,
             on_return,
             self._journal,
             self._clock,
         )
 
+    def _is_reader(self):
+        """Return whether this VM is one of those of its region that read the store.
+
+        VMs that the store does not answer leave it to others, while there are any.
+        """
+        own = self._members.own
+        near = [
+            member
+            for member in self._members.live_others()
+            if member.region == own.region
+        ]
+        answered = [member.vm for member in near if not member.store_lost]
+        if not self.store_lost:
+            answered.append(own.vm)
+        names = answered or [own.vm, *(member.vm for member in near)]
+        regions = len(set(self._settings.regions.values()))
+        return own.vm in ranked("reader", names)[: ceil(READERS / regions)]
+
     def _take_operator(self, snapshot, whole):
         """Take the whole table again: it is small and a removed row matters."""
+        if not whole and not snapshot.rows:
+            return False
         try:
             rows = self.operator.snapshot().rows
             table, evacuated = decode_operator_rows(rows)
@@ -130,14 +177,15 @@
         self._registry.evacuate(evacuated)
         if table is not None:
             self._adopt(table)
+        return True
 
     def _take_targets(self, snapshot, whole):
         entries = list(self._decode_targets(snapshot.rows))
         if whole:
             self._registry.replace(entries)
-        else:
-            removed = [row.key for row in snapshot.rows if row.value is None]
-            self._registry.update(entries, removed)
+            return True
+        removed = [row.key for row in snapshot.rows if row.value is None]
+        return self._registry.update(entries, removed)
 
     def _decode_targets(self, rows):
         for row in rows:
@@ -159,6 +207,7 @@
                 continue
             if row.key != self._settings.vm:
                 self._members.introduce(row.key, ip, failure_domain, region)
+        return True
 
     async def _ask_peers(self, table, version, version_of):
         """Return a newer snapshot from the VM that has the newest, or ``None``."""
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -48,7 +48,19 @@
 
 def beat(vm="vm-2", domain="north-a", region="north", serving=True, incarnation=1):
     return Beat(
-        vm, "127.0.9.2", domain, region, incarnation, serving, 0.15, 0, 0, [], [], []
+        vm,
+        "127.0.9.2",
+        domain,
+        region,
+        incarnation,
+        serving,
+        0.15,
+        0,
+        0,
+        False,
+        [],
+        [],
+        [],
     )
 
 
