--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -6,6 +6,7 @@
 from heathercleat import ResultCode
 from heathercleat.events import Event
 from heathercleat.process.metrics import Metrics
+from heathercleat.steering.process.metrics import SteeringMetrics
 from standins.fleet import ROOT
 
 DOCS = ROOT / "docs" / "reference"
@@ -60,8 +61,8 @@
     documented = set(
         re.findall(r"`(heathercleat_\w+)`", (DOCS / "metrics.md").read_text())
     )
-    metrics = Metrics(None)
-    known = {metric.name for metric in metrics._registry.collect()}
+    pages = (Metrics(None), SteeringMetrics(dict))
+    known = {metric.name for page in pages for metric in page._registry.collect()}
     own = {name for name in known if name.startswith("heathercleat_")}
     assert documented == own
 
