--- a/src/heathercleat/platform/settings.py
+++ b/src/heathercleat/platform/settings.py
@@ -54,7 +54,9 @@
         seeds=reader.field("seeds", _hosts, default=()),
         store=reader.field("platform.address", _address),
         memory=reader.field("limits.memoryMb", _bytes, default=512 * _MEGABYTE),
-        cores=reader.field("limits.cpuShare", float, default=1.0),
+        # The share of a core, and how many cores' speed that core has.
+        cores=reader.field("limits.cpuShare", float, default=1.0)
+        * reader.field("limits.cores", float, default=1.0),
         link_mbps=reader.field("limits.linkMbps", float, default=1000.0),
         target_heartbeat=seconds(reader.field("heartbeat", str, DEFAULT_HEARTBEAT)),
         bounds=_bounds(reader.field("bounds", list, default=[])),
--- a/src/heathercleat/steering/process/directory.py
+++ b/src/heathercleat/steering/process/directory.py
@@ -35,9 +35,9 @@
 
     def lookup(self, region, failure_domain):
         """Return the :class:`Lookup` for a client of a region and failure domain."""
-        serving = self._members.serving()
-        near = [each for each in serving if each.region == region]
+        active = self._members.active()
+        near = [each for each in active if each.region == region]
         here = [each for each in near if each.failure_domain == failure_domain]
-        chosen = here if len(here) >= ENOUGH else near or serving
+        chosen = here if len(here) >= ENOUGH else near or active
         addresses = [f"{each.ip}:{self._port}" for each in chosen[:MOST_ADDRESSES]]
         return Lookup(addresses, self._ttl)
--- a/src/heathercleat/steering/process/gossip.py
+++ b/src/heathercleat/steering/process/gossip.py
@@ -10,6 +10,9 @@
 #: Seconds between two heartbeats: room reports are stale for half of it on average,
 #: an eighth of a request of 0.25 s at a target; at 10 VMs it costs 0.6% of a core.
 INTERVAL = 0.15
+#: Seconds between two heartbeats to or from a VM that carries no requests: it only has
+#: to learn of changes, and to be known when it is needed.
+IDLE_INTERVAL = 0.9
 #: Heartbeats that a VM sends in a second at most, to bound the cost in large fleets.
 MOST_PER_SECOND = 120
 MAX_DATAGRAM = 8192
@@ -25,6 +28,7 @@
     :param operator_version: version of the last change to the operators' table.
     :param target_version: version of the last change to the targets that mattered.
     :param store_lost: whether the store does not answer the VM.
+    :param strength: see :attr:`NodeSettings.strength`.
     :param rooms: see :meth:`RoomView.report`.
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
@@ -41,6 +45,7 @@
         "operator_version",
         "target_version",
         "store_lost",
+        "strength",
         "rooms",
         "waits",
         "losses",
@@ -95,32 +100,53 @@
 
     async def beat(self):
         """Send heartbeats until cancelled."""
+        idle_at = 0.0
         while True:
-            interval = self._interval()
             self._members.check()
-            await self.send(interval)
-            await sleep(interval)
-
-    async def send(self, interval=INTERVAL):
-        """Send one heartbeat to every known VM and seed."""
-        body = self._compose(interval).pack()
-        for vm, ip in list(self._receivers()):
+            now = self._clock.now()
+            to_all = now >= idle_at
+            if to_all:
+                idle_at = now + IDLE_INTERVAL
+            await self.send(to_all)
+            await sleep(self._interval())
+
+    async def send(self, to_all=True):
+        """Send one heartbeat to the active VMs.
+
+        :param to_all: send it to every known VM and seed.
+        """
+        active = {member.vm for member in self._members.active()}
+        own_active = self._members.own.vm in active
+        bodies = {
+            True: self._compose(self._interval()).pack(),
+            False: self._compose(IDLE_INTERVAL).pack(),
+        }
+        for vm, ip in list(self._receivers(active, to_all)):
             echo = msgpack.packb([self._clock.now(), *self._echo(vm)])
+            body = bodies[own_active and vm in active]
             try:
                 await self._sock.sendto(body + echo, (ip, self._settings.gossip_port))
             except OSError as error:
                 self._journal.write(Event.PEER_REJECTED, peer=vm, reason=repr(error))
 
     def _interval(self):
-        others = len(self._members.others())
-        return max(INTERVAL, others / MOST_PER_SECOND)
-
-    def _receivers(self):
+        """Return the seconds between two heartbeats from here to active VMs."""
+        active = self._members.active()
+        if self._members.own not in active:
+            return IDLE_INTERVAL
+        return max(INTERVAL, len(active) / MOST_PER_SECOND)
+
+    def _receivers(self, active, to_all):
+        """Yield the name, if known, and IP number of each VM to send to."""
+        own = self._members.own
         known = set()
         for member in self._members.others():
             known.add(member.ip)
-            yield member.vm, member.ip
-        for seed in self._settings.seeds:
+            near = own.vm in active or member.failure_domain == own.failure_domain
+            unheard = member.heard_at is None
+            if member.vm in active or (to_all and (near or unheard)):
+                yield member.vm, member.ip
+        for seed in self._settings.seeds if to_all else ():
             if seed != self._settings.ip and seed not in known:
                 yield None, seed
 
--- a/src/heathercleat/steering/process/members.py
+++ b/src/heathercleat/steering/process/members.py
@@ -7,6 +7,11 @@
 SILENCE = 1.1
 #: Heartbeats that may be lost in a row, where they come rarely.
 LOST_BEATS = 4
+#: A VM carries requests when it has this share of the strength of its region's
+#: strongest VM, as long as such VMs have a good part of the region's strength: the
+#: requests at a VM with a twentieth of the bandwidth take several times their aim.
+STRONG_SHARE = 0.5
+ENOUGH_SHARE = 0.4
 #: Seconds of silence after which a VM is forgotten.
 FORGET = 60.0
 
@@ -31,6 +36,7 @@
         "operator_version",
         "target_version",
         "store_lost",
+        "strength",
     )
 
     def __init__(self, vm, ip, failure_domain, region):
@@ -45,6 +51,7 @@
         self.operator_version = 0
         self.target_version = 0
         self.store_lost = False
+        self.strength = 1.0
 
     @property
     def patience(self):
@@ -65,9 +72,11 @@
             settings.vm, settings.ip, settings.failure_domain, settings.region
         )
         self._own.incarnation = incarnation
+        self._own.strength = settings.strength
         self._regions = settings.regions
         self._members = {settings.vm: self._own}
         self._live = {}
+        self._active = None
         self._on_change = []
 
     @property
@@ -83,6 +92,24 @@
         """Return the live VMs that take clients and own targets."""
         return [member for member in self._live.values() if member.serving]
 
+    def active(self):
+        """Return the serving VMs that are named to clients and own targets."""
+        if self._active is None:
+            self._active = list(self._find_active())
+        return self._active
+
+    def _find_active(self):
+        """Yield the strong VMs of each region, or all where these are too few."""
+        regions = {}
+        for member in self.serving():
+            regions.setdefault(member.region, []).append(member)
+        for members in regions.values():
+            least = STRONG_SHARE * max(each.strength for each in members)
+            strong = [each for each in members if each.strength >= least]
+            total = sum(each.strength for each in members)
+            enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
+            yield from strong if enough else members
+
     def live(self, vm):
         """Return the live :class:`Member` of that name, or ``None``."""
         return self._live.get(vm)
@@ -134,6 +161,7 @@
         member.operator_version = beat.operator_version
         member.target_version = beat.target_version
         member.store_lost = beat.store_lost
+        member.strength = beat.strength
         member.heard_at = self._clock.now()
         if changed:
             self._live[member.vm] = member
@@ -166,5 +194,6 @@
             self._changed()
 
     def _changed(self):
+        self._active = None
         for callback in self._on_change:
             callback()
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -231,7 +231,7 @@
             self._gossip.beat,
             self._tables.operator.run,
             self._tables.targets.run,
-            self._tables.member_rows.run,
+            self._tables.follow_members,
             self.leavers.run,
             self._keep_up,
             self._summarise,
@@ -304,7 +304,6 @@
 
     async def _shut_down(self):
         """Wait for a stop signal, then leave without cutting any request."""
-        await spawn(self._tables.register, daemon=True)
         while not self._leave_requested:
             if self._reload_requested:
                 self._reload()
@@ -391,6 +390,7 @@
             self._tables.operator.changed,
             self._tables.targets.changed,
             self._tables.store_lost,
+            own.strength,
             rooms,
             waits,
             losses,
--- a/src/heathercleat/steering/process/owners.py
+++ b/src/heathercleat/steering/process/owners.py
@@ -48,10 +48,10 @@
 
     def _rebuild(self):
         self._stale = False
-        serving = self._members.serving()
+        active = self._members.active()
         self._owner = {}
         for failure_domain, targets in self._group().items():
-            candidates = self._candidates(failure_domain, serving)
+            candidates = self._candidates(failure_domain, active)
             for service_targets in targets.values():
                 self._owner.update(assign(service_targets, candidates))
 
@@ -63,11 +63,11 @@
             services.setdefault(entry.service, []).append(entry.id)
         return groups
 
-    def _candidates(self, failure_domain, serving):
+    def _candidates(self, failure_domain, active):
         """Return the VMs that may own targets of a failure domain, nearest first."""
-        near = [each.vm for each in serving if each.failure_domain == failure_domain]
+        near = [each.vm for each in active if each.failure_domain == failure_domain]
         if near:
             return near
         region = self._members.region_of(failure_domain)
-        near = [each.vm for each in serving if each.region == region]
-        return near or [each.vm for each in serving]
+        near = [each.vm for each in active if each.region == region]
+        return near or [each.vm for each in active]
--- a/src/heathercleat/steering/process/settings.py
+++ b/src/heathercleat/steering/process/settings.py
@@ -1,5 +1,8 @@
 """Settings of a VM that steers requests, whatever file they come from."""
 
+#: Mbit/s that one core's requests need: about 350 a second of 11 KB both ways.
+LINK_PER_CORE = 30.0
+
 
 class Address:
     """An IP number and a port."""
@@ -53,7 +56,7 @@
     :param seeds: IP numbers of some VMs, which may be stale.
     :param store: address of the platform's table service.
     :param memory: bytes that the process may use.
-    :param cores: share of a core that the process may use.
+    :param cores: cores that the process may use, fractions included.
     :param link_mbps: bandwidth of the VM's link, in Mbit/s.
     :param target_heartbeat: seconds between two entries of a target.
     """
@@ -82,6 +85,11 @@
         for name in self.__slots__:
             setattr(self, name, fields[name])
 
+    @property
+    def strength(self):
+        """Return the cores that the process can keep busy over its link."""
+        return min(self.cores, self.link_mbps / LINK_PER_CORE)
+
     @property
     def gossip_port(self):
         """Return the UDP port for heartbeats between VMs."""
--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/tables.py
@@ -27,7 +27,7 @@
 TARGET_PAUSE = 0.6
 #: VMs find each other by heartbeats; the table tells a new VM of them.
 MEMBER_WAIT = 0.0
-MEMBER_PAUSE = 30.0
+MEMBER_PAUSE = 20.0
 #: VMs that read the store, over all regions: any of them tells all others.
 READERS = 3
 #: Seconds in which another VM has to answer for a table.
@@ -90,7 +90,15 @@
         followers = {OPERATOR_TABLE: self.operator, TARGET_TABLE: self.targets}
         return followers[table].snapshot()
 
-    async def register(self):
+    async def follow_members(self):
+        """Register this VM, then learn of the others until cancelled.
+
+        Of two VMs that start together, the one that reads last sees both rows.
+        """
+        await self._register()
+        await self.member_rows.run()
+
+    async def _register(self):
         """Write this VM's row, so that others find it."""
         settings = self._settings
         row = [settings.ip, settings.failure_domain, settings.region, token_hex(4)]
@@ -148,13 +156,14 @@
         VMs that the store does not answer leave it to others, while there are any.
         """
         own = self._members.own
+        active = self._members.active() or [own, *self._members.live_others()]
         near = [
             member
-            for member in self._members.live_others()
-            if member.region == own.region
+            for member in active
+            if member.region == own.region and member is not own
         ]
         answered = [member.vm for member in near if not member.store_lost]
-        if not self.store_lost:
+        if not self.store_lost and (own in active or not near):
             answered.append(own.vm)
         names = answered or [own.vm, *(member.vm for member in near)]
         regions = len(set(self._settings.regions.values()))
--- a/src/heathercleat/steering/process/warm.py
+++ b/src/heathercleat/steering/process/warm.py
@@ -34,7 +34,7 @@
         while True:
             far = [
                 member
-                for member in self._members.serving()
+                for member in self._members.active()
                 if member.region != self._members.own.region
             ]
             if far:
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -46,7 +46,14 @@
     return made
 
 
-def beat(vm="vm-2", domain="north-a", region="north", serving=True, incarnation=1):
+def beat(
+    vm="vm-2",
+    domain="north-a",
+    region="north",
+    serving=True,
+    incarnation=1,
+    strength=0.86,
+):
     return Beat(
         vm,
         "127.0.9.2",
@@ -58,6 +65,7 @@
         0,
         0,
         False,
+        strength,
         [],
         [],
         [],
--- a/tests/test_owners.py
+++ b/tests/test_owners.py
@@ -53,3 +53,27 @@
     parts.members.introduce("vm-9", "127.0.9.9", "north-a", "north")
     assert parts.members.live("vm-9") is None
     assert [each.vm for each in parts.members.others()] == ["vm-9"]
+
+
+def test_weak_vms_own_nothing_beside_strong_ones():
+    parts = Parts(TARGETS)
+    for number in range(2, 6):
+        parts.members.heard(beat(f"vm-{number}", strength=0.1))
+    assert {parts.owners.of(each.id) for each in TARGETS} == {"vm-1"}
+
+
+def test_weak_vms_take_over_when_the_strong_ones_are_gone():
+    parts = Parts(TARGETS, serving=False)
+    parts.members.heard(beat("vm-2", strength=2.0))
+    parts.members.heard(beat("vm-3", strength=0.3))
+    assert {parts.owners.of(each.id) for each in TARGETS} == {"vm-2"}
+    parts.members.heard(beat("vm-2", strength=2.0, serving=False))
+    assert {parts.owners.of(each.id) for each in TARGETS} == {"vm-3"}
+
+
+def test_all_vms_are_used_where_the_strong_ones_are_too_few():
+    parts = Parts(TARGETS, serving=False)
+    parts.members.heard(beat("vm-2", strength=1.0))
+    for number in range(3, 13):
+        parts.members.heard(beat(f"vm-{number}", strength=0.4))
+    assert len({parts.owners.of(each.id) for each in TARGETS}) > 1
