--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: test demo bench lint format binary capacity
+.PHONY: test soak demo bench lint format binary capacity
 
 $(STAMP): requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -35,3 +35,6 @@
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py build/heathercleat
+
+soak: $(STAMP)
+	$(BIN)/python -m standins.soak --seeds 10
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,315 @@
+"""Randomized fault soak: real processes, faults from outside, promises checked.
+
+One seed starts a store, targets and VMs, sends requests all the while and injects
+faults in series and overlapping: VMs killed, paused, stopped and started again; a store
+that is busy, silent, slow, refuses a VM, loses replies or its history; targets that
+lose, cut, refuse or slow their answers; evacuations and new configurations. It checks,
+from what clients and targets see:
+
+- a request that is not idempotent runs at most once;
+- a refusal with 503 is true: the request has not run and does not run later;
+- a success is signed, whole, and the answer to its own request;
+- after the last fault, requests are served again.
+"""
+
+import random
+import signal
+import sys
+import threading
+import time
+from argparse import ArgumentParser
+from collections import Counter
+from hashlib import sha256
+from http.client import HTTPException
+
+from standins.fleet import wait_for
+from standins.steering_fleet import SteeringFleet
+
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+TARGETS = {
+    "i-1": ("s1", "north-a", 3),
+    "i-2": ("s1", "north-b", 3),
+    "i-3": ("s1", "south-a", 3),
+    "i-4": ("s2", "north-a", 3),
+}
+SUBNET = 33
+CLIENTS = 6
+WAIT_MS = 1200
+FAULT_GAP = (0.1, 0.6)
+FAULT_SECONDS = (0.2, 1.5)
+RECOVERY_SECONDS = 12.0
+#: Seconds after which a request that was given up can no longer begin to run.
+SETTLE_SECONDS = 1.0
+
+
+class Sent:
+    """A request of the soak and how it ended; ``status`` is ``None`` for no answer."""
+
+    __slots__ = ("id", "safe", "body", "status", "headers", "answer")
+
+    def __init__(self, id, safe, body):
+        self.id = id
+        self.safe = safe
+        self.body = body
+        self.status = None
+        self.headers = {}
+        self.answer = b""
+
+
+class Clients:
+    """Threads that send requests until they are stopped."""
+
+    def __init__(self, fleet, seed):
+        self._fleet = fleet
+        self._seed = seed
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,))
+            for number in range(CLIENTS)
+        ]
+        self.sent = []
+
+    def start(self):
+        """Start sending."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        """Stop sending and wait for the last answers."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number):
+        rng = random.Random(f"{self._seed}-{number}")
+        vms = list(self._fleet.vms.values())
+        count = 0
+        while not self._stopping.is_set():
+            count += 1
+            safe = rng.random() < 0.5
+            body = b"" if safe else rng.randbytes(rng.randrange(1, 20_000))
+            request = Sent(f"{self._seed}-{number}-{count}", safe, body)
+            self.sent.append(request)
+            self._send(rng.choice(vms), request)
+            time.sleep(rng.uniform(0.0, 0.03))
+
+    def _send(self, vm, request):
+        method, path = ("GET", "/one/two/x") if request.safe else ("POST", "/one/x")
+        try:
+            answer = self._fleet.send(
+                vm, method, path, request.id, request.body or None, WAIT_MS
+            )
+        except (OSError, HTTPException):
+            return
+        request.status, request.headers, request.answer = answer
+
+
+class Faults:
+    """Injects faults, each undone after a while; some overlap.
+
+    :param rng: decides what happens when.
+    """
+
+    def __init__(self, fleet, rng, config_versions):
+        self._fleet = fleet
+        self._rng = rng
+        self._versions = config_versions
+        self._undo = []
+        self.log = []
+
+    def run(self, seconds):
+        """Inject faults for a while, then undo all of them."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            kind = self._rng.choice(self._kinds())
+            undo = kind()
+            self.log.append(f"{time.monotonic():.2f} {kind.__name__}")
+            if undo is not None:
+                until = time.monotonic() + self._rng.uniform(*FAULT_SECONDS)
+                self._undo.append((until, undo))
+            time.sleep(self._rng.uniform(*FAULT_GAP))
+            self._undo_due(time.monotonic())
+        self._undo_due(float("inf"))
+
+    def _kinds(self):
+        return (
+            self._kill,
+            self._pause,
+            self._stop,
+            self._store_down,
+            self._store_refuses,
+            self._store_loses,
+            self._store_forgets,
+            self._store_slow,
+            self._target_fault,
+            self._evacuate,
+            self._configure,
+        )
+
+    def _undo_due(self, now):
+        due = [undo for until, undo in self._undo if until <= now]
+        self._undo = [each for each in self._undo if each[0] > now]
+        for undo in due:
+            undo()
+
+    def _vm(self):
+        return self._rng.choice(list(self._fleet.vms.values()))
+
+    def _kill(self):
+        vm = self._vm()
+        vm.process.kill()
+        vm.process.wait()
+        return lambda: self._start(vm)
+
+    def _stop(self):
+        vm = self._vm()
+        vm.process.send_signal(signal.SIGTERM)
+
+        def restart():
+            vm.process.wait(20)
+            self._start(vm)
+
+        return restart
+
+    def _start(self, vm):
+        # Another fault may have started it already.
+        if vm.process.poll() is not None:
+            self._fleet.start_vm(vm)
+
+    def _pause(self):
+        vm = self._vm()
+        vm.process.send_signal(signal.SIGSTOP)
+        return lambda: vm.process.send_signal(signal.SIGCONT)
+
+    def _store_down(self):
+        down = self._rng.choice(["busy", "silent", "reset"])
+        self._fleet.switch_store(down=down)
+        return lambda: self._fleet.switch_store(down=None)
+
+    def _store_refuses(self):
+        self._fleet.switch_store(refused=[self._vm().host])
+        return lambda: self._fleet.switch_store(refused=[])
+
+    def _store_loses(self):
+        self._fleet.switch_store(lose_replies=3)
+
+    def _store_forgets(self):
+        self._fleet.switch_store(history=1)
+        return lambda: self._fleet.switch_store(history=1000)
+
+    def _store_slow(self):
+        self._fleet.switch_store(slow_s=0.4)
+        return lambda: self._fleet.switch_store(slow_s=0.0)
+
+    def _target_fault(self):
+        target = self._rng.choice(list(TARGETS))
+        name, value, normal = self._rng.choice(
+            [
+                ("lose", True, False),
+                ("cut", True, False),
+                ("stray", True, False),
+                ("shed", 0.5, 0.0),
+                ("status", 500, 200),
+                ("work_s", 0.6, 0.02),
+            ]
+        )
+        self._fleet.switch_target(target, **{name: value})
+        return lambda: self._fleet.switch_target(target, **{name: normal})
+
+    def _evacuate(self):
+        domain = self._rng.choice(list(DOMAINS))
+        self._fleet.put("op", f"evacuate/{domain}", {})
+        return lambda: self._fleet.put("op", f"evacuate/{domain}", None)
+
+    def _configure(self):
+        self._fleet.config["version"] = f"r{next(self._versions)}"
+        self._fleet.put("op", "config", self._fleet.config)
+
+
+def check(sent, runs):
+    """Yield a line for each broken promise.
+
+    :param sent: every :class:`Sent`.
+    :param runs: ``[request id, path, milliseconds, digest]`` of every run.
+    """
+    counts = Counter(run[0] for run in runs)
+    for request in sent:
+        if not request.safe and counts[request.id] > 1:
+            yield f"{request.id}: ran {counts[request.id]} times"
+        if request.status == 503 and counts[request.id]:
+            yield f"{request.id}: refused as not run, but ran"
+        if request.status == 200:
+            yield from _check_success(request)
+
+
+def _check_success(request):
+    if request.headers.get("response-signature") != "signed":
+        yield f"{request.id}: a success without the target's signature"
+    if request.headers.get("request-id") != request.id:
+        yield f"{request.id}: the answer to another request"
+    if request.answer != sha256(request.body).hexdigest().encode():
+        yield f"{request.id}: not the whole answer"
+
+
+def run_seed(seed, seconds, config):
+    """Run one seed and return the broken promises, and how requests ended."""
+    rng = random.Random(seed)
+    vms = dict.fromkeys(DOMAINS, 1)
+    with SteeringFleet(config, DOMAINS, vms, TARGETS, subnet=SUBNET) as fleet:
+        faults = Faults(fleet, rng, iter(range(100, 10_000)))
+        clients = Clients(fleet, seed)
+        clients.start()
+        try:
+            faults.run(seconds)
+        finally:
+            clients.stop()
+        broken = list(_check_recovery(fleet, seed))
+        time.sleep(SETTLE_SECONDS)
+        broken.extend(check(clients.sent, fleet.runs()))
+        ends = Counter(request.status for request in clients.sent)
+    if broken:
+        broken.extend(f"fault: {line}" for line in faults.log)
+    return broken, ends
+
+
+def _check_recovery(fleet, seed):
+    """Yield a line for each VM that does not serve again."""
+    for vm in fleet.vms.values():
+        if vm.process.poll() is not None:
+            fleet.start_vm(vm)
+    for vm in fleet.vms.values():
+        try:
+            wait_for(
+                lambda vm=vm: (
+                    fleet.is_ready(vm)
+                    and fleet.send(vm, "GET", "/one/two/x", f"{seed}-after")[0] == 200
+                ),
+                RECOVERY_SECONDS,
+            )
+        except (TimeoutError, OSError, HTTPException) as error:
+            yield f"{vm.name} does not serve again: {error!r}"
+
+
+def main():
+    """Run seeds and report each broken promise."""
+    from tests.platform_samples import config
+
+    parser = ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--first", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=8.0, help="length of a seed")
+    args = parser.parse_args()
+    failed = []
+    for seed in range(args.first, args.first + args.seeds):
+        broken, ends = run_seed(seed, args.seconds, config())
+        print(f"seed {seed}: {dict(ends)}, {len(broken)} lines on broken promises")
+        for line in broken:
+            print(f"  {line}")
+        if broken:
+            failed.append(seed)
+    print(f"{args.seeds} seeds, failed: {failed or 'none'}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
