--- a/src/heathercleat/__init__.py
+++ b/src/heathercleat/__init__.py
@@ -1,22 +1,31 @@
 """Global traffic steering between callers and targets."""
 
-from heathercleat.codes import ResultCode, Run
-from heathercleat.errors import Finding, FindingsError, HeathercleatError
-from heathercleat.process.settings import Settings, load_settings
-from heathercleat.process.vm import EntryVM
-from heathercleat.version.text import Text, parse_text
+from importlib import import_module
 
 __version__ = "0.1.0"
 
-__all__ = [
-    "EntryVM",
-    "Finding",
-    "FindingsError",
-    "HeathercleatError",
-    "ResultCode",
-    "Run",
-    "Settings",
-    "Text",
-    "load_settings",
-    "parse_text",
-]
+#: Module of each public name. They are imported when they are first used: a VM that
+#: steers on the platform needs half of them, and its start is charged for the rest.
+_MODULES = {
+    "EntryVM": "heathercleat.process.vm",
+    "Finding": "heathercleat.errors",
+    "FindingsError": "heathercleat.errors",
+    "HeathercleatError": "heathercleat.errors",
+    "ResultCode": "heathercleat.codes",
+    "Run": "heathercleat.codes",
+    "Settings": "heathercleat.process.settings",
+    "SteeringNode": "heathercleat.steering.process.node",
+    "Text": "heathercleat.version.text",
+    "load_node_settings": "heathercleat.platform.settings",
+    "load_settings": "heathercleat.process.settings",
+    "parse_text": "heathercleat.version.text",
+}
+
+__all__ = sorted(_MODULES)
+
+
+def __getattr__(name):
+    """Import a public name."""
+    if name not in _MODULES:
+        raise AttributeError(f'module "{__name__}" has no attribute "{name}"')
+    return getattr(import_module(_MODULES[name]), name)
--- a/src/heathercleat/cli/_serve.py
+++ b/src/heathercleat/cli/_serve.py
@@ -1,11 +1,5 @@
 """The ``serve`` command."""
 
-from curio import run
-
-from heathercleat.process.logs import LogWriter
-from heathercleat.process.settings import load_settings
-from heathercleat.process.vm import EntryVM
-
 
 def add_serve(commands):
     """Add the command to the parser."""
@@ -19,6 +13,13 @@
 
 
 def _serve(args):
+    # Other commands need none of this.
+    from curio import run
+
+    from heathercleat.process.logs import LogWriter
+    from heathercleat.process.settings import load_settings
+    from heathercleat.process.vm import EntryVM
+
     settings = load_settings(args.settings)
     writer = LogWriter(settings.log_level)
     writer.start()
--- a/src/heathercleat/process/settings.py
+++ b/src/heathercleat/process/settings.py
@@ -1,10 +1,9 @@
 """The daemon's settings: JSON with comments, checked by schema."""
 
 from dataclasses import dataclass
+from functools import cache
 from pathlib import Path
 
-from jsonschema import Draft7Validator
-
 from heathercleat._jsonc import loads, locate
 from heathercleat.codes import ResultCode
 from heathercleat.errors import Finding, FindingsError, HeathercleatError
@@ -57,7 +56,6 @@
         "log_level": {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]},
     },
 }
-_VALIDATOR = Draft7Validator(SETTINGS_SCHEMA)
 
 
 @dataclass(slots=True, frozen=True)
@@ -112,7 +110,7 @@
 def parse_settings(source, name="settings"):
     """Parse settings; see :func:`load_settings`."""
     document = loads(source, name, ResultCode.SETTINGS_INVALID)
-    errors = list(_VALIDATOR.iter_errors(document))
+    errors = list(_validator().iter_errors(document))
     if errors:
         raise FindingsError(name, list(_findings(source, errors)))
     platform = document["platform"]
@@ -141,3 +139,11 @@
         message = "a key is too short" if "keys" in error.path else error.message
         place = places[pointer]
         yield Finding(message, pointer, *place, ResultCode.SETTINGS_INVALID)
+
+
+@cache
+def _validator():
+    """Return the validator of settings; importing its library takes 70 ms."""
+    from jsonschema import Draft7Validator
+
+    return Draft7Validator(SETTINGS_SCHEMA)
--- a/src/heathercleat/version/checks.py
+++ b/src/heathercleat/version/checks.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from ipaddress import ip_network
 
-from heathercleat.version.schema import TEXT_VALIDATOR
+from heathercleat.version.schema import text_validator
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,7 +20,7 @@
 
 def schema_findings(document):
     """Yield a fault for each value that the schema refuses."""
-    for error in TEXT_VALIDATOR.iter_errors(document):
+    for error in text_validator().iter_errors(document):
         yield Fault(_pointer(*error.absolute_path), error.message)
 
 
--- a/src/heathercleat/version/schema.py
+++ b/src/heathercleat/version/schema.py
@@ -1,6 +1,6 @@
 """JSON Schema of the operators' text."""
 
-from jsonschema import Draft7Validator
+from functools import cache
 
 _NAME = "^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"
 _ADDRESS = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"
@@ -94,4 +94,10 @@
     drains=_named(_DRAIN),
 )
 
-TEXT_VALIDATOR = Draft7Validator(TEXT_SCHEMA)
+
+@cache
+def text_validator():
+    """Return the validator of texts; importing its library takes 70 ms."""
+    from jsonschema import Draft7Validator
+
+    return Draft7Validator(TEXT_SCHEMA)
