--- /dev/null
+++ b/tests/test_follower.py
@@ -0,0 +1,190 @@
+import pytest
+from curio import TaskGroup, run, sleep
+
+from heathercleat.errors import PeerError, PlatformError
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.follower import TableFollower
+from heathercleat.steering.process.store import HistoryLostError, Snapshot, StoreRow
+
+PAUSE = 0.01
+
+
+class ScriptedStore:
+    """A table whose calls can fail."""
+
+    def __init__(self):
+        self.rows = {}
+        self.changes = []
+        self.version = 0
+        self.down = False
+        self.forget = False
+        self.reads = 0
+        self.calls = 0
+
+    def put(self, key, value):
+        self.version += 1
+        row = StoreRow(key, value, self.version)
+        self.changes.append(row)
+        self.rows[key] = row
+        if value is None:
+            del self.rows[key]
+
+    async def read(self, table):
+        self._call()
+        self.reads += 1
+        return Snapshot(self.version, list(self.rows.values()))
+
+    async def follow(self, table, after, wait):
+        self._call()
+        if self.forget:
+            self.forget = False
+            raise HistoryLostError("gone")
+        changes = [row for row in self.changes if row.version > after]
+        return Snapshot(self.version, changes)
+
+    def _call(self):
+        self.calls += 1
+        if self.down:
+            raise PlatformError("down")
+
+
+class Follower:
+    """A follower of a scripted store, and what it applied."""
+
+    def __init__(self, peer=None, reader=True):
+        self.store = ScriptedStore()
+        self.peer = peer
+        self.reader = reader
+        self.applied = []
+        self.returned = 0
+        self.matters = True
+        self.used = set()
+        clock = SystemClock()
+        self.follower = TableFollower(
+            "op",
+            self.store,
+            0.0,
+            PAUSE,
+            self._apply,
+            self._relay,
+            lambda: self.reader,
+            lambda key: key in self.used,
+            self._on_return,
+            Journal("vm-1", "north-a"),
+            clock,
+        )
+
+    def _apply(self, snapshot, whole):
+        self.applied.append((whole, sorted(row.key for row in snapshot.rows)))
+        return self.matters
+
+    async def _relay(self, version):
+        if self.peer is None:
+            raise PeerError("nobody answers")
+        return self.peer if self.peer.changed > version else None
+
+    def _on_return(self):
+        self.returned += 1
+
+    @property
+    def keys(self):
+        return sorted(row.key for row in self.follower.snapshot().rows)
+
+    def play(self, *steps):
+        """Follow while each step is done, a few calls apart."""
+
+        async def main():
+            async with TaskGroup(wait=any) as group:
+                await group.spawn(self.follower.run)
+                for step in steps:
+                    await sleep(0.1)
+                    step()
+                await sleep(0.7)
+                await group.cancel_remaining()
+
+        run(main)
+
+
+def test_rows_come_and_go():
+    made = Follower()
+    made.store.put("a", b"1")
+    made.play(lambda: made.store.put("b", b"2"), lambda: made.store.put("a", None))
+    assert made.keys == ["b"]
+    assert made.follower.changed == made.store.version
+
+
+def test_table_is_read_again_when_the_history_is_gone():
+    made = Follower()
+    made.store.put("a", b"1")
+
+    def forget():
+        made.store.put("b", b"2")
+        made.store.forget = True
+
+    made.play(forget)
+    assert made.keys == ["a", "b"]
+    assert made.store.reads == 2
+
+
+def test_store_that_returns_is_noticed():
+    made = Follower()
+    made.play(
+        lambda: setattr(made.store, "down", True),
+        lambda: made.store.put("a", b"1"),
+        lambda: setattr(made.store, "down", False),
+    )
+    assert made.returned == 1
+    assert not made.follower.lost
+    assert made.keys == ["a"]
+
+
+def test_change_comes_from_another_vm_while_the_store_is_away():
+    peer = Snapshot(9, [StoreRow("p", b"1", 9)])
+    made = Follower(peer)
+    made.store.down = True
+    made.play()
+    assert made.keys == ["p"]
+    assert made.follower.changed == 9
+
+
+def test_vm_that_is_no_reader_makes_no_calls_after_the_first():
+    made = Follower(Snapshot(0, []), reader=False)
+    made.play()
+    assert made.store.calls == 1
+
+
+def test_vm_that_is_no_reader_takes_what_another_knows():
+    made = Follower(Snapshot(0, []), reader=False)
+    newer = Snapshot(12, [StoreRow("p", b"1", 7)], changed=7)
+    made.play(lambda: setattr(made, "peer", newer))
+    assert made.keys == ["p"]
+    assert made.store.calls == 1
+
+
+def test_older_table_of_another_vm_changes_nothing():
+    made = Follower(Snapshot(1, [StoreRow("old", b"1", 1)]))
+    made.store.put("a", b"1")
+    made.store.put("b", b"1")
+    made.play(lambda: setattr(made.store, "down", True))
+    assert made.keys == ["a", "b"]
+
+
+def test_change_that_does_not_matter_is_not_told_to_others():
+    made = Follower()
+    made.store.put("a", b"1")
+    made.play(
+        lambda: setattr(made, "matters", False), lambda: made.store.put("a", b"2")
+    )
+    assert made.follower.changed == 1
+    assert made.follower.snapshot().version == 2
+
+
+@pytest.mark.parametrize("used", [True, False])
+def test_removed_row_is_told_to_others_while_it_is_used(used):
+    made = Follower()
+    made.store.put("a", b"1")
+    if used:
+        made.used.add("a")
+    made.play(lambda: made.store.put("a", None))
+    assert made.keys == (["a"] if used else [])
