--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -7,8 +7,9 @@
 #: knows the object: crossing twice with a larger body costs more than the work saved.
 LARGE_BODY = 16 << 10
 #: Targets of a region that get the requests for one object while they have room. Each
-#: more one has to learn the object first: with one in place of two, worth rose from 0.27
-#: to 0.28, 0.29 to 0.32 and 0.46 to 0.50 on two overloaded days and one of 80 VMs.
+#: more one has to learn the object first: with one in place of two, the worth of served
+#: requests rose from 0.27 to 0.28 and from 0.29 to 0.32 on two overloaded days, and from
+#: 0.46 to 0.50 at 80 VMs.
 HOMES_OF_OBJECT = 1
 #: A request is refused at once where the reported wait is so many times its patience:
 #: forwarding it in vain would cost both VMs 1.2 ms of processor time.
