--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -34,6 +34,7 @@
 from heathercleat.steering.process.warm import WarmConnections
 from heathercleat.steering.process.work import WorkTimes
 from heathercleat.steering.request.call import RepeatDetector
+from heathercleat.steering.request.candidates import Candidates
 from heathercleat.steering.request.forward import ForwardTry
 from heathercleat.steering.request.local import LocalTry
 from heathercleat.steering.request.places import Places
@@ -133,13 +134,19 @@
             journal,
             clock,
         )
-        places = Places(
+        candidates = Candidates(
             self._members,
             self._registry,
             self._owners,
             self._ledger,
             self._admission,
             self._rooms,
+            clock,
+        )
+        places = Places(
+            candidates,
+            self._members,
+            self._rooms,
             self._shift,
             self._gossip.trip,
             self._work_times,
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -1,6 +1,6 @@
 """Where a request may be tried next, the best place first."""
 
-from heathercleat.steering.process.slots import IDLE_SHARE, is_open
+from heathercleat.steering.process.slots import is_open
 from heathercleat.version.hashing import weight
 
 #: Bytes of a body from which a target in the own failure domain goes before one that
@@ -8,8 +8,8 @@
 LARGE_BODY = 16 << 10
 #: Targets of a region that get the requests for one object while they have room. Each
 #: more one has to learn the object first: with one in place of two, the worth of served
-#: requests rose from 0.27 to 0.28 and from 0.29 to 0.32 on two overloaded days, and from
-#: 0.46 to 0.50 at 80 VMs.
+#: requests rose from 0.27 to 0.28 and from 0.29 to 0.32 on two overloaded days, and
+#: from 0.46 to 0.50 at 80 VMs.
 HOMES_OF_OBJECT = 1
 #: A request is refused at once where the reported wait is so many times its patience:
 #: forwarding it in vain would cost both VMs 1.2 ms of processor time.
@@ -44,32 +44,12 @@
         self.remote = remote
 
 
-class Candidate:
-    """A target that may run a request.
-
-    :param owner: name of the VM that owns it.
-    :param free: free slots, as far as this VM knows.
-    :param sound: whether it takes requests at its usual rate.
-    """
-
-    __slots__ = ("entry", "owner", "free", "sound")
-
-    def __init__(self, entry, owner, free, sound):
-        self.entry = entry
-        self.owner = owner
-        self.free = free
-        self.sound = sound
-
-
 class Places:
     """Finds places for requests.
 
+    :param candidates: the :class:`Candidates`.
     :param members: the live VMs.
-    :param registry: the usable targets.
-    :param owners: the owner of each target.
-    :param ledger: the free slots of own targets.
-    :param admission: the waits at own targets.
-    :param rooms: what is believed of other owners' targets.
+    :param rooms: what other VMs' clients lose.
     :param shift: the :class:`ShiftLimit`.
     :param trip: returns the round trip to a VM in seconds.
     :param work_times: the :class:`WorkTimes`.
@@ -77,24 +57,10 @@
     """
 
     def __init__(
-        self,
-        members,
-        registry,
-        owners,
-        ledger,
-        admission,
-        rooms,
-        shift,
-        trip,
-        work_times,
-        pressure,
-        clock,
+        self, candidates, members, rooms, shift, trip, work_times, pressure, clock
     ):
+        self._candidates = candidates
         self._members = members
-        self._registry = registry
-        self._owners = owners
-        self._ledger = ledger
-        self._admission = admission
         self._rooms = rooms
         self._shift = shift
         self._trip = trip
@@ -104,9 +70,7 @@
 
     def free(self, call, avoid, avoid_vms):
         """Return the best :class:`Place` with a free slot, or ``None``."""
-        near, far = [], []
-        for each in self._candidates(call, avoid, avoid_vms):
-            (near if self._is_near(each.entry) else far).append(each)
+        near, far = self._candidates.split(call, avoid, avoid_vms)
         if self._shift.must_move():
             return self._best_far(call, far, 0.0) or self._best_near(call, near)
         found = self._best_near(call, near)
@@ -114,7 +78,7 @@
             return found
         if not far or not self._shift.may_move():
             return None
-        return self._best_far(call, far, self._near_wait(call, near))
+        return self._best_far(call, far, self._near_wait(call))
 
     def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` of this region to wait at, or ``None``.
@@ -122,11 +86,7 @@
         It is the one with the shortest wait among the owners of targets that know the
         object. The wait is ``None`` where an owner's targets are all out of service.
         """
-        near = [
-            each
-            for each in self._candidates(call, avoid, avoid_vms)
-            if self._is_near(each.entry)
-        ]
+        near, _ = self._candidates.split(call, avoid, avoid_vms)
         patience = call.patient_until - self._clock.now()
         return self._shortest_wait(call, near, patience, False)
 
@@ -139,17 +99,24 @@
         """
         if len(call.body) >= LARGE_BODY or not self._shift.may_move():
             return None
-        own_loss = self._region_loss(self._members.own.region, call.service)
-        regions = {}
-        for each in self._candidates(call, avoid, avoid_vms):
-            if not self._is_near(each.entry) and self._is_in_time(call, each.owner):
-                region = self._members.region_of(each.entry.failure_domain)
-                regions.setdefault(region, []).append(each)
-        losses = {each: self._region_loss(each, call.service) for each in regions}
+        _, far = self._candidates.split(call, avoid, avoid_vms)
+        losses = {region: self._region_loss(region, call.service) for region in far}
         least = min(losses, key=losses.get, default=None)
-        if least is None or own_loss - losses[least] < LEAST_RELIEF:
+        if least is None:
             return None
-        return self._shortest_wait(call, regions[least], FAR_WAIT, True)
+        own_loss = self._region_loss(self._members.own.region, call.service)
+        if own_loss - losses[least] < LEAST_RELIEF:
+            return None
+        in_time = [each for each in far[least] if self._is_in_time(call, each.owner)]
+        return self._shortest_wait(call, in_time, FAR_WAIT, True)
+
+    def expected_wait(self, call):
+        """Return the shortest known wait in this region in seconds, or ``None``."""
+        return self._candidates.shortest_wait(call)
+
+    def describe(self, call):
+        """Return what is known of the targets that may run a request, for the log."""
+        return self._candidates.describe(call)
 
     def _region_loss(self, region, service):
         """Return the mean loss of the clients of a region's VMs."""
@@ -181,73 +148,16 @@
 
     def _is_hopeless(self, owner, service, patience):
         """Return whether no slot will come free in time, by an old report."""
-        wait = self._wait(owner, service)
+        wait = self._candidates.wait(owner, service)
         return wait is not None and wait > HOPELESS_FACTOR * patience
 
     def _waiting_cost(self, call, owner):
         """Return the seconds that waiting at an owner costs, or ``None``."""
-        wait = self._wait(owner, call.service)
+        wait = self._candidates.wait(owner, call.service)
         if wait is None or owner == self._members.own.vm:
             return wait
         return wait + FORWARD_COST
 
-    def expected_wait(self, call):
-        """Return the shortest known wait in this region in seconds, or ``None``."""
-        waits = [
-            self._wait(vm, call.service) for vm in self._near_owners(call, frozenset())
-        ]
-        return min((each for each in waits if each is not None), default=None)
-
-    def describe(self, call):
-        """Return what is known of the targets that may run a request, for the log."""
-        found = list(self._candidates(call, frozenset(), frozenset()))
-        near = [each for each in found if self._is_near(each.entry)]
-        parts = []
-        for name, group in (
-            ("here", near),
-            ("elsewhere", [each for each in found if each not in near]),
-        ):
-            sound = sum(each.sound for each in group)
-            free = sum(each.free for each in group)
-            parts.append(f"{name} {len(group)} targets, {sound} sound, {free} free")
-        wait = self.expected_wait(call)
-        parts.append("no wait known" if wait is None else f"wait {wait:.3f} s")
-        return "; ".join(parts)
-
-    def _candidates(self, call, avoid, avoid_vms):
-        """Yield a :class:`Candidate` for each allowed target."""
-        now = self._clock.now()
-        for entry in self._registry.of_service(call.service):
-            if entry.id in avoid:
-                continue
-            if not call.route.allows(self._members.region_of(entry.failure_domain)):
-                continue
-            owner = self._owners.of(entry.id)
-            if owner is None or owner in avoid_vms:
-                continue
-            member = self._members.live(owner)
-            if member is not None and self._may_carry(call, member):
-                yield self._candidate(entry, owner, now)
-
-    def _candidate(self, entry, owner, now):
-        if owner == self._members.own.vm:
-            free = self._ledger.free(entry.id, now)
-            limit = self._ledger.limit(entry.id, now)
-        else:
-            free = self._rooms.free(entry.id, owner)
-            limit = self._rooms.limit(entry.id, owner)
-        sound = limit is None or limit >= IDLE_SHARE * entry.slots
-        return Candidate(entry, owner, free, sound)
-
-    def _may_carry(self, call, member):
-        """Return whether a request's body may pass through a VM."""
-        own_region = self._members.own.region
-        return member.region == own_region or call.route.allows(member.region)
-
-    def _is_near(self, entry):
-        region = self._members.region_of(entry.failure_domain)
-        return region == self._members.own.region
-
     def _best_near(self, call, near):
         preferred = self._preferred(call, near)
         free = [
@@ -291,14 +201,11 @@
     def _best_far(self, call, far, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
 
+        :param far: the candidates of other regions, by region.
         :param near_wait: seconds that the request would wait in this region.
         """
-        regions = {}
-        for each in far:
-            region = self._members.region_of(each.entry.failure_domain)
-            regions.setdefault(region, []).append(each)
         best, known, most = None, (), 0.0
-        for candidates in regions.values():
+        for candidates in far.values():
             slots = sum(each.entry.slots for each in candidates)
             room = sum(each.free for each in candidates) - RESERVED_SHARE * slots
             preferred = self._preferred(call, candidates)
@@ -324,20 +231,7 @@
         expected = self._trip(owner) + self._work_times.of(call.route.name)
         return self._clock.now() + expected <= call.aim_at
 
-    def _near_wait(self, call, near):
-        if not near:
-            return float("inf")
+    def _near_wait(self, call):
+        """Return the shortest wait in this region; infinite where there is none."""
         wait = self.expected_wait(call)
         return float("inf") if wait is None else wait
-
-    def _near_owners(self, call, avoid_vms):
-        return {
-            each.owner
-            for each in self._candidates(call, frozenset(), avoid_vms)
-            if self._is_near(each.entry)
-        }
-
-    def _wait(self, vm, service):
-        if vm == self._members.own.vm:
-            return self._admission.expected_wait(service)
-        return self._rooms.wait(vm, service)
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -10,6 +10,7 @@
 from heathercleat.steering.process.shift import ShiftLimit
 from heathercleat.steering.process.work import WorkTimes
 from heathercleat.steering.request.answer import Answer, End, TryResult
+from heathercleat.steering.request.candidates import Candidates
 from heathercleat.steering.request.places import Places
 from heathercleat.steering.request.steer import Steering
 from heathercleat.steering.version.routing import Kind
@@ -66,13 +67,19 @@
         self.work_times = WorkTimes()
         self.budget = RetryBudget(0.0, slack, 10.0, lambda: 1)
         self.pressure = pressure = Pressure()
-        places = Places(
+        candidates = Candidates(
             members,
             self.parts.registry,
             self.parts.owners,
             self.parts.ledger,
             Admission(self.parts.ledger, clock),
             self.rooms,
+            clock,
+        )
+        places = Places(
+            candidates,
+            members,
+            self.rooms,
             self.shift,
             lambda vm: 0.11,
             self.work_times,
