--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -3,24 +3,22 @@
 import signal
 from time import time_ns
 
-import h11
-from curio import TaskGroup, sleep, spawn, tcp_server
+from curio import TaskGroup, sleep, spawn
 
-from heathercleat.connection.http import HttpStream, Message, serve_messages
 from heathercleat.connection.pool import Pool
 from heathercleat.connection.sockets import watch_silence
+from heathercleat.errors import FindingsError, HeathercleatError
 from heathercleat.events import Event
-from heathercleat.platform.entry import answer_entry
+from heathercleat.platform.settings import load_node_settings
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.fence import Fence
 from heathercleat.process.logs import Journal
-from heathercleat.steering.connection.client import ClientConnection
-from heathercleat.steering.connection.forwarded import ForwardedConnection
 from heathercleat.steering.process.admission import Admission
 from heathercleat.steering.process.budget import RetryBudget
 from heathercleat.steering.process.directory import Directory
 from heathercleat.steering.process.gossip import Beat, Gossip
 from heathercleat.steering.process.leavers import Leavers
+from heathercleat.steering.process.listeners import Listeners
 from heathercleat.steering.process.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.owners import Owners
@@ -58,8 +56,6 @@
 LINGER_SECONDS = 2.5
 #: Seconds without a request under way after which a leaving VM ends.
 QUIET_SECONDS = 0.4
-BACKLOG = 1024
-MAX_ENTRY_BYTES = 1 << 16
 
 
 class SteeringNode:
@@ -78,7 +74,6 @@
         self._table = None
         self._splitters = {}
         self._budgets = {}
-        self._clients = set()
         self._leaving = False
         self._leave_requested = False
         self._reload_requested = False
@@ -175,6 +170,17 @@
         )
         self._metrics = SteeringMetrics(self._beliefs)
         self.record = RequestRecord(self._metrics, journal, clock)
+        self._listeners = Listeners(
+            self,
+            settings,
+            self._local,
+            self._tables.snapshot,
+            self._directory,
+            self._metrics,
+            self._metrics_port,
+            journal,
+            clock,
+        )
 
     @property
     def table(self):
@@ -218,20 +224,9 @@
             await group.spawn(self._shut_down)
             for run in self._loops():
                 await group.spawn(self._guard, run)
-            for address, serve in self._listeners():
-                await group.spawn(_listen, address, serve)
+            await self._listeners.start(group)
         self._journal.write(Event.VM_STOPPED)
 
-    def _listeners(self):
-        settings = self._settings
-        yield settings.front, self._serve_client
-        yield settings.ready, self._serve_entry
-        if str(settings.directory) != str(settings.ready):
-            yield settings.directory, self._serve_entry
-        yield settings.inner_address(settings.forward_port), self._serve_forwarded
-        if self._metrics_port is not None:
-            yield settings.inner_address(self._metrics_port), self._serve_metrics
-
     def _loops(self):
         return (
             self._gossip.listen,
@@ -256,40 +251,6 @@
                 )
                 await sleep(SIGNAL_INTERVAL)
 
-    async def _serve_client(self, sock, address):
-        connection = ClientConnection(sock, self)
-        self._clients.add(connection)
-        try:
-            await self._guard_connection(connection)
-        finally:
-            self._clients.discard(connection)
-
-    async def _serve_forwarded(self, sock, address):
-        connection = ForwardedConnection(
-            sock, self._local, self.leavers, self._tables.snapshot, self.clock
-        )
-        await self._guard_connection(connection)
-
-    async def _guard_connection(self, connection):
-        try:
-            await connection.serve()
-        except Exception as error:  # noqa: BLE001
-            self._journal.write(
-                Event.TASK_FAILED, task=type(connection).__name__, reason=repr(error)
-            )
-
-    async def _serve_entry(self, sock, address):
-        async def handle(message):
-            return answer_entry(message, lambda: self.ready, self._directory.lookup)
-
-        await serve_messages(HttpStream(sock, h11.SERVER), handle, MAX_ENTRY_BYTES)
-
-    async def _serve_metrics(self, sock, address):
-        async def handle(message):
-            return Message(body=self._metrics.render())
-
-        await serve_messages(HttpStream(sock, h11.SERVER), handle, MAX_ENTRY_BYTES)
-
     async def _keep_up(self):
         """Do what the passing of time calls for."""
         judge_at = 0.0
@@ -322,8 +283,7 @@
         await self._gossip.send()
         await spawn(self._tables.deregister, daemon=True)
         await self._finish_requests(stop_by)
-        for connection in self._clients:
-            connection.close_idle()
+        self._listeners.close_idle()
 
     async def _finish_requests(self, stop_by):
         """Serve on until nothing is under way, or the instant ``stop_by``."""
@@ -337,7 +297,7 @@
             await sleep(SIGNAL_INTERVAL)
 
     def _is_busy(self):
-        return bool(self.leavers.count) or any(each.busy for each in self._clients)
+        return bool(self.leavers.count) or self._listeners.busy
 
     def _update_serving(self):
         known = self._table is not None and self._registry.known
@@ -419,9 +379,18 @@
         }
 
     def _reload(self):
-        """Note a changed settings file: a process takes what it needs at its start."""
+        """Take the bounds of a changed settings file; all else needs a new start."""
         self._reload_requested = False
-        self._journal.write(Event.SETTINGS_RELOADED, path=self._settings.path)
+        path = self._settings.path
+        try:
+            bounds = load_node_settings(path).bounds
+        except (HeathercleatError, FindingsError) as error:
+            self._journal.write(
+                Event.TASK_FAILED, task="reload settings", reason=error.render()
+            )
+            return
+        self._settings.bounds.take(bounds)
+        self._journal.write(Event.SETTINGS_RELOADED, path=path)
 
     def _on_term(self, *_):
         self._leave_requested = True
@@ -430,11 +399,6 @@
         self._reload_requested = True
 
 
-async def _listen(address, serve):
-    """Accept connections at an address, a task each."""
-    await tcp_server(address.host, address.port, serve, backlog=BACKLOG)
-
-
 def _age(instant, now):
     """Return the seconds since an instant; -1 when there was none."""
     return -1 if instant is None else round(now - instant, 3)
--- a/src/heathercleat/steering/process/settings.py
+++ b/src/heathercleat/steering/process/settings.py
@@ -44,6 +44,11 @@
         self.lookup_ttl = 5.0
         self.shift_share = 0.15
 
+    def take(self, other):
+        """Take all figures of other :class:`Bounds`."""
+        for name in self.__slots__:
+            setattr(self, name, getattr(other, name))
+
 
 class NodeSettings:
     """Settings of one VM.
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -164,10 +164,11 @@
 def test_all_missing_settings_are_reported_at_once():
     broken = {name: value for name, value in SETTINGS.items() if name != "ip"}
     broken["listen"] = {"front": "nonsense"}
+    broken["bounds"] = ["grace=soon"]
     with pytest.raises(FindingsError) as caught:
         decode_node_settings(broken)
     pointers = {finding.pointer for finding in caught.value.exceptions}
-    assert {"/ip", "/listen/front", "/listen/ready"} <= pointers
+    assert {"/ip", "/listen/front", "/listen/ready", "/bounds"} <= pointers
 
 
 def test_unreadable_settings_are_named(tmp_path):
--- a/tests/test_steering_path.py
+++ b/tests/test_steering_path.py
@@ -255,3 +255,17 @@
     ]
     far = fleet.resolve(vm, "south", "south-a")
     assert far == [f"{fleet.vms['south-a-1'].host}:{FRONT_PORT}"]
+
+
+def test_changed_settings_are_read_on_sighup(fleet, vm):
+    fleet.stop_vm(vm, signal.SIGHUP)
+    wait_for(lambda: any(line["name"] == "settings_reloaded" for line in fleet.log(vm)))
+    assert fleet.send(vm, "POST", "/one/x", "q1", b"")[0] == 200
+
+
+def test_broken_settings_change_nothing(fleet, vm):
+    with open(vm.settings, "w") as file:
+        file.write("node: [")
+    fleet.stop_vm(vm, signal.SIGHUP)
+    wait_for(lambda: any(line["name"] == "task_failed" for line in fleet.log(vm)))
+    assert fleet.send(vm, "POST", "/one/x", "q1", b"")[0] == 200
