--- a/src/heathercleat/steering/process/members.py
+++ b/src/heathercleat/steering/process/members.py
@@ -5,6 +5,9 @@
 #: Seconds of silence after which a VM is taken as dead: seven heartbeats, so that a few
 #: lost datagrams (2.5% on a bad link) or a short stall do not count as a death.
 SILENCE = 1.1
+#: Seconds without a check after which this process itself was paused; it checks at each
+#: heartbeat that it sends, every 0.9 s at the most.
+PAUSE = 1.5
 #: Heartbeats that may be lost in a row, where they come rarely.
 LOST_BEATS = 4
 #: A VM carries requests when it has this share of the strength of its region's
@@ -77,6 +80,7 @@
         self._members = {settings.vm: self._own}
         self._live = {}
         self._active = None
+        self._checked_at = clock.now()
         self._on_change = []
 
     @property
@@ -144,7 +148,7 @@
         member = self._members.get(beat.vm)
         if member is self._own:
             return None
-        if member is not None and beat.incarnation < member.incarnation:
+        if self._is_outdated(member, beat):
             return None
         if member is None or member.ip != beat.ip:
             member = Member(beat.vm, beat.ip, beat.failure_domain, beat.region)
@@ -174,6 +178,7 @@
     def check(self):
         """Drop the VMs that fell silent."""
         now = self._clock.now()
+        self._forgive_pause(now)
         self._live[self._own.vm] = self._own
         silent = [
             member
@@ -193,6 +198,26 @@
         if silent:
             self._changed()
 
+    def _is_outdated(self, member, beat):
+        """Return whether a heartbeat is of an earlier process of a live VM.
+
+        Incarnations are times of day: one that was set back must not keep a restarted
+        VM out once the process before it has fallen silent.
+        """
+        if member is None or beat.incarnation >= member.incarnation:
+            return False
+        return member.vm in self._live
+
+    def _forgive_pause(self, now):
+        """Do not blame others for the time in which this process did not run."""
+        pause = now - self._checked_at
+        self._checked_at = now
+        if pause < PAUSE:
+            return
+        for member in self.live_others():
+            member.heard_at += pause
+        self._journal.write(Event.VM_PAUSED, gap=round(pause, 3))
+
     def _changed(self):
         self._active = None
         for callback in self._on_change:
