--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/admission.py
@@ -4,7 +4,6 @@
 from curio.errors import TaskTimeout
 
 from heathercleat.steering.process.queue import ServiceQueue, Waiter
-from heathercleat.steering.process.slots import is_open
 
 #: Seconds by which an expected wait may exceed a request's patience: waits vary by
 #: about a quarter of the time for which a request holds a slot.
@@ -15,10 +14,12 @@
     """Hands out the slots of owned targets.
 
     :param ledger: the :class:`SlotLedger`.
+    :param region_of: returns the region of a failure domain.
     """
 
-    def __init__(self, ledger, clock):
+    def __init__(self, ledger, region_of, clock):
         self._ledger = ledger
+        self._region_of = region_of
         self._clock = clock
         self._queues = {}
 
@@ -37,11 +38,7 @@
         targets = self._ledger.of_service(service)
         if any(target.free(now) for target in targets) and not self.waiting(service):
             return 0.0
-        slots = sum(
-            target.entry.slots
-            for target in targets
-            if target.free(now) or len(target.uses) > 1
-        )
+        slots = sum(target.limit(now) for target in targets)
         return self._queue(service).expected_wait(slots) if slots else None
 
     async def acquire(self, call, preferred, avoid, until):
@@ -52,7 +49,7 @@
         :param until: instant at which to give up waiting.
         """
         queue = self._queue(call.service)
-        waiter = Waiter(call, preferred, avoid)
+        waiter = Waiter(call, preferred, avoid, self._region_of)
         if not queue.waiters:
             use = self._try(waiter)
             if use is not None:
@@ -128,9 +125,7 @@
         free = [
             target
             for target in self._ledger.of_service(waiter.call.service)
-            if target.entry.id not in waiter.avoid
-            and target.free(now)
-            and is_open(target.entry, target.free(now), waiter.preferred)
+            if waiter.may_use(target.entry, target.free(now))
         ]
         if not free:
             return None
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -97,7 +97,7 @@
             journal,
             clock,
         )
-        self._admission = Admission(self._ledger, clock)
+        self._admission = Admission(self._ledger, self._members.region_of, clock)
         self._rooms = RoomView(clock)
         self._work_times = WorkTimes()
         self._pressure = Pressure()
--- a/src/heathercleat/steering/process/queue.py
+++ b/src/heathercleat/steering/process/queue.py
@@ -14,16 +14,30 @@
 
     :param preferred: ids of the targets that know its object, the best first.
     :param avoid: ids of targets not to use.
+    :param region_of: returns the region of a failure domain.
     """
 
-    __slots__ = ("call", "preferred", "avoid", "signal", "permit")
+    __slots__ = ("call", "preferred", "avoid", "signal", "permit", "_region_of")
 
-    def __init__(self, call, preferred, avoid):
+    def __init__(self, call, preferred, avoid, region_of):
         self.call = call
         self.preferred = preferred
         self.avoid = avoid
         self.signal = Signal()
         self.permit = None
+        self._region_of = region_of
+
+    def may_use(self, entry, free):
+        """Return whether the request may use one of the free slots of a target.
+
+        A VM may own targets of regions that have no VM of their own at the moment: the
+        regions that the route allows bind here as well.
+        """
+        if entry.id in self.avoid or not free:
+            return False
+        if not self.call.route.allows(self._region_of(entry.failure_domain)):
+            return False
+        return is_open(entry, free, self.preferred)
 
     def place(self, target_id):
         """Return how well a target knows the object: 0 is best."""
@@ -67,11 +81,7 @@
 
         :param entry: the :class:`TargetEntry`.
         """
-        willing = [
-            each
-            for each in self.waiters
-            if entry.id not in each.avoid and is_open(entry, free, each.preferred)
-        ]
+        willing = [each for each in self.waiters if each.may_use(entry, free)]
         return min(
             willing,
             key=lambda each: each.rank(now, self._mean_hold, entry.id),
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -29,6 +29,7 @@
         "route",
         "kind",
         "priority",
+        "regions",
         "affinity",
         "returned",
         "preferred",
@@ -55,6 +56,7 @@
             call.route.name,
             call.route.kind.value,
             call.route.priority,
+            list(call.route.regions),
             call.affinity,
             call.returned,
             list(preferred),
@@ -82,17 +84,23 @@
 class ForwardedRoute:
     """The part of a :class:`Route` that matters to the owner of a target."""
 
-    __slots__ = ("name", "kind", "priority")
+    __slots__ = ("name", "kind", "priority", "regions")
 
-    def __init__(self, name, kind, priority):
+    def __init__(self, name, kind, priority, regions):
         self.name = name
         self.kind = kind
         self.priority = priority
+        self.regions = regions
+
+    def allows(self, region):
+        """Return whether requests may be served in ``region``."""
+        return not self.regions or region in self.regions
 
 
 def call_of(order, head, headers, body, stream, now):
     """Return the :class:`Call` of a forwarded request."""
-    route = ForwardedRoute(order.route, Kind(order.kind), order.priority)
+    kind, regions = Kind(order.kind), frozenset(order.regions)
+    route = ForwardedRoute(order.route, kind, order.priority, regions)
     call = Call(
         order.id, head.method, head.target, headers, body, route, order.service, stream
     )
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -72,7 +72,7 @@
             self.parts.registry,
             self.parts.owners,
             self.parts.ledger,
-            Admission(self.parts.ledger, clock),
+            Admission(self.parts.ledger, members.region_of, clock),
             self.rooms,
             clock,
         )
