--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/tables.py
@@ -32,6 +32,11 @@
 READERS = 3
 #: Seconds in which another VM has to answer for a table.
 RELAY_TIMEOUT = 0.5
+#: Seconds for which a VM waits for one of its failure domain or region to know a newer
+#: table, before it fetches it over a longer way: at 80 VMs a table of 35 KB crossed
+#: between regions 50 times at each change of the targets.
+REGION_DELAY = 0.15
+FAR_DELAY = 0.5
 MAX_STATE_BYTES = 16 << 20
 REGISTER_INTERVAL = 0.5
 
@@ -55,6 +60,7 @@
         self._journal = journal
         self._clock = clock
         self._own_store = self._new_store()
+        self._newer_since = {}
         self.operator = self._follow(
             OPERATOR_TABLE,
             OPERATOR_WAIT,
@@ -219,15 +225,32 @@
         return True
 
     async def _ask_peers(self, table, version, version_of):
-        """Return a newer snapshot from the VM that has the newest, or ``None``."""
-        newest = max(self._members.live_others(), key=version_of, default=None)
-        if newest is None or version_of(newest) <= version:
+        """Return a newer snapshot from the nearest VM that has one, or ``None``."""
+        newer = [
+            member
+            for member in self._members.live_others()
+            if version_of(member) > version
+        ]
+        if not newer:
+            self._newer_since.pop(table, None)
+            return None
+        since = self._newer_since.setdefault(table, self._clock.now())
+        waited = self._clock.now() - since
+        nearest = min(newer, key=self._relay_delay)
+        if waited < self._relay_delay(nearest):
             return None
         deadline = self._clock.now() + RELAY_TIMEOUT
         try:
-            return await before(deadline, self._clock, self._fetch(newest.ip, table))
+            return await before(deadline, self._clock, self._fetch(nearest.ip, table))
         except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
-            raise PeerError(f"{newest.vm}: {error!r}") from None
+            raise PeerError(f"{nearest.vm}: {error!r}") from None
+
+    def _relay_delay(self, member):
+        """Return the seconds for which a nearer VM than ``member`` is waited for."""
+        own = self._members.own
+        if member.failure_domain == own.failure_domain:
+            return 0.0
+        return REGION_DELAY if member.region == own.region else FAR_DELAY
 
     async def _fetch(self, ip, table):
         port = self._settings.forward_port
