--- a/src/heathercleat/steering/process/slots.py
+++ b/src/heathercleat/steering/process/slots.py
@@ -8,9 +8,9 @@
 
 #: Seconds for which a target's own report of load from elsewhere is believed.
 REPORT_LIFE = 0.4
-#: Share of the allowed rate of a cold target that one owner uses: two VMs may take
-#: themselves for its owner for a heartbeat or two.
-COLD_SHARE = 0.6
+#: Share of the allowed rate of a cold target that one owner uses: two VMs may be its
+#: owners within one second, one after the other.
+COLD_SHARE = 0.45
 #: Window over which the rate of a cold target counts, in seconds.
 COLD_WINDOW = 1.0
 
@@ -130,6 +130,9 @@
         self._journal = journal
         self._clock = clock
         self._owned = {}
+        # Targets owned earlier: one that comes back, as it does when many targets come
+        # and go, still has its requests under way and its rate while cold.
+        self._former = {}
         self._by_service = {}
         self._stale = True
         owners.on_change(self._mark_stale)
@@ -197,6 +200,12 @@
             self._journal.write(Event.HOME_ADOPTED, target=target_id)
         for target_id in self._owned.keys() - owned.keys():
             self._journal.write(Event.HOME_HANDED_OVER, target=target_id)
+            self._former[target_id] = self._owned[target_id]
+        self._former = {
+            target_id: target
+            for target_id, target in self._former.items()
+            if target_id not in owned and self._registry.knows(target_id)
+        }
         self._owned = owned
         self._by_service = {}
         for each in owned.values():
@@ -204,7 +213,7 @@
 
     def _keep(self, entry):
         cold_until = self._registry.cold_until(entry.id)
-        target = self._owned.get(entry.id)
+        target = self._owned.get(entry.id) or self._former.get(entry.id)
         if target is None:
             return OwnedTarget(entry, self._cold_limit(entry), cold_until)
         target.entry = entry
--- a/tests/test_owned_slots.py
+++ b/tests/test_owned_slots.py
@@ -52,6 +52,18 @@
     assert target.free(parts.clock.now()) > 0
 
 
+def test_target_that_comes_back_to_its_owner_keeps_its_counts():
+    parts = Parts([entry("t1", slots=1000, cold=5.0)])
+    target = owned(parts)
+    while target.free(parts.clock.now()):
+        target.take(parts.clock.now())
+    parts.members.set_serving(False)
+    assert list(parts.ledger.all()) == []
+    parts.members.set_serving(True)
+    assert owned(parts).free(parts.clock.now()) == 0
+    assert len(owned(parts).uses) == len(target.uses) > 0
+
+
 def test_failing_target_rests_and_is_tried_by_one_request():
     parts = Parts([entry("t1", slots=4)])
     target = owned(parts)
