--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -4,15 +4,13 @@
 from base64 import b64decode, b64encode
 from urllib.parse import urlencode
 
-from curio import Lock
-
 from heathercleat.connection.http import (
     CONNECTION_ERRORS,
     Message,
     before,
     connect,
-    exchange,
 )
+from heathercleat.connection.kept import KeptConnection
 from heathercleat.connection.sockets import watch_silence
 from heathercleat.errors import PlatformError
 from heathercleat.platform.names import FEED_PATH, READ_PATH, TRANSACT_PATH
@@ -38,8 +36,7 @@
         self._clock = clock
         self._timeout = timeout
         self._source_ip = source_ip
-        self._lock = Lock()
-        self._stream = None
+        self._connection = KeptConnection(self._connect, MAX_ANSWER_BYTES)
         self._calls = 0
 
     @property
@@ -93,16 +90,16 @@
 
     async def close(self):
         """Close the connection."""
-        stream, self._stream = self._stream, None
-        if stream is not None:
-            await stream.close()
+        await self._connection.close()
 
     async def _call(self, method, path, body=b"", wait=0.0):
         self._calls += 1
         deadline = self._clock.now() + self._timeout + wait
         message = Message(method=method, path=path, body=body, headers=_JSON)
         try:
-            answer = await before(deadline, self._clock, self._exchange(message))
+            answer = await before(
+                deadline, self._clock, self._connection.exchange(message)
+            )
         except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
             raise PlatformError(f"{method} {path}: {error!r}") from None
         if answer.status == 410:
@@ -114,25 +111,6 @@
         except ValueError as error:
             raise PlatformError(f"{method} {path}: {error}") from None
 
-    async def _exchange(self, message):
-        async with self._lock:
-            stream, self._stream = self._stream, None
-            if stream is not None and not stream.is_clean():
-                await stream.close()
-                stream = None
-            if stream is None:
-                stream = await self._connect()
-            reusable = False
-            try:
-                answer = await exchange(stream, message, MAX_ANSWER_BYTES)
-                reusable = stream.next_cycle()
-            finally:
-                if reusable:
-                    self._stream = stream
-                else:
-                    await stream.close()
-            return answer
-
     async def _connect(self):
         deadline = self._clock.now() + self._timeout
         host, port = self._address.host, self._address.port
--- a/src/heathercleat/process/platform.py
+++ b/src/heathercleat/process/platform.py
@@ -10,15 +10,14 @@
 from urllib.parse import quote
 
 import msgpack
-from curio import Lock
 
 from heathercleat.connection.http import (
     CONNECTION_ERRORS,
     Message,
     before,
     connect,
-    exchange,
 )
+from heathercleat.connection.kept import KeptConnection
 from heathercleat.errors import PlatformError
 
 ABSENT = 0
@@ -128,8 +127,7 @@
         self._clock = clock
         self._timeout = timeout
         self._fence = fence
-        self._lock = Lock()
-        self._stream = None
+        self._connection = KeptConnection(self._connect, MAX_ANSWER_BYTES)
 
     async def transact(self, conditions, writes):
         """Apply all writes if every condition holds; return a :class:`Commit`."""
@@ -174,15 +172,15 @@
 
     async def close(self):
         """Close the connection."""
-        if self._stream is not None:
-            await self._stream.close()
-            self._stream = None
+        await self._connection.close()
 
     async def _call(self, method, path, body=b""):
         deadline = self._clock.now() + self._timeout
         message = Message(method=method, path=path, body=body, headers=MSGPACK)
         try:
-            answer = await before(deadline, self._clock, self._exchange(message))
+            answer = await before(
+                deadline, self._clock, self._connection.exchange(message)
+            )
         except (TimeoutError, *CONNECTION_ERRORS) as error:
             raise PlatformError(f"{method} {path}: {error!r}") from None
         if answer.status not in (200, 404, 409):
@@ -191,21 +189,8 @@
 
     async def _exchange(self, message):
         await self._fence().pass_through(self._host)
-        async with self._lock:
-            stream, self._stream = self._stream, None
-            if stream is not None and not stream.is_clean():
-                await stream.close()
-                stream = None
-            if stream is None:
-                deadline = self._clock.now() + self._timeout
-                stream = await connect(self._host, self._port, deadline, self._clock)
-            reusable = False
-            try:
-                answer = await exchange(stream, message, MAX_ANSWER_BYTES)
-                reusable = stream.next_cycle()
-            finally:
-                if reusable:
-                    self._stream = stream
-                else:
-                    await stream.close()
-            return answer
+        return await self._connection.exchange(message)
+
+    async def _connect(self):
+        deadline = self._clock.now() + self._timeout
+        return await connect(self._host, self._port, deadline, self._clock)
--- a/src/heathercleat/steering/process/owners.py
+++ b/src/heathercleat/steering/process/owners.py
@@ -8,6 +8,17 @@
 from heathercleat.version.hashing import assign
 
 
+class Division:
+    """The owners of a service's targets in a failure domain, and what gave them."""
+
+    __slots__ = ("targets", "candidates", "owners")
+
+    def __init__(self, targets, candidates):
+        self.targets = targets
+        self.candidates = candidates
+        self.owners = assign(targets, candidates)
+
+
 class Owners:
     """The owner of each usable target.
 
@@ -19,6 +30,7 @@
         self._registry = registry
         self._members = members
         self._owner = {}
+        self._divided = {}
         self._stale = True
         registry.on_change(self._mark_stale)
         members.on_change(self._mark_stale)
@@ -49,11 +61,15 @@
     def _rebuild(self):
         self._stale = False
         active = self._members.active()
+        before, self._divided = self._divided, {}
         self._owner = {}
-        for failure_domain, targets in self._group().items():
+        for failure_domain, services in self._group().items():
             candidates = self._candidates(failure_domain, active)
-            for service_targets in targets.values():
-                self._owner.update(assign(service_targets, candidates))
+            for service, targets in services.items():
+                key = failure_domain, service
+                division = _divide(before.get(key), sorted(targets), sorted(candidates))
+                self._divided[key] = division
+                self._owner.update(division.owners)
 
     def _group(self):
         """Return the target ids by failure domain and service."""
@@ -71,3 +87,14 @@
         region = self._members.region_of(failure_domain)
         near = [each.vm for each in active if each.region == region]
         return near or [each.vm for each in active]
+
+
+def _divide(before, targets, candidates):
+    """Return the :class:`Division`, the one before where nothing has changed.
+
+    Dividing 450 targets over 300 VMs takes 0.4 s; most changes touch one service of one
+    failure domain.
+    """
+    if before and before.targets == targets and before.candidates == candidates:
+        return before
+    return Division(targets, candidates)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -72,6 +72,33 @@
         self._folder.cleanup()
 
 
+class Deployment:
+    """Processes that are started at the begin of a block and killed at its end."""
+
+    def __init__(self):
+        self._processes = Processes()
+
+    def __enter__(self):
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *exc_info):
+        self.stop()
+
+    @property
+    def folder(self):
+        """Return the folder of settings and logs."""
+        return self._processes.folder
+
+    def stop(self):
+        """Kill every process that was started, and wait for it."""
+        self._processes.stop()
+
+
 class Vm:
     """One entry VM of the fleet."""
 
@@ -83,7 +110,7 @@
         self.process = None
 
 
-class Fleet:
+class Fleet(Deployment):
     """The processes of one deployment.
 
     :param text: the operators' text as a JSON object; targets get addresses here.
@@ -93,7 +120,7 @@
     """
 
     def __init__(self, text, vms, program=None, subnet=10, settings=None):
-        self._processes = Processes()
+        super().__init__()
         self._program = program or [sys.executable, "-m", "heathercleat"]
         self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._settings = settings or {}
@@ -102,22 +129,6 @@
         self.targets = self._place_targets(text)
         self.vms = self._place_vms(vms)
 
-    def __enter__(self):
-        try:
-            self.start()
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(self, *exc_info):
-        self.stop()
-
-    @property
-    def folder(self):
-        """Return the folder of settings and logs."""
-        return self._processes.folder
-
     def start(self):
         """Start everything and wait until each VM has a version in force."""
         self._spawn("platform", ["standins.platform", *map(str, self.platform)])
@@ -168,10 +179,6 @@
 
         return sorted(self.vms.values(), key=targets, reverse=True)
 
-    def stop(self):
-        """Kill every process that was started, and wait for it."""
-        self._processes.stop()
-
     def start_vm(self, vm):
         """Start the process of an entry VM."""
         command = [*self._program, "serve", "--settings", vm.settings]
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -6,7 +6,7 @@
 import sys
 from http.client import HTTPException
 
-from standins.fleet import SUBNET_VARIABLE, Processes, call, wait_for
+from standins.fleet import SUBNET_VARIABLE, Deployment, call, wait_for
 
 STORE_PORT = 7000
 TARGET_PORT = 9000
@@ -28,7 +28,7 @@
         self.process = None
 
 
-class SteeringFleet:
+class SteeringFleet(Deployment):
     """The processes of one deployment.
 
     :param config: the operators' document.
@@ -40,7 +40,7 @@
     """
 
     def __init__(self, config, domains, vms, targets, subnet, bounds=("grace=6s",)):
-        self._processes = Processes()
+        super().__init__()
         self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._domains = domains
         self._bounds = list(bounds)
@@ -49,17 +49,6 @@
         self.targets = targets
         self.vms = {vm.name: vm for vm in self._place_vms(vms)}
 
-    def __enter__(self):
-        try:
-            self.start()
-        except BaseException:
-            self.stop()
-            raise
-        return self
-
-    def __exit__(self, *exc_info):
-        self.stop()
-
     def start(self):
         """Start everything and wait until each VM is ready."""
         self.start_store()
@@ -93,10 +82,6 @@
             wait_for(lambda vm=vm: self.is_ready(vm))
             wait_for(lambda vm=vm: len(self.resolve(vm, "", "")) == count)
 
-    def stop(self):
-        """Kill every process that was started, and wait for it."""
-        self._processes.stop()
-
     def start_vm(self, vm):
         """Start the process of a VM."""
         command = [sys.executable, "-m", "heathercleat", "steer"]
@@ -234,7 +219,7 @@
             "bounds": self._bounds,
             "platform": {"address": f"{self.store[0]}:{self.store[1]}"},
         }
-        path = self._processes.folder / f"{name}.yaml"
+        path = self.folder / f"{name}.yaml"
         # JSON is YAML as well.
         path.write_text(json.dumps(settings, indent=1))
         return str(path)
