--- /dev/null
+++ b/tests/test_table_store.py
@@ -0,0 +1,115 @@
+import json
+import os
+import sys
+
+import pytest
+from curio import run
+
+from heathercleat.errors import PlatformError
+from heathercleat.platform.store import PAGE_ROWS, TableStore
+from heathercleat.process.clock import SystemClock
+from heathercleat.steering.process.settings import Address
+from heathercleat.steering.process.store import HistoryLostError
+from standins.fleet import SUBNET_VARIABLE, Processes, call, wait_for
+
+SUBNET = 34
+TIMEOUT = 0.5
+
+
+class Store:
+    """The stand-in, and a client of it."""
+
+    def __init__(self, processes):
+        subnet = SUBNET + int(os.environ.get(SUBNET_VARIABLE, 0))
+        self.address = Address(f"127.{subnet}.200.1", 7000)
+        command = [sys.executable, "-m", "standins.table_store"]
+        processes.start("store", [*command, self.address.host, str(self.address.port)])
+        wait_for(self._answers)
+        self.client = TableStore(self.address, SystemClock(), TIMEOUT)
+
+    def _answers(self):
+        try:
+            return self.control("GET", "/counts") is not None
+        except OSError:
+            return False
+
+    def control(self, method, path, document=None):
+        body = None if document is None else json.dumps(document)
+        return call(self.address.host, self.address.port, method, path, body)[0]
+
+    def put(self, table, key, document):
+        self.control("POST", "/put", [table, key, document])
+
+    def switch(self, **switches):
+        self.control("POST", "/switch", switches)
+
+
+@pytest.fixture
+def store():
+    processes = Processes()
+    try:
+        yield Store(processes)
+    finally:
+        processes.stop()
+
+
+def play(coroutine_function, *args):
+    return run(coroutine_function, *args)
+
+
+def keys(snapshot):
+    return [row.key for row in snapshot.rows]
+
+
+def test_rows_are_read_and_written(store):
+    play(store.client.write, "mine", "a", b"1")
+    store.put("op", "config", {})
+    snapshot = play(store.client.read, "mine")
+    assert [(row.key, row.value) for row in snapshot.rows] == [("a", b"1")]
+    play(store.client.write, "mine", "a", None)
+    assert keys(play(store.client.read, "mine")) == []
+
+
+def test_tables_of_many_pages_are_read_whole(store):
+    wanted = [f"k{number:04}" for number in range(PAGE_ROWS + 20)]
+    for key in wanted:
+        store.put("servers", key, {})
+    assert keys(play(store.client.read, "servers")) == wanted
+
+
+def test_changes_since_a_version_are_told(store):
+    store.put("op", "a", {})
+    version = play(store.client.read, "op").version
+    store.put("op", "b", {})
+    store.put("op", "a", None)
+    changes = play(store.client.follow, "op", version, 0.0)
+    assert [(row.key, row.value) for row in changes.rows] == [("b", b"{}"), ("a", None)]
+
+
+def test_history_that_is_gone_is_an_error_of_its_own(store):
+    store.switch(history=1)
+    for number in range(3):
+        store.put("op", f"k{number}", {})
+    with pytest.raises(HistoryLostError):
+        play(store.client.follow, "op", 1, 0.0)
+
+
+@pytest.mark.parametrize("down", ["busy", "silent", "reset"])
+def test_store_that_is_away_is_an_error_in_time(store, down):
+    store.switch(down=down)
+    with pytest.raises(PlatformError):
+        play(store.client.read, "op")
+    store.switch(down=None)
+    assert keys(play(store.client.read, "op")) == []
+
+
+def test_write_whose_reply_is_lost_may_have_been_done(store):
+    store.switch(lose_replies=1)
+    with pytest.raises(PlatformError):
+        play(store.client.write, "mine", "a", b"1")
+    assert keys(play(store.client.read, "mine")) == ["a"]
+
+
+def test_operators_table_cannot_be_written(store):
+    with pytest.raises(PlatformError, match="403"):
+        play(store.client.write, "op", "config", b"{}")
