--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -119,6 +119,9 @@
         """Read the rest of a request and return its :class:`Call`."""
         headers = list(head.headers)
         check_framing(headers, ResultCode.BAD_REQUEST)
+        if self._node.refusing:
+            now = self._clock.now()
+            raise RequestError(ResultCode.NO_ROOM, "the VM is leaving", retry_at=now)
         client = read_client_head(headers)
         route = self._match(head, headers)
         deadline = arrived_at + min(client.wait, route.timeout)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -54,6 +54,9 @@
 STOP_MARGIN = 0.7
 #: Seconds for which a leaving VM goes on taking requests of clients that looked it up.
 LINGER_SECONDS = 2.5
+#: Seconds before its end at which a leaving process begins to refuse requests: one that
+#: it took later would be cut at a target that takes longer.
+REFUSE_SECONDS = 1.5
 #: Seconds without a request under way after which a leaving VM ends.
 QUIET_SECONDS = 0.4
 
@@ -75,6 +78,7 @@
         self._splitters = {}
         self._budgets = {}
         self._leaving = False
+        self._refusing = False
         self._leave_requested = False
         self._reload_requested = False
         self.repeats = RepeatDetector()
@@ -197,6 +201,11 @@
         """Return whether this VM takes no new clients."""
         return self._leaving
 
+    @property
+    def refusing(self):
+        """Return whether this VM is about to end and refuses requests."""
+        return self._refusing
+
     @property
     def ready(self):
         """Return whether this VM takes clients."""
@@ -292,6 +301,7 @@
         while (now := self.clock.now()) < stop_by:
             if self._is_busy():
                 busy_at = now
+            self._refusing = now >= stop_by - REFUSE_SECONDS
             if now >= linger_until and now - busy_at >= QUIET_SECONDS:
                 return
             await sleep(SIGNAL_INTERVAL)
--- a/tests/test_steering_path.py
+++ b/tests/test_steering_path.py
@@ -269,3 +269,26 @@
     fleet.stop_vm(vm, signal.SIGHUP)
     wait_for(lambda: any(line["name"] == "task_failed" for line in fleet.log(vm)))
     assert fleet.send(vm, "POST", "/one/x", "q1", b"")[0] == 200
+
+
+def test_leaving_vm_refuses_at_its_end_rather_than_cut(fleet, vm):
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=0.9)
+    statuses, unanswered = [], []
+
+    def send(number):
+        while vm.process.poll() is None:
+            request_id = f"q{number}-{time.time()}"
+            try:
+                sent = fleet.send(vm, "POST", "/one/x", request_id, b"")
+            except OSError:
+                unanswered.append(request_id)
+                return
+            statuses.append(sent[0])
+
+    stopping = threading.Timer(0.3, fleet.stop_vm, (vm,))
+    stopping.start()
+    together(4, send)
+    assert 503 in statuses
+    assert set(statuses) <= {200, 503}
+    assert not {run[0] for run in fleet.runs()} & set(unanswered)
