--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -83,15 +83,9 @@
 
 
 def _service(document):
-    return Service(
-        name=document["name"],
-        health_path=document.get("healthPath"),
-        # All callers of a target together may open this many.
-        max_connections=int(document.get("maxConnections", 0)) or None,
-        # Requests a second that a cold target stands.
-        cold_rate=float(document.get("coldPerS", 0)) or None,
-        cold_start=seconds(document.get("coldStart", "0s")),
-    )
+    # Requests a second that a cold target stands.
+    cold_rate = float(document.get("coldPerS", 0)) or None
+    return Service(document["name"], cold_rate)
 
 
 def _route(host, document):
--- a/src/heathercleat/platform/settings.py
+++ b/src/heathercleat/platform/settings.py
@@ -12,8 +12,6 @@
 
 #: The C loader reads the file in a tenth of the time; it is missing in some builds.
 _Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
-#: Seconds between two check-ins of a target, where the file does not tell.
-DEFAULT_HEARTBEAT = 1.5
 _MEGABYTE = 1 << 20
 
 
@@ -58,7 +56,6 @@
         cores=reader.field("limits.cpuShare", float, default=1.0)
         * reader.field("limits.cores", float, default=1.0),
         link_mbps=reader.field("limits.linkMbps", float, default=1000.0),
-        target_heartbeat=reader.field("heartbeat", seconds, DEFAULT_HEARTBEAT),
         bounds=reader.field("bounds", _bounds, default=Bounds()),
         path=path_of(name),
     )
--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -14,7 +14,7 @@
 )
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.platform.headers import read_client_head, refusal_headers
-from heathercleat.request.headers import check_framing, end_to_end
+from heathercleat.request.headers import check_framing, end_to_end, find
 from heathercleat.steering.request.call import Call
 
 ID_BYTES = 8
@@ -39,6 +39,7 @@
         self._clock = node.clock
         self._stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
         self._busy = False
+        self._held = 0
 
     @property
     def busy(self):
@@ -80,6 +81,9 @@
             self._node.record.left(call, self._clock.now())
             self._stream.abort()
             raise
+        finally:
+            self._node.bodies.give(self._held)
+            self._held = 0
         if not self._stream.request_complete:
             async with ignore_after(LINGER_SECONDS):
                 await self._stream.linger(LINGER_BYTES)
@@ -163,9 +167,13 @@
 
     async def _read_body(self, headers, deadline):
         limit = self._node.limits.body_bytes
+        self._hold(int(find(headers, "content-length") or 0))
         try:
             reading = read_body(self._stream, limit)
-            return await before(deadline, self._clock, reading)
+            body = await before(deadline, self._clock, reading)
+            # A body in chunks tells its length only now.
+            self._hold(len(body) - self._held)
+            return body
         except ValueError as error:
             raise RequestError(ResultCode.BODY_TOO_LARGE, str(error)) from None
         except TimeoutError:
@@ -174,6 +182,19 @@
         except h11.RemoteProtocolError as error:
             raise RequestError(ResultCode.BAD_REQUEST, str(error)) from None
 
+    def _hold(self, size):
+        """Hold memory for a body.
+
+        :raises RequestError: when other bodies have taken it.
+        """
+        if size <= 0:
+            return
+        if not self._node.bodies.take(size):
+            message = f"no memory for a body of {size} bytes beside the others"
+            retry_at = self._clock.now() + UNKNOWN_RETURN
+            raise RequestError(ResultCode.NO_ROOM, message, retry_at)
+        self._held += size
+
     async def _refuse(self, error):
         """Send the final answer for an error."""
         if not self._stream.can_answer:
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -14,6 +14,7 @@
 from heathercleat.process.fence import Fence
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.admission import Admission
+from heathercleat.steering.process.bodies import BodyMemory
 from heathercleat.steering.process.budget import RetryBudget
 from heathercleat.steering.process.directory import Directory
 from heathercleat.steering.process.gossip import Beat, Gossip
@@ -83,6 +84,7 @@
         self._reload_requested = False
         self.repeats = RepeatDetector()
         self.leavers = Leavers()
+        self.bodies = BodyMemory(settings.memory)
         self._build()
 
     def _build(self):
--- a/src/heathercleat/steering/process/rooms.py
+++ b/src/heathercleat/steering/process/rooms.py
@@ -77,11 +77,3 @@
         if room is not None and room.owner == owner:
             room.free = 0
         self._waits.setdefault(owner, {})[service] = wait
-
-    def forget(self, owner):
-        """Drop what a VM reported."""
-        self._waits.pop(owner, None)
-        self._losses.pop(owner, None)
-        self._rooms = {
-            target: room for target, room in self._rooms.items() if room.owner != owner
-        }
--- a/src/heathercleat/steering/process/settings.py
+++ b/src/heathercleat/steering/process/settings.py
@@ -63,7 +63,6 @@
     :param memory: bytes that the process may use.
     :param cores: cores that the process may use, fractions included.
     :param link_mbps: bandwidth of the VM's link, in Mbit/s.
-    :param target_heartbeat: seconds between two entries of a target.
     """
 
     __slots__ = (
@@ -81,7 +80,6 @@
         "memory",
         "cores",
         "link_mbps",
-        "target_heartbeat",
         "bounds",
         "path",
     )
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -9,7 +9,6 @@
 from heathercleat.steering.request.exchange import MAX_ANSWER_BYTES
 from heathercleat.steering.version.routing import Kind
 
-FORWARD_PATH = b"/forward"
 #: The order of a forwarded request and the result of a try, each packed in a header of
 #: hexadecimal digits.
 ORDER = b"heathercleat-order"
--- a/src/heathercleat/steering/version/routing.py
+++ b/src/heathercleat/steering/version/routing.py
@@ -84,19 +84,14 @@
 class Service:
     """What the operators say of a service.
 
-    :param max_connections: connections that a target takes from all VMs together.
     :param cold_rate: requests a second that a cold target stands.
-    :param cold_start: seconds for which a target is cold after its start.
     """
 
-    __slots__ = ("name", "health_path", "max_connections", "cold_rate", "cold_start")
+    __slots__ = ("name", "cold_rate")
 
-    def __init__(self, name, health_path, max_connections, cold_rate, cold_start):
+    def __init__(self, name, cold_rate):
         self.name = name
-        self.health_path = health_path
-        self.max_connections = max_connections
         self.cold_rate = cold_rate
-        self.cold_start = cold_start
 
 
 class Limits:
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,6 @@
 import pytest
 
+from heathercleat.steering.process.bodies import SHARE, BodyMemory
 from heathercleat.steering.process.budget import RetryBudget
 from heathercleat.steering.process.shift import ShiftLimit
 from heathercleat.steering.request.call import RepeatDetector
@@ -87,3 +88,12 @@
     chosen = [splitter.next() for _ in range(100)]
     assert chosen.count("b") == 10
     assert chosen[:20].count("b") == 2
+
+
+def test_bodies_take_their_part_of_the_memory_and_no_more():
+    bodies = BodyMemory(1000 / SHARE)
+    assert bodies.take(600)
+    assert not bodies.take(600)
+    bodies.give(600)
+    assert bodies.take(1000)
+    assert bodies.held == 1000
