--- a/standins/soak.py
+++ b/standins/soak.py
@@ -22,7 +22,7 @@
 from hashlib import sha256
 from http.client import HTTPException
 
-from standins.fleet import wait_for
+from standins.fleet import STOP_SECONDS, wait_for
 from standins.steering_fleet import SteeringFleet
 
 DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -166,7 +166,9 @@
         vm.process.send_signal(signal.SIGTERM)
 
         def restart():
-            vm.process.wait(20)
+            # Another fault may have paused it meanwhile.
+            vm.process.send_signal(signal.SIGCONT)
+            vm.process.wait(STOP_SECONDS)
             self._start(vm)
 
         return restart
