--- a/standins/soak.py
+++ b/standins/soak.py
@@ -163,12 +163,14 @@
 
     def _stop(self):
         vm = self._vm()
-        vm.process.send_signal(signal.SIGTERM)
+        # By the time of the restart another fault may have started a new process.
+        stopped = vm.process
+        stopped.send_signal(signal.SIGTERM)
 
         def restart():
             # Another fault may have paused it meanwhile.
-            vm.process.send_signal(signal.SIGCONT)
-            vm.process.wait(STOP_SECONDS)
+            stopped.send_signal(signal.SIGCONT)
+            stopped.wait(STOP_SECONDS)
             self._start(vm)
 
         return restart
@@ -179,9 +181,9 @@
             self._fleet.start_vm(vm)
 
     def _pause(self):
-        vm = self._vm()
-        vm.process.send_signal(signal.SIGSTOP)
-        return lambda: vm.process.send_signal(signal.SIGCONT)
+        paused = self._vm().process
+        paused.send_signal(signal.SIGSTOP)
+        return lambda: paused.send_signal(signal.SIGCONT)
 
     def _store_down(self):
         down = self._rng.choice(["busy", "silent", "reset"])
