--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,7 +33,12 @@
     assert bool(list(check([request_], runs))) is broken
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+#: Seeds that failed once, and why: 12 and 14 stopped a VM twice, and the soak waited for
+#: the process that it had started in between.
+FAILED_SEEDS = [12, 14]
+
+
+@pytest.mark.parametrize("seed", [1, *FAILED_SEEDS])
 def test_promises_hold_under_faults(seed):
     broken, ends = run_seed(seed, SECONDS, config())
     assert broken == []
