--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,8 +33,8 @@
     assert bool(list(check([request_], runs))) is broken
 
 
-#: Seeds that failed once, and why: 12 and 14 stopped a VM twice, and the soak waited for
-#: the process that it had started in between.
+#: Seeds that failed once, and why: 12 and 14 stopped a VM twice, and the soak waited
+#: for the process that it had started in between.
 FAILED_SEEDS = [12, 14]
 
 
