Mend what a last reading found: a stale row, a leak, a beat composed twice, a twin loop

A removed row that is still used and came back was told to other VMs beside its new version, the old one last (the new test fails without the change); removed rows no longer used were kept for ever. Heartbeats to idle VMs are composed only when they are sent. serve and steer share one guarded loop. A random field that nobody read is gone from the members' rows.

--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -17,6 +17,7 @@
 from heathercleat.process.directory import Directory
 from heathercleat.process.editing import Editor
 from heathercleat.process.fence import Fence
+from heathercleat.process.guard import run_guarded
 from heathercleat.process.health import HealthBoard
 from heathercleat.process.heartbeats import Heartbeats
 from heathercleat.process.homes import Homes
@@ -269,7 +270,7 @@
         async with TaskGroup(wait=any) as group:
             await group.spawn(self._shut_down)
             for run in self._loops():
-                await group.spawn(self._guard, run)
+                await group.spawn(run_guarded, run, self._journal, CHECK_INTERVAL)
             await self._listeners.start(group)
         await self.links.close()
         await self.pool.close()
@@ -288,17 +289,6 @@
             self.sweeper.run,
         )
 
-    async def _guard(self, run):
-        """Run a loop; an error in it is logged and the loop starts again."""
-        while True:
-            try:
-                await run()
-            except Exception as error:  # noqa: BLE001
-                self._journal.write(
-                    Event.TASK_FAILED, task=run.__qualname__, reason=repr(error)
-                )
-                await sleep(CHECK_INTERVAL)
-
     def _reload(self):
         path = self._settings.path
         if path is None:
--- a/src/heathercleat/steering/process/follower.py
+++ b/src/heathercleat/steering/process/follower.py
@@ -87,8 +87,8 @@
 
     def snapshot(self):
         """Return all rows known here, and the removed ones that are still used."""
-        kept = [row for key, row in self._removed.items() if self._is_used(key)]
-        return Snapshot(self._version, [*self._rows.values(), *kept], self._changed)
+        rows = [*self._rows.values(), *self._still_used().values()]
+        return Snapshot(self._version, rows, self._changed)
 
     async def run(self):
         """Follow the table until cancelled."""
@@ -161,10 +161,16 @@
         for row in changes.rows:
             if row.value is not None:
                 self._rows[row.key] = row
+                self._removed.pop(row.key, None)
             elif row.key in self._rows:
                 self._removed[row.key] = self._rows.pop(row.key)
         if self._apply(changes, False):
             self._changed = changes.version
+        self._removed = self._still_used()
+
+    def _still_used(self):
+        """Return the removed rows that are still used, by key."""
+        return {key: row for key, row in self._removed.items() if self._is_used(key)}
 
     def _note_lost(self, error):
         if self._lost_at is None:
--- a/src/heathercleat/steering/process/gossip.py
+++ b/src/heathercleat/steering/process/gossip.py
@@ -122,13 +122,13 @@
         """
         active = {member.vm for member in self._members.active()}
         own_active = self._members.own.vm in active
-        bodies = {
-            True: self._compose(self._interval()).pack(),
-            False: self._compose(IDLE_INTERVAL).without_reports().pack(),
-        }
+        full = self._compose(self._interval()).pack() if own_active else None
+        short = None
+        if to_all or not own_active:
+            short = self._compose(IDLE_INTERVAL).without_reports().pack()
         for vm, ip in list(self._receivers(active, to_all)):
             echo = msgpack.packb([self._clock.now(), *self._echo(vm)])
-            body = bodies[own_active and vm in active]
+            body = full if own_active and vm in active else short
             try:
                 await self._sock.sendto(body + echo, (ip, self._settings.gossip_port))
             except OSError as error:
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -12,6 +12,7 @@
 from heathercleat.platform.settings import load_node_settings
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.fence import Fence
+from heathercleat.process.guard import run_guarded
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.admission import Admission
 from heathercleat.steering.process.bodies import BodyMemory
@@ -234,7 +235,7 @@
         async with TaskGroup(wait=any) as group:
             await group.spawn(self._shut_down)
             for run in self._loops():
-                await group.spawn(self._guard, run)
+                await group.spawn(run_guarded, run, self._journal, SIGNAL_INTERVAL)
             await self._listeners.start(group)
         self._journal.write(Event.VM_STOPPED)
 
@@ -251,17 +252,6 @@
             self._warm.run,
         )
 
-    async def _guard(self, run):
-        """Run a loop; an error in it is logged and the loop starts again."""
-        while True:
-            try:
-                await run()
-            except Exception as error:  # noqa: BLE001
-                self._journal.write(
-                    Event.TASK_FAILED, task=run.__qualname__, reason=repr(error)
-                )
-                await sleep(SIGNAL_INTERVAL)
-
     async def _keep_up(self):
         """Do what the passing of time calls for."""
         judge_at = 0.0
--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/tables.py
@@ -1,7 +1,6 @@
 """The tables of the store that a VM follows, and what it takes from them."""
 
 from math import ceil
-from secrets import token_hex
 
 import msgpack
 from curio import sleep
@@ -21,7 +20,7 @@
 STORE_TIMEOUT = 1.0
 #: The operators' table changes rarely: a call that waits costs one call a change.
 OPERATOR_WAIT = 5.0
-#: Targets change their entries at every check-in: pausing between calls bounds their
+#: Targets change their entries at every heartbeat: pausing between calls bounds their
 #: number, and a target that leaves is noticed within half of the shortest drain.
 TARGET_WAIT = 1.0
 TARGET_PAUSE = 0.6
@@ -107,7 +106,7 @@
     async def _register(self):
         """Write this VM's row, so that others find it."""
         settings = self._settings
-        row = [settings.ip, settings.failure_domain, settings.region, token_hex(4)]
+        row = [settings.ip, settings.failure_domain, settings.region]
         while True:
             try:
                 value = msgpack.packb(row)
@@ -188,7 +187,7 @@
                 version=snapshot.version,
                 reason=str(error),
             )
-            return
+            return False
         self._registry.evacuate(evacuated)
         if table is not None:
             self._adopt(table)
@@ -216,7 +215,7 @@
             if row.value is None:
                 continue
             try:
-                ip, failure_domain, region, _ = msgpack.unpackb(row.value)
+                ip, failure_domain, region = msgpack.unpackb(row.value)
             except (ValueError, TypeError) as error:
                 self._journal.write(Event.ROW_REJECTED, key=row.key, reason=repr(error))
                 continue
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -188,3 +188,11 @@
         made.used.add("a")
     made.play(lambda: made.store.put("a", None))
     assert made.keys == (["a"] if used else [])
+
+
+def test_row_that_came_back_replaces_the_removed_one():
+    made = Follower()
+    made.store.put("a", b"old")
+    made.used.add("a")
+    made.play(lambda: made.store.put("a", None), lambda: made.store.put("a", b"new"))
+    assert [row.value for row in made.follower.snapshot().rows] == [b"new"]
