Soak: a proxy that harms connections, and VMs with another time of day

Cause: the soak could harm processes, the store and targets, but no connection between them, and every VM had the true time of day.

Ruled out: changing clocks of the machine (needs rights), a fence inside the daemon (the fault must come from outside).

Now: standins/fault_proxy.py stands between clients, VMs, targets and the store; a VM that the soak starts may be off by 2 s or an hour. Not covered: connections between VMs.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -3,8 +3,10 @@
 One seed starts a store, targets and VMs, sends requests all the while and injects
 faults in series and overlapping: VMs killed, paused, stopped and started again; a store
 that is busy, silent, slow, refuses a VM, loses replies or its history; targets that
-lose, cut, refuse or slow their answers; evacuations and new configurations. It checks,
-from what clients and targets see:
+lose, cut, refuse or slow their answers; evacuations and new configurations; connections
+between clients, VMs, targets and the store that a proxy delays, resets, refuses, cuts
+one way or silences; VMs that start with another time of day. It checks, from what
+clients and targets see:
 
 - a request that is not idempotent runs at most once;
 - a refusal with 503 is true: the request has not run and does not run later;
@@ -23,7 +25,12 @@
 from http.client import HTTPException
 
 from standins.fleet import STOP_SECONDS, wait_for
-from standins.steering_fleet import SteeringFleet
+from standins.steering_fleet import (
+    SteeringFleet,
+    front_link,
+    store_link,
+    target_link,
+)
 
 DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 TARGETS = {
@@ -37,6 +44,10 @@
 WAIT_MS = 1200
 FAULT_GAP = (0.1, 0.6)
 FAULT_SECONDS = (0.2, 1.5)
+#: Seconds by which the time of day of a started VM may be off.
+CLOCK_SKEWS = (-3600.0, -2.0, 2.0, 3600.0)
+#: Seconds by which a proxy delays data, from little to longer than a request waits.
+LINK_DELAYS = (0.005, 1.5)
 RECOVERY_SECONDS = 12.0
 #: Seconds after which a request that was given up can no longer begin to run.
 SETTLE_SECONDS = 1.0
@@ -144,6 +155,11 @@
             self._target_fault,
             self._evacuate,
             self._configure,
+            self._delay_link,
+            self._cut_link,
+            self._refuse_link,
+            self._reset_link,
+            self._silence_link,
         )
 
     def _undo_due(self, now):
@@ -178,7 +194,8 @@
     def _start(self, vm):
         # Another fault may have started it already.
         if vm.process.poll() is not None:
-            self._fleet.start_vm(vm)
+            skew = self._rng.choice((0.0, 0.0, *CLOCK_SKEWS))
+            self._fleet.start_vm(vm, clock_skew=skew)
 
     def _pause(self):
         paused = self._vm().process
@@ -191,7 +208,7 @@
         return lambda: self._fleet.switch_store(down=None)
 
     def _store_refuses(self):
-        self._fleet.switch_store(refused=[self._vm().host])
+        self._fleet.switch_store(refused=[self._fleet.store_host(self._vm())])
         return lambda: self._fleet.switch_store(refused=[])
 
     def _store_loses(self):
@@ -220,6 +237,33 @@
         self._fleet.switch_target(target, **{name: value})
         return lambda: self._fleet.switch_target(target, **{name: normal})
 
+    def _link(self):
+        names = [target_link(each) for each in TARGETS]
+        for vm in self._fleet.vms.values():
+            names += [store_link(vm), front_link(vm)]
+        return self._rng.choice(names)
+
+    def _delay_link(self):
+        link = self._link()
+        self._fleet.switch_link(link, delay_s=self._rng.uniform(*LINK_DELAYS))
+        return lambda: self._fleet.switch_link(link, delay_s=0.0)
+
+    def _cut_link(self):
+        link = self._link()
+        self._fleet.switch_link(link, cut=self._rng.choice(("up", "down", "both")))
+        return lambda: self._fleet.switch_link(link, cut=None)
+
+    def _refuse_link(self):
+        link = self._link()
+        self._fleet.switch_link(link, refuse=True, reset=True)
+        return lambda: self._fleet.switch_link(link, refuse=False)
+
+    def _reset_link(self):
+        self._fleet.switch_link(self._link(), reset=True)
+
+    def _silence_link(self):
+        self._fleet.switch_link(self._link(), silence=True)
+
     def _evacuate(self):
         domain = self._rng.choice(list(DOMAINS))
         self._fleet.put("op", f"evacuate/{domain}", {})
@@ -259,7 +303,9 @@
     """Run one seed and return the broken promises, and how requests ended."""
     rng = random.Random(seed)
     vms = dict.fromkeys(DOMAINS, 1)
-    with SteeringFleet(config, DOMAINS, vms, TARGETS, subnet=SUBNET) as fleet:
+    with SteeringFleet(
+        config, DOMAINS, vms, TARGETS, subnet=SUBNET, proxied=True
+    ) as fleet:
         faults = Faults(fleet, rng, iter(range(100, 10_000)))
         clients = Clients(fleet, seed)
         clients.start()
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -1,5 +1,6 @@
 """Starts a store, targets and steering VMs as separate processes on loopback."""
 
+import itertools
 import json
 import os
 import signal
@@ -7,6 +8,7 @@
 from http.client import HTTPException
 
 from standins.fleet import SUBNET_VARIABLE, Deployment, call, wait_for
+from standins.skewed import SKEW_VARIABLE
 
 STORE_PORT = 7000
 TARGET_PORT = 9000
@@ -14,20 +16,40 @@
 READY_PORT = 8388
 METRICS_PORT = 9464
 INNER_PORTS = [7200, 7215]
+PROXY_PORT = 7900
 
 
 class SteeringVm:
-    """One VM of the fleet."""
+    """One VM of the fleet.
 
-    def __init__(self, name, host, domain, region, settings):
+    :param number: tells it from the others, from 1 on.
+    """
+
+    def __init__(self, name, host, domain, region, number):
         self.name = name
         self.host = host
         self.domain = domain
         self.region = region
-        self.settings = settings
+        self.number = number
+        self.settings = None
         self.process = None
 
 
+def store_link(vm):
+    """Return the name of the link between a VM and the store."""
+    return f"store:{vm.name}"
+
+
+def front_link(vm):
+    """Return the name of the link between clients and a VM."""
+    return f"front:{vm.name}"
+
+
+def target_link(target_id):
+    """Return the name of the link between all VMs and a target."""
+    return f"target:{target_id}"
+
+
 class SteeringFleet(Deployment):
     """The processes of one deployment.
 
@@ -37,6 +59,8 @@
     :param targets: ``{id: (service, failure domain, slots)}``.
     :param subnet: the second number of every IP, to keep fleets apart.
     :param bounds: texts as in the settings file.
+    :param proxied: put a proxy that can harm connections between clients, VMs, targets
+        and the store; see :mod:`standins.fault_proxy`.
     """
 
     def __init__(
@@ -47,11 +71,13 @@
         targets,
         subnet,
         bounds=("grace=6s", "budgetSlack=60"),
+        proxied=False,
     ):
         super().__init__()
         self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._domains = domains
         self._bounds = list(bounds)
+        self._proxied = proxied
         self.config = config
         self.store = (f"127.{subnet}.200.1", STORE_PORT)
         self.targets = targets
@@ -61,6 +87,8 @@
         """Start everything and wait until each VM is ready."""
         self.start_store()
         self.start_targets()
+        if self._proxied:
+            self.start_proxy()
         self.put("op", "config", self.config)
         for target_id in self.targets:
             self.announce(target_id)
@@ -83,6 +111,12 @@
         for target_id in self.targets:
             wait_for(lambda each=target_id: self._answers(each))
 
+    def start_proxy(self):
+        """Start the proxy, with all links in order."""
+        control = f"{self._proxy_host}:{PROXY_PORT}"
+        self._spawn("proxy", "standins.fault_proxy", control, *self._links())
+        wait_for(self._proxy_answers)
+
     def wait_ready(self):
         """Wait until every VM is ready and knows all others."""
         count = len(self.vms)
@@ -90,13 +124,18 @@
             wait_for(lambda vm=vm: self.is_ready(vm))
             wait_for(lambda vm=vm: len(self.resolve(vm, "", "")) == count)
 
-    def start_vm(self, vm):
-        """Start the process of a VM."""
-        command = [sys.executable, "-m", "heathercleat", "steer"]
+    def start_vm(self, vm, clock_skew=0.0):
+        """Start the process of a VM.
+
+        :param clock_skew: seconds by which its time of day is off.
+        """
+        command = [sys.executable, "-m", "standins.skewed", "steer"]
         command += ["--metrics-port", str(METRICS_PORT)]
-        vm.process = self._processes.start(
-            vm.name, command, HEATHERCLEAT_SETTINGS=vm.settings
-        )
+        variables = {
+            "HEATHERCLEAT_SETTINGS": vm.settings,
+            SKEW_VARIABLE: str(clock_skew),
+        }
+        vm.process = self._processes.start(vm.name, command, **variables)
 
     def stop_vm(self, vm, signum=signal.SIGTERM):
         """Send a signal to the process of a VM."""
@@ -116,7 +155,7 @@
         service, domain, slots = self.targets[target_id]
         entry = {
             "service": service,
-            "address": f"{self.target_host(target_id)}:{TARGET_PORT}",
+            "address": f"{self._target_place(target_id)}:{TARGET_PORT}",
             "zone": domain,
             "version": "v1",
             "slots": slots,
@@ -131,6 +170,11 @@
         """Set faults of the store."""
         call(*self.store, "POST", "/switch", json.dumps(switches))
 
+    def switch_link(self, link, **faults):
+        """Set faults of a link; see :func:`store_link` and its like for names."""
+        body = json.dumps({link: faults})
+        call(self._proxy_host, PROXY_PORT, "POST", "/switch", body)
+
     def store_counts(self):
         """Return the number of calls to the store by path."""
         return json.loads(call(*self.store, "GET", "/counts")[2])
@@ -179,7 +223,41 @@
             "Deadline-Ms": str(wait_ms),
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
-        return call(vm.host, FRONT_PORT, method, path, body, sent)
+        return call(self._front_host(vm), FRONT_PORT, method, path, body, sent)
+
+    @property
+    def _proxy_host(self):
+        return f"127.{self._subnet}.201.1"
+
+    def store_host(self, vm):
+        """Return where a VM finds the store; its calls come from there as well."""
+        return f"127.{self._subnet}.202.{vm.number}" if self._proxied else self.store[0]
+
+    def _target_place(self, target_id):
+        host = self.target_host(target_id)
+        return host.replace(".100.", ".203.") if self._proxied else host
+
+    def _front_host(self, vm):
+        return f"127.{self._subnet}.204.{vm.number}" if self._proxied else vm.host
+
+    def _links(self):
+        """Yield the links of the proxy as its command line takes them."""
+        store_host, store_port = self.store
+        for vm in self.vms.values():
+            listen = f"{self.store_host(vm)}:{STORE_PORT}"
+            yield f"{store_link(vm)}={listen}>{store_host}:{store_port}"
+            listen = f"{self._front_host(vm)}:{FRONT_PORT}"
+            yield f"{front_link(vm)}={listen}>{vm.host}:{FRONT_PORT}"
+        for target_id in self.targets:
+            listen = f"{self._target_place(target_id)}:{TARGET_PORT}"
+            server = f"{self.target_host(target_id)}:{TARGET_PORT}"
+            yield f"{target_link(target_id)}={listen}>{server}"
+
+    def _proxy_answers(self):
+        try:
+            return call(self._proxy_host, PROXY_PORT, "GET", "/counts")[0] == 200
+        except (OSError, HTTPException):
+            return False
 
     def _get(self, vm, path):
         try:
@@ -200,20 +278,23 @@
             return False
 
     def _place_vms(self, counts):
+        numbers = itertools.count(1)
         for index, (domain, count) in enumerate(counts.items(), start=1):
             for number in range(1, count + 1):
                 name = f"{domain}-{number}"
                 host = f"127.{self._subnet}.{index}.{number}"
                 region = self._domains[domain]
-                path = self._write_settings(name, host, domain, region)
-                yield SteeringVm(name, host, domain, region, path)
+                vm = SteeringVm(name, host, domain, region, next(numbers))
+                vm.settings = self._write_settings(vm)
+                yield vm
 
-    def _write_settings(self, name, host, domain, region):
+    def _write_settings(self, vm):
+        host = vm.host
         settings = {
-            "node": name,
+            "node": vm.name,
             "ip": host,
-            "zone": domain,
-            "region": region,
+            "zone": vm.domain,
+            "region": vm.region,
             "zones": self._domains,
             "listen": {
                 "front": f"{host}:{FRONT_PORT}",
@@ -225,9 +306,9 @@
             "limits": {"cpuShare": 1.0, "memoryMb": 300, "linkMbps": 1000.0},
             "heartbeat": "1500ms",
             "bounds": self._bounds,
-            "platform": {"address": f"{self.store[0]}:{self.store[1]}"},
+            "platform": {"address": f"{self.store_host(vm)}:{self.store[1]}"},
         }
-        path = self.folder / f"{name}.yaml"
+        path = self.folder / f"{vm.name}.yaml"
         # JSON is YAML as well.
         path.write_text(json.dumps(settings, indent=1))
         return str(path)
