--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,11 +24,11 @@
     Vms,
     encode,
 )
-from heathercleat.process.directory import Directory
-from heathercleat.process.heartbeats import Heartbeats
-from heathercleat.process.members import SETTLE, Membership
-from heathercleat.process.platform import VmEntry, VmList
-from heathercleat.process.readiness import WATCH_SECONDS
+from heathercleat.process.capacity.readiness import WATCH_SECONDS
+from heathercleat.process.configuration.platform import VmEntry, VmList
+from heathercleat.process.membership.directory import Directory
+from heathercleat.process.membership.heartbeats import Heartbeats
+from heathercleat.process.membership.members import SETTLE, Membership
 from heathercleat.process.settings import parse_settings
 from heathercleat.process.vm import EntryVM
 from heathercleat.request.lookup import answer_lookup
--- /dev/null
+++ b/bench/places.py
@@ -0,0 +1,105 @@
+"""Benchmark of the work for one request while the number of targets grows."""
+
+import time
+
+from bench.report import Row
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.losses import RegionLosses
+from heathercleat.steering.process.capacity.pressure import Pressure
+from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.capacity.shift import ShiftLimit
+from heathercleat.steering.process.capacity.view import TargetView
+from heathercleat.steering.process.capacity.work import WorkTimes
+from heathercleat.steering.request.places import Places
+from tests.steering_parts import Parts, beat, call, entry, route
+
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+VMS_EACH = 6
+SLOTS = 6
+OBJECTS = 270
+CALLS = 2000
+TRIP = 0.024
+FEW, MANY = 60, 1_900
+#: How many times longer it may take with many targets than with few: 6.5 and 7.3 were
+#: measured; it grew with the number of targets when each was looked at.
+MOST_GROWTH = 10.0
+
+
+def bench_places(report):
+    """Processor time that a refused request takes to find that there is no place."""
+    few, many = (refusal_seconds(count) for count in (FEW, MANY))
+    report.add(
+        Row(
+            f"finding no place among {MANY} targets",
+            many * 1e3,
+            few * 1e3,
+            "ms",
+            f"{FEW} targets",
+            MOST_GROWTH,
+        )
+    )
+
+
+def refusal_seconds(targets):
+    """Return the mean processor time of a refusal where every slot is taken."""
+    parts = _parts(targets)
+    places = _places(parts)
+    calls = [_call(parts.clock, number) for number in range(CALLS)]
+    _refuse_all(places, calls, parts.clock)
+    began = time.process_time()
+    _refuse_all(places, calls, parts.clock)
+    return (time.process_time() - began) / CALLS
+
+
+def _parts(targets):
+    parts = Parts()
+    for domain, region in DOMAINS.items():
+        for number in range(VMS_EACH):
+            made = beat(f"{domain}-{number}", domain, region)
+            parts.members.heard(made)
+    names = list(DOMAINS)
+    parts.registry.replace(
+        [
+            entry(f"t{number}", domain=names[number % len(names)], slots=SLOTS)
+            for number in range(targets)
+        ]
+    )
+    return parts
+
+
+def _places(parts):
+    clock, members = parts.clock, parts.members
+    rooms, pressure = RoomView(clock), Pressure()
+    for member in members.live_others():
+        rooms.report(member.vm, [], [("s1", 0.5)], [("s1", 0.3)])
+    for owned in parts.ledger.all():
+        for _ in range(SLOTS):
+            owned.take(clock.now())
+    return Places(
+        TargetView(members, parts.registry, parts.owners, parts.ledger, rooms),
+        members,
+        Admission(parts.ledger, members.region_of, clock),
+        rooms,
+        RegionLosses(members, rooms, pressure, clock),
+        ShiftLimit(0.15, clock),
+        lambda vm: TRIP,
+        WorkTimes(),
+        clock,
+    )
+
+
+def _call(clock, number):
+    made = call(clock, route(sticky=True), affinity=f"/{number % OBJECTS}")
+    made.patient_until = clock.now() + 0.1
+    return made
+
+
+def _refuse_all(places, calls, clock):
+    """Look for places as a request does that is refused; 1,000 requests a second."""
+    nothing = frozenset()
+    for made in calls:
+        clock.time += 0.001
+        places.free(made, nothing, nothing)
+        places.relief(made, nothing, nothing)
+        places.waiting(made, nothing, nothing)
+        places.describe(made)
--- a/bench/run.py
+++ b/bench/run.py
@@ -13,6 +13,7 @@
     bench_once,
     bench_text,
 )
+from bench.places import bench_places
 from bench.report import Report
 from bench.routing import (
     bench_drain,
@@ -35,6 +36,7 @@
     "configuration": bench_configuration,
     "drain": bench_drain,
     "takeover": bench_takeover,
+    "places": bench_places,
     "log": bench_log,
     "text": bench_text,
 }
--- a/src/heathercleat/connection/operator.py
+++ b/src/heathercleat/connection/operator.py
@@ -12,7 +12,7 @@
 from heathercleat.connection.http import HttpStream, Message, serve_messages
 from heathercleat.connection.peer import sign, verify
 from heathercleat.errors import FindingsError, HeathercleatError
-from heathercleat.process.editing import (
+from heathercleat.process.configuration.editing import (
     ConflictError,
     Edit,
     cancel_drain,
--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -4,7 +4,7 @@
 
 from heathercleat.platform.names import CONFIG_KEY, EVACUATE_PREFIX
 from heathercleat.platform.units import seconds, version_number
-from heathercleat.steering.process.target import TargetEntry
+from heathercleat.steering.process.capacity.target import TargetEntry
 from heathercleat.steering.version.routing import (
     Kind,
     Limits,
--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -14,7 +14,11 @@
 from heathercleat.connection.sockets import watch_silence
 from heathercleat.errors import PlatformError
 from heathercleat.platform.names import FEED_PATH, READ_PATH, TRANSACT_PATH
-from heathercleat.steering.process.store import HistoryLostError, Snapshot, StoreRow
+from heathercleat.steering.process.store.protocol import (
+    HistoryLostError,
+    Snapshot,
+    StoreRow,
+)
 
 MAX_ANSWER_BYTES = 4 << 20
 #: Rows asked for at once; the store returns at most 500.
--- /dev/null
+++ b/src/heathercleat/process/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of targets: who may use them, who waits, which targets answer."""
--- a/src/heathercleat/process/admission.py
+++ b/src/heathercleat/process/capacity/admission.py
@@ -16,7 +16,7 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.process.queue import ServiceQueue, Waiter
+from heathercleat.process.capacity.queue import ServiceQueue, Waiter
 
 #: The expected wait where there is no slot: a lease may still come.
 NEVER = float("inf")
--- a/src/heathercleat/process/homes.py
+++ b/src/heathercleat/process/capacity/homes.py
@@ -14,9 +14,9 @@
 from heathercleat.connection.messages import Acquire, Handover, Released
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
+from heathercleat.process.capacity.covers import Vouched, occupied_until
+from heathercleat.process.capacity.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
 from heathercleat.process.clock import from_wall, to_wall
-from heathercleat.process.covers import Vouched, occupied_until
-from heathercleat.process.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
 from heathercleat.version.transition import Transition
 
 CHECK_INTERVAL = 0.1
--- a/src/heathercleat/process/slots.py
+++ b/src/heathercleat/process/capacity/slots.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from math import ceil
 
-from heathercleat.process.shift import ShiftWindow
+from heathercleat.process.capacity.shift import ShiftWindow
 
 #: Seconds that a target may need to free the slot of a cancelled request.
 CANCEL_GRACE = 0.25
--- /dev/null
+++ b/src/heathercleat/process/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' text: followed, edited and kept on the platform."""
--- a/src/heathercleat/process/editing.py
+++ b/src/heathercleat/process/configuration/editing.py
@@ -6,7 +6,7 @@
 
 from heathercleat.codes import ResultCode
 from heathercleat.errors import HeathercleatError, PlatformError
-from heathercleat.process.platform import ABSENT, Condition, Write
+from heathercleat.process.configuration.platform import ABSENT, Condition, Write
 from heathercleat.version.document import (
     HEAD_KEY,
     Document,
--- a/src/heathercleat/process/configuration.py
+++ b/src/heathercleat/process/configuration/keeper.py
@@ -20,8 +20,8 @@
 )
 from heathercleat.errors import FindingsError, PeerError, PlatformError
 from heathercleat.events import Event
-from heathercleat.process.directory import vm_list
-from heathercleat.process.member import MemberState
+from heathercleat.process.membership.directory import vm_list
+from heathercleat.process.membership.member import MemberState
 from heathercleat.version.document import (
     HEAD_KEY,
     object_key,
--- a/src/heathercleat/process/listeners.py
+++ b/src/heathercleat/process/listeners.py
@@ -6,7 +6,7 @@
 from heathercleat.connection.caller import CallerConnection
 from heathercleat.connection.operator import OperatorService
 from heathercleat.events import Event
-from heathercleat.process.peer_service import PeerService
+from heathercleat.process.membership.peer_service import PeerService
 
 BACKLOG = 1024
 MAX_CALLER_CONNECTIONS = 4096
--- /dev/null
+++ b/src/heathercleat/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs take part, and how they talk to each other."""
--- a/src/heathercleat/process/directory.py
+++ b/src/heathercleat/process/membership/directory.py
@@ -4,7 +4,7 @@
 a VM answers is learned by asking.
 """
 
-from heathercleat.process.platform import VmEntry, VmList
+from heathercleat.process.configuration.platform import VmEntry, VmList
 
 
 class Directory:
--- a/src/heathercleat/process/heartbeats.py
+++ b/src/heathercleat/process/membership/heartbeats.py
@@ -5,7 +5,7 @@
 from heathercleat.connection.messages import Heartbeat, HeartbeatAck
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
-from heathercleat.process.member import DEAD_AFTER, MemberState
+from heathercleat.process.membership.member import DEAD_AFTER, MemberState
 
 HEARTBEAT_INTERVAL = 0.25
 #: Seconds between looks at a VM that closed its connection, and how many there are.
--- a/src/heathercleat/process/members.py
+++ b/src/heathercleat/process/membership/members.py
@@ -14,7 +14,7 @@
 from heathercleat.connection.messages import MemberRecord, ViewExchange, fields_of
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
-from heathercleat.process.member import LEASE, Member, MemberState
+from heathercleat.process.membership.member import LEASE, Member, MemberState
 from heathercleat.version.hashing import weight
 
 #: Seconds of silence after which a monitor no longer has to acknowledge.
--- a/src/heathercleat/process/peer_service.py
+++ b/src/heathercleat/process/membership/peer_service.py
@@ -32,7 +32,7 @@
 from heathercleat.connection.peer import NONCE_BYTES, MessageStream, verify
 from heathercleat.errors import PeerError, RequestError
 from heathercleat.events import Event
-from heathercleat.process.once import EntryState
+from heathercleat.process.once.ledger import EntryState
 
 HELLO_SECONDS = 2.0
 
--- /dev/null
+++ b/src/heathercleat/process/once/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that run at most once: tickets, claims and outcomes."""
--- a/src/heathercleat/process/claims.py
+++ b/src/heathercleat/process/once/claims.py
@@ -15,7 +15,7 @@
 from curio import sleep
 
 from heathercleat.errors import PlatformError
-from heathercleat.process.platform import ABSENT, Condition, Write
+from heathercleat.process.configuration.platform import ABSENT, Condition, Write
 from heathercleat.request.call import Outcome
 
 BATCH_WAIT = 0.003
--- a/src/heathercleat/process/sweeper.py
+++ b/src/heathercleat/process/once/sweeper.py
@@ -10,9 +10,9 @@
 
 from heathercleat.errors import PlatformError
 from heathercleat.events import Event
-from heathercleat.process.claims import CLAIM_PREFIX, bucket_end
-from heathercleat.process.once import RETENTION
-from heathercleat.process.platform import Condition, Write
+from heathercleat.process.configuration.platform import Condition, Write
+from heathercleat.process.once.claims import CLAIM_PREFIX, bucket_end
+from heathercleat.process.once.ledger import RETENTION
 from heathercleat.version.hashing import ranked
 
 #: Seconds between two looks for old rows, and between two full batches.
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -7,35 +7,35 @@
 
 from heathercleat.connection.pool import Pool
 from heathercleat.events import Event
-from heathercleat.process.admission import Admission
-from heathercleat.process.budget import RetryBudget
-from heathercleat.process.candidates import CandidateCache
-from heathercleat.process.claims import Claims
+from heathercleat.process.capacity.admission import Admission
+from heathercleat.process.capacity.budget import RetryBudget
+from heathercleat.process.capacity.candidates import CandidateCache
+from heathercleat.process.capacity.covers import CoverPublisher, CoverRecords
+from heathercleat.process.capacity.health import HealthBoard
+from heathercleat.process.capacity.homes import Homes
+from heathercleat.process.capacity.leases import LeaseGranter, LeaseHolder
+from heathercleat.process.capacity.readiness import ReadinessBoard
+from heathercleat.process.capacity.slots import SlotLedger
 from heathercleat.process.clock import SystemClock
-from heathercleat.process.configuration import ConfigurationKeeper
-from heathercleat.process.covers import CoverPublisher, CoverRecords
-from heathercleat.process.directory import Directory
-from heathercleat.process.editing import Editor
+from heathercleat.process.configuration.editing import Editor
+from heathercleat.process.configuration.keeper import ConfigurationKeeper
+from heathercleat.process.configuration.platform import HttpPlatform, VmEntry
 from heathercleat.process.fence import Fence
 from heathercleat.process.guard import run_guarded
-from heathercleat.process.health import HealthBoard
-from heathercleat.process.heartbeats import Heartbeats
-from heathercleat.process.homes import Homes
-from heathercleat.process.leases import LeaseGranter, LeaseHolder
 from heathercleat.process.listeners import Listeners
 from heathercleat.process.logs import Journal
-from heathercleat.process.member import MemberState
-from heathercleat.process.members import Membership
+from heathercleat.process.membership.directory import Directory
+from heathercleat.process.membership.heartbeats import Heartbeats
+from heathercleat.process.membership.member import MemberState
+from heathercleat.process.membership.members import Membership
+from heathercleat.process.membership.peers import PeerLinks
 from heathercleat.process.metrics import Metrics
 from heathercleat.process.observer import CallObserver
-from heathercleat.process.once import OnceLedger
-from heathercleat.process.peers import PeerLinks
-from heathercleat.process.platform import HttpPlatform, VmEntry
-from heathercleat.process.readiness import ReadinessBoard
+from heathercleat.process.once.claims import Claims
+from heathercleat.process.once.ledger import OnceLedger
+from heathercleat.process.once.sweeper import ClaimSweeper
+from heathercleat.process.once.tokens import PeerTokens
 from heathercleat.process.settings import load_settings
-from heathercleat.process.slots import SlotLedger
-from heathercleat.process.sweeper import ClaimSweeper
-from heathercleat.process.tokens import PeerTokens
 from heathercleat.version.blocks import build_blocks
 
 #: Seconds added to the life of look-ups before a leaving VM stops listening.
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -7,7 +7,7 @@
 from heathercleat.connection.http import CONNECTION_ERRORS, before
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.process.admission import LeasedPermit
+from heathercleat.process.capacity.admission import LeasedPermit
 from heathercleat.request.attempt import (
     REFUSAL_STATUSES,
     Attempt,
--- a/src/heathercleat/request/run_once.py
+++ b/src/heathercleat/request/run_once.py
@@ -7,8 +7,8 @@
 from heathercleat.connection.messages import CloseOut
 from heathercleat.errors import PeerError, PlatformError, RequestError
 from heathercleat.events import Event
-from heathercleat.process.claims import RowState
-from heathercleat.process.once import EntryState, check_age
+from heathercleat.process.once.claims import RowState
+from heathercleat.process.once.ledger import EntryState, check_age
 from heathercleat.request.call import Outcome
 from heathercleat.request.carry import carry_whole
 
--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -5,7 +5,7 @@
 
 from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
 from heathercleat.request.headers import end_to_end
-from heathercleat.steering.process.store import Snapshot, StoreRow
+from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
 from heathercleat.steering.request.answer import End
 from heathercleat.steering.request.forward import (
     ORDER,
--- /dev/null
+++ b/src/heathercleat/steering/process/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Targets and their slots: owners, queues, room, limits and health."""
--- a/src/heathercleat/steering/process/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -3,7 +3,7 @@
 from curio import timeout_after
 from curio.errors import TaskTimeout
 
-from heathercleat.steering.process.queue import ServiceQueue, Waiter
+from heathercleat.steering.process.capacity.queue import ServiceQueue, Waiter
 
 #: Seconds by which an expected wait may exceed a request's patience: waits vary by
 #: about a quarter of the time for which a request holds a slot.
--- a/src/heathercleat/steering/process/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -2,7 +2,7 @@
 
 from curio import Event as Signal
 
-from heathercleat.steering.process.slots import is_open
+from heathercleat.steering.process.capacity.slots import is_open
 
 #: Seconds that a request holds a slot, before the first one is measured.
 FIRST_HOLD = 0.2
--- /dev/null
+++ b/src/heathercleat/steering/process/capacity/rooms.py
@@ -0,0 +1,112 @@
+"""What this VM believes of the free slots at targets that others own."""
+
+#: Seconds after which a report of room is no longer believed.
+REPORT_LIFE = 1.5
+
+
+class Room:
+    """The last report on one target, corrected by what this VM sent since."""
+
+    __slots__ = ("_free", "_limit", "_valid_until")
+
+    def __init__(self):
+        self._free = 0
+        self._limit = None
+        self._valid_until = 0.0
+
+    def free(self, now):
+        """Return the free slots; 0 where the report is too old."""
+        return self._free if now < self._valid_until else 0
+
+    def limit(self, now):
+        """Return how many requests the target takes at once, ``None`` if unknown."""
+        return self._limit
+
+    def report(self, free, limit, valid_until):
+        """Take the owner's report."""
+        self._free = free
+        self._limit = limit
+        self._valid_until = valid_until
+
+    def take(self):
+        """Note a request sent to the target."""
+        self._free = max(0, self._free - 1)
+
+    def give_back(self):
+        """Note the end of a request that was sent to the target."""
+        if self._limit is not None:
+            self._free = min(self._limit, self._free + 1)
+
+    def fill(self):
+        """Note that the owner had no room."""
+        self._free = 0
+
+
+class Report:
+    """What one owner said last: rooms by target, waits and losses by service."""
+
+    __slots__ = ("rooms", "waits", "losses")
+
+    def __init__(self):
+        self.rooms = {}
+        self.waits = {}
+        self.losses = {}
+
+
+class RoomView:
+    """Reports of owners on their targets and queues."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._reports = {}
+
+    def report(self, owner, rooms, waits, losses):
+        """Take an owner's report.
+
+        :param rooms: ``(target id, free slots, slots in use at most)`` of each target
+            that it owns.
+        :param waits: ``(service, seconds)`` that a new request would wait there.
+        :param losses: ``(service, part)`` of their worth that its clients lose.
+        """
+        valid_until = self._clock.now() + REPORT_LIFE
+        for target_id, free, limit in rooms:
+            self.room(target_id, owner).report(free, limit, valid_until)
+        report = self._report(owner)
+        report.waits = dict(waits)
+        report.losses = dict(losses)
+
+    def keep(self, owners):
+        """Forget all owners but these."""
+        for owner in self._reports.keys() - owners:
+            del self._reports[owner]
+
+    def room(self, target_id, owner):
+        """Return the :class:`Room` at a target of an owner; the same one each time."""
+        rooms = self._report(owner).rooms
+        room = rooms.get(target_id)
+        if room is None:
+            room = rooms[target_id] = Room()
+        return room
+
+    def wait(self, owner, service):
+        """Return the seconds a new request would wait at an owner, or ``None``."""
+        return self._report(owner).waits.get(service)
+
+    def loss(self, owner, service):
+        """Return the part of their worth that an owner's clients lose."""
+        return self._report(owner).losses.get(service, 0.0)
+
+    def full(self, target_id, owner, service, wait):
+        """Note that an owner had no room for a request.
+
+        :param target_id: the target that seemed to have some, or ``None``.
+        """
+        if target_id is not None:
+            self.room(target_id, owner).fill()
+        self._report(owner).waits[service] = wait
+
+    def _report(self, owner):
+        report = self._reports.get(owner)
+        if report is None:
+            report = self._reports[owner] = Report()
+        return report
--- a/src/heathercleat/steering/process/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -4,7 +4,7 @@
 from statistics import median
 
 from heathercleat.events import Event
-from heathercleat.steering.process.health import TargetHealth
+from heathercleat.steering.process.capacity.health import TargetHealth
 
 #: Seconds for which a target's own report of load from elsewhere is believed.
 REPORT_LIFE = 0.4
@@ -152,15 +152,10 @@
         self._refresh()
         return self._owned.values()
 
-    def free(self, target_id, now):
-        """Return the free slots of an owned target; 0 for any other."""
-        owned = self._owned.get(target_id)
-        return owned.free(now) if owned else 0
-
-    def limit(self, target_id, now):
-        """Return how many requests an owned target takes at once, or ``None``."""
-        owned = self._owned.get(target_id)
-        return owned.limit(now) if owned else None
+    def get(self, target_id):
+        """Return the :class:`OwnedTarget` of that id, or ``None``."""
+        self._refresh()
+        return self._owned.get(target_id)
 
     def release(self, use):
         """Free the slot of a use."""
--- /dev/null
+++ b/src/heathercleat/steering/process/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs take part, as heard from their heartbeats."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -14,27 +14,28 @@
 from heathercleat.process.fence import Fence
 from heathercleat.process.guard import run_guarded
 from heathercleat.process.logs import Journal
-from heathercleat.steering.process.admission import Admission
 from heathercleat.steering.process.bodies import BodyMemory
-from heathercleat.steering.process.budget import RetryBudget
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.budget import RetryBudget
+from heathercleat.steering.process.capacity.losses import RegionLosses
+from heathercleat.steering.process.capacity.owners import Owners
+from heathercleat.steering.process.capacity.pressure import Pressure
+from heathercleat.steering.process.capacity.registry import TargetRegistry
+from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.capacity.shift import ShiftLimit
+from heathercleat.steering.process.capacity.slots import SlotLedger
+from heathercleat.steering.process.capacity.view import TargetView
+from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.directory import Directory
-from heathercleat.steering.process.gossip import Beat, Gossip
 from heathercleat.steering.process.leavers import Leavers
 from heathercleat.steering.process.listeners import Listeners
-from heathercleat.steering.process.members import Members
+from heathercleat.steering.process.membership.gossip import Beat, Gossip
+from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
-from heathercleat.steering.process.owners import Owners
-from heathercleat.steering.process.pressure import Pressure
 from heathercleat.steering.process.record import RequestRecord
-from heathercleat.steering.process.registry import TargetRegistry
-from heathercleat.steering.process.rooms import RoomView
-from heathercleat.steering.process.shift import ShiftLimit
-from heathercleat.steering.process.slots import SlotLedger
-from heathercleat.steering.process.tables import Tables
+from heathercleat.steering.process.store.tables import Tables
 from heathercleat.steering.process.warm import WarmConnections
-from heathercleat.steering.process.work import WorkTimes
 from heathercleat.steering.request.call import RepeatDetector
-from heathercleat.steering.request.candidates import Candidates
 from heathercleat.steering.request.forward import ForwardTry
 from heathercleat.steering.request.local import LocalTry
 from heathercleat.steering.request.places import Places
@@ -136,23 +137,20 @@
             journal,
             clock,
         )
-        candidates = Candidates(
-            self._members,
-            self._registry,
-            self._owners,
-            self._ledger,
-            self._admission,
-            self._rooms,
-            clock,
+        view = TargetView(
+            self._members, self._registry, self._owners, self._ledger, self._rooms
         )
+        self._members.on_change(self._forget_rooms)
+        losses = RegionLosses(self._members, self._rooms, self._pressure, clock)
         places = Places(
-            candidates,
+            view,
             self._members,
+            self._admission,
             self._rooms,
+            losses,
             self._shift,
             self._gossip.trip,
             self._work_times,
-            self._pressure,
             clock,
         )
         self._steering = Steering(
@@ -365,6 +363,10 @@
             losses,
         )
 
+    def _forget_rooms(self):
+        """Drop the reports of VMs that are gone for good."""
+        self._rooms.keep({member.vm for member in self._members.others()})
+
     def _beliefs(self):
         """Return figures on what this VM knows and how old it is."""
         now = self.clock.now()
--- /dev/null
+++ b/src/heathercleat/steering/process/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tables of the store, followed directly or through other VMs."""
--- a/src/heathercleat/steering/process/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -6,7 +6,7 @@
 
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
-from heathercleat.steering.process.store import HistoryLostError, Snapshot
+from heathercleat.steering.process.store.protocol import HistoryLostError, Snapshot
 
 #: Seconds between two tries of a reader while the store does not answer: short enough
 #: for a configuration to be in force within its bound after the store's return.
--- a/src/heathercleat/steering/process/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -12,7 +12,7 @@
 from heathercleat.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from heathercleat.platform.store import TableStore
 from heathercleat.steering.connection.forwarded import STATE_PATH, read_state
-from heathercleat.steering.process.follower import TableFollower
+from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.version.hashing import ranked
 
 MEMBER_TABLE = "heathercleat-members"
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -1,16 +1,11 @@
 """Where a request may be tried next, the best place first."""
 
-from heathercleat.steering.process.slots import is_open
-from heathercleat.version.hashing import weight
+from heathercleat.steering.process.capacity.slots import is_open
+from heathercleat.steering.request.choice import Choice
 
 #: Bytes of a body from which a target in the own failure domain goes before one that
 #: knows the object: crossing twice with a larger body costs more than the work saved.
 LARGE_BODY = 16 << 10
-#: Targets of a region that get the requests for one object while they have room. Each
-#: more one has to learn the object first: with one in place of two, the worth of served
-#: requests rose from 0.27 to 0.28 and from 0.29 to 0.32 on two overloaded days, and
-#: from 0.46 to 0.50 at 80 VMs.
-HOMES_OF_OBJECT = 1
 #: A request is refused at once where the reported wait is so many times its patience:
 #: forwarding it in vain would cost both VMs 1.2 ms of processor time.
 HOPELESS_FACTOR = 2.0
@@ -47,38 +42,38 @@
 class Places:
     """Finds places for requests.
 
-    :param candidates: the :class:`Candidates`.
+    :param view: the :class:`TargetView`.
     :param members: the live VMs.
-    :param rooms: what other VMs' clients lose.
+    :param admission: the waits at own targets.
+    :param rooms: the waits at other owners' targets.
+    :param losses: the :class:`RegionLosses`.
     :param shift: the :class:`ShiftLimit`.
     :param trip: returns the round trip to a VM in seconds.
     :param work_times: the :class:`WorkTimes`.
-    :param pressure: what this VM's clients lose, a :class:`Pressure`.
     """
 
     def __init__(
-        self, candidates, members, rooms, shift, trip, work_times, pressure, clock
+        self, view, members, admission, rooms, losses, shift, trip, work_times, clock
     ):
-        self._candidates = candidates
+        self._view = view
         self._members = members
+        self._admission = admission
         self._rooms = rooms
+        self._losses = losses
         self._shift = shift
         self._trip = trip
         self._work_times = work_times
-        self._pressure = pressure
         self._clock = clock
 
     def free(self, call, avoid, avoid_vms):
         """Return the best :class:`Place` with a free slot, or ``None``."""
-        near, far = self._candidates.split(call, avoid, avoid_vms)
+        choice = self._choice(call, avoid, avoid_vms)
         if self._shift.must_move():
-            return self._best_far(call, far, 0.0) or self._best_near(call, near)
-        found = self._best_near(call, near)
-        if found is not None:
+            return self._best_far(choice, 0.0) or self._best_near(choice)
+        found = self._best_near(choice)
+        if found is not None or not self._shift.may_move():
             return found
-        if not far or not self._shift.may_move():
-            return None
-        return self._best_far(call, far, self._near_wait(call))
+        return self._best_far(choice, self._near_wait(call))
 
     def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` of this region to wait at, or ``None``.
@@ -86,9 +81,11 @@
         It is the one with the shortest wait among the owners of targets that know the
         object. The wait is ``None`` where an owner's targets are all out of service.
         """
-        near, _ = self._candidates.split(call, avoid, avoid_vms)
-        patience = call.patient_until - self._clock.now()
-        return self._shortest_wait(call, near, patience, False)
+        choice = self._choice(call, avoid, avoid_vms)
+        if choice.near is None:
+            return None
+        patience = call.patient_until - choice.now
+        return self._shortest_wait(choice, choice.near, choice.usable, patience, False)
 
     def relief(self, call, avoid, avoid_vms):
         """Return the :class:`Place` to wait at where clients lose less, or ``None``.
@@ -99,131 +96,153 @@
         """
         if len(call.body) >= LARGE_BODY or not self._shift.may_move():
             return None
-        _, far = self._candidates.split(call, avoid, avoid_vms)
-        losses = {region: self._region_loss(region, call.service) for region in far}
-        least = min(losses, key=losses.get, default=None)
+        choice = self._choice(call, avoid, avoid_vms)
+        service = call.service
+        least = min(
+            choice.far,
+            key=lambda each: self._losses.of(each.region, service),
+            default=None,
+        )
         if least is None:
             return None
-        own_loss = self._region_loss(self._members.own.region, call.service)
-        if own_loss - losses[least] < LEAST_RELIEF:
+        own_loss = self._losses.of(self._members.own.region, service)
+        if own_loss - self._losses.of(least.region, service) < LEAST_RELIEF:
             return None
-        in_time = [each for each in far[least] if self._is_in_time(call, each.owner)]
-        return self._shortest_wait(call, in_time, FAR_WAIT, True)
+
+        def in_time(candidate):
+            return choice.usable(candidate) and self._is_in_time(call, candidate.owner)
+
+        return self._shortest_wait(choice, least, in_time, FAR_WAIT, True)
 
     def expected_wait(self, call):
         """Return the shortest known wait in this region in seconds, or ``None``."""
-        return self._candidates.shortest_wait(call)
+        near = self._choice(call).near
+        if near is None:
+            return None
+        waits = [self._wait(owner, call.service) for owner in near.owners]
+        return min((each for each in waits if each is not None), default=None)
 
     def describe(self, call):
         """Return what is known of the targets that may run a request, for the log."""
-        return self._candidates.describe(call)
-
-    def _region_loss(self, region, service):
-        """Return the mean loss of the clients of a region's VMs."""
-        own = self._members.own.vm
-        losses = [
-            self._pressure.lost(service)
-            if member.vm == own
-            else self._rooms.loss(member.vm, service)
-            for member in self._members.serving()
-            if member.region == region
-        ]
-        return sum(losses) / len(losses) if losses else 1.0
-
-    def _shortest_wait(self, call, candidates, patience, remote):
-        """Return the :class:`Place` to wait at among candidates, or ``None``."""
-        preferred = self._preferred(call, candidates)
+        choice = self._choice(call)
+        near = [choice.near] if choice.near else []
+        parts = [_describe("here", near, choice.now)]
+        parts.append(_describe("elsewhere", choice.far, choice.now))
+        wait = self.expected_wait(call)
+        parts.append("no wait known" if wait is None else f"wait {wait:.3f} s")
+        return "; ".join(parts)
+
+    def _choice(self, call, avoid=frozenset(), avoid_vms=frozenset()):
+        regions = self._view.regions(call.service)
+        own_region = self._members.own.region
+        now = self._clock.now()
+        return Choice(call, regions, own_region, avoid, avoid_vms, now)
+
+    def _wait(self, owner, service):
+        """Return the seconds that a request would wait at an owner, or ``None``."""
+        if owner == self._members.own.vm:
+            return self._admission.expected_wait(service)
+        return self._rooms.wait(owner, service)
+
+    def _shortest_wait(self, choice, targets, usable, patience, remote):
+        """Return the :class:`Place` to wait at in a region, or ``None``.
+
+        :param usable: returns whether a candidate may be used.
+        """
+        homes = choice.homes(targets, usable)
+        candidates = homes or filter(usable, targets.candidates)
         costs = {}
-        for each in candidates:
-            if preferred and each.entry.id not in preferred:
-                continue
-            if self._is_hopeless(each.owner, call.service, patience):
-                continue
-            cost = self._waiting_cost(call, each.owner)
+        for owner in {each.owner for each in candidates}:
+            cost = self._waiting_cost(choice.call, owner, patience)
             if cost is not None:
-                costs[each.owner] = cost
+                costs[owner] = cost
         if not costs:
             return None
-        return Place(min(costs, key=costs.get), None, preferred, remote)
-
-    def _is_hopeless(self, owner, service, patience):
-        """Return whether no slot will come free in time, by an old report."""
-        wait = self._candidates.wait(owner, service)
-        return wait is not None and wait > HOPELESS_FACTOR * patience
-
-    def _waiting_cost(self, call, owner):
-        """Return the seconds that waiting at an owner costs, or ``None``."""
-        wait = self._candidates.wait(owner, call.service)
-        if wait is None or owner == self._members.own.vm:
-            return wait
-        return wait + FORWARD_COST
-
-    def _best_near(self, call, near):
-        preferred = self._preferred(call, near)
-        free = [
-            each
-            for each in near
-            if each.free and is_open(each.entry, each.free, preferred)
-        ]
-        if not free:
+        return Place(min(costs, key=costs.get), None, _ids(homes), remote)
+
+    def _waiting_cost(self, call, owner, patience):
+        """Return the seconds that waiting at an owner costs; ``None`` without hope."""
+        wait = self._wait(owner, call.service)
+        if wait is None or wait > HOPELESS_FACTOR * patience:
             return None
-        if len(call.body) >= LARGE_BODY:
-            here = self._members.own.failure_domain
-            free = [each for each in free if each.entry.failure_domain == here] or free
-        return self._place(free, preferred, False)
-
-    def _place(self, free, preferred, remote):
-        """Return the :class:`Place` of the best free target of a region."""
-        best = min(free, key=lambda each: self._order(each, preferred))
-        target = best.entry.id
-        return Place(best.owner, target, preferred or (target,), remote)
-
-    def _preferred(self, call, candidates):
-        """Return the ids of the targets that know the object, the best first."""
-        if call.affinity is None or not call.route.sticky:
-            return ()
-        ranked = sorted(
-            (each.entry.id for each in candidates if each.sound),
-            key=lambda target_id: weight(call.affinity, target_id),
-            reverse=True,
+        return wait if owner == self._members.own.vm else wait + FORWARD_COST
+
+    def _best_near(self, choice):
+        """Return the best :class:`Place` of this region, or ``None``."""
+        near = choice.near
+        if near is None:
+            return None
+        homes = choice.homes(near)
+        if len(choice.call.body) < LARGE_BODY:
+            return self._best(choice, near, homes, choice.usable, False)
+        here = self._members.own.failure_domain
+
+        def beside(candidate):
+            return candidate.entry.failure_domain == here and choice.usable(candidate)
+
+        return self._best(choice, near, homes, beside, False) or self._best(
+            choice, near, homes, choice.usable, False
         )
-        return tuple(ranked[:HOMES_OF_OBJECT])
 
-    def _order(self, candidate, preferred):
+    def _best(self, choice, targets, homes, usable, remote):
+        """Return the :class:`Place` of the best free target of a region, or ``None``.
+
+        A target that knows the object goes first; after it one that this VM owns, then
+        the one with the largest part of its slots free.
+        """
+        now, known = choice.now, _ids(homes)
+        for each in homes:
+            if each.room.free(now) > 0 and usable(each):
+                return Place(each.owner, each.entry.id, known, remote)
+        summary = targets.summary(now)
+        if not (summary.idle if homes else summary.free):
+            return None
+        best = min(
+            (
+                each
+                for each in targets.candidates
+                if self._is_free(each, known, now) and usable(each)
+            ),
+            key=lambda each: self._order(each, now),
+            default=None,
+        )
+        if best is None:
+            return None
+        target = best.entry.id
+        return Place(best.owner, target, known or (target,), remote)
+
+    def _is_free(self, candidate, known, now):
+        free = candidate.room.free(now)
+        return free > 0 and is_open(candidate.entry, free, known)
+
+    def _order(self, candidate, now):
         """Return the order among free targets, the lowest first."""
-        entry = candidate.entry
-        known = len(preferred)
-        if entry.id in preferred:
-            known = preferred.index(entry.id)
         elsewhere = candidate.owner != self._members.own.vm
-        return known, elsewhere, -candidate.free / entry.slots
+        return elsewhere, -candidate.room.free(now) / candidate.entry.slots
 
-    def _best_far(self, call, far, near_wait):
+    def _best_far(self, choice, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
 
-        :param far: the candidates of other regions, by region.
         :param near_wait: seconds that the request would wait in this region.
         """
-        best, known, most = None, (), 0.0
-        for candidates in far.values():
-            slots = sum(each.entry.slots for each in candidates)
-            room = sum(each.free for each in candidates) - RESERVED_SHARE * slots
-            preferred = self._preferred(call, candidates)
-            useful = [
-                each
-                for each in candidates
-                if is_open(each.entry, each.free, preferred)
-                and self._helps(call, each, near_wait)
-            ]
-            if room > most and useful:
-                best, known, most = useful, preferred, room
-        return None if best is None else self._place(best, known, True)
-
-    def _helps(self, call, candidate, near_wait):
+
+        def helps(candidate):
+            return choice.usable(candidate) and self._helps(
+                choice.call, candidate.owner, near_wait
+            )
+
+        rooms = [(_spare(each.summary(choice.now)), each) for each in choice.far]
+        for room, targets in sorted(rooms, key=lambda each: -each[0]):
+            if room <= 0.0:
+                return None
+            homes = choice.homes(targets)
+            place = self._best(choice, targets, homes, helps, True)
+            if place is not None:
+                return place
+        return None
+
+    def _helps(self, call, owner, near_wait):
         """Return whether a request is answered in time there, or sooner than here."""
-        if candidate.free <= 0:
-            return False
-        owner = candidate.owner
         return self._is_in_time(call, owner) or self._trip(owner) < near_wait
 
     def _is_in_time(self, call, owner):
@@ -235,3 +254,20 @@
         """Return the shortest wait in this region; infinite where there is none."""
         wait = self.expected_wait(call)
         return float("inf") if wait is None else wait
+
+
+def _spare(summary):
+    """Return the free slots of a region that others' clients may use."""
+    return summary.free - RESERVED_SHARE * summary.slots
+
+
+def _ids(candidates):
+    return tuple(each.entry.id for each in candidates)
+
+
+def _describe(name, regions, now):
+    summaries = [each.summary(now) for each in regions]
+    targets = sum(each.targets for each in summaries)
+    sound = sum(each.sound for each in summaries)
+    free = sum(each.free for each in summaries)
+    return f"{name} {targets} targets, {sound} sound, {free} free"
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -166,12 +166,15 @@
             return await steering._local.run(call, place.preferred, self._avoid, until)
         member = steering._members.live(place.vm)
         trip = steering._trip(place.vm)
-        steering._rooms.sent(place.target)
+        room = None
+        if place.target is not None:
+            room = steering._rooms.room(place.target, place.vm)
+            room.take()
         result = await steering._forward.run(
             call, member.ip, place.preferred, self._avoid, until, trip
         )
-        if result.end is not End.NOT_SENT:
-            steering._rooms.done(place.target)
+        if room is not None and result.end is not End.NOT_SENT:
+            room.give_back()
         return result
 
     def _until(self, place, now):
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,7 +1,7 @@
 """Small fakes at the interfaces."""
 
 from heathercleat.errors import PeerError, PlatformError
-from heathercleat.process.platform import ABSENT, Commit, Row
+from heathercleat.process.configuration.platform import ABSENT, Commit, Row
 from heathercleat.process.settings import parse_settings
 
 SETTINGS = """{
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -2,12 +2,12 @@
 
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
-from heathercleat.steering.process.gossip import Beat
-from heathercleat.steering.process.members import Members
-from heathercleat.steering.process.owners import Owners
-from heathercleat.steering.process.registry import TargetRegistry
-from heathercleat.steering.process.slots import SlotLedger
-from heathercleat.steering.process.target import TargetEntry
+from heathercleat.steering.process.capacity.owners import Owners
+from heathercleat.steering.process.capacity.registry import TargetRegistry
+from heathercleat.steering.process.capacity.slots import SlotLedger
+from heathercleat.steering.process.capacity.target import TargetEntry
+from heathercleat.steering.process.membership.gossip import Beat
+from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.request.call import Call
 from heathercleat.steering.version.routing import Kind, Route, Service, Share
 from tests.fakes import ManualClock
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,13 +5,13 @@
 
 from heathercleat import HeathercleatError, ResultCode, parse_text
 from heathercleat.errors import CallerLeftError
-from heathercleat.process.admission import Admission
-from heathercleat.process.budget import RetryBudget
+from heathercleat.process.capacity.admission import Admission
+from heathercleat.process.capacity.budget import RetryBudget
+from heathercleat.process.capacity.health import MAX_FAILURES, HealthBoard
+from heathercleat.process.capacity.leases import LeaseHolder
+from heathercleat.process.capacity.queue import STANDING_HOLDS, ServiceQueue
+from heathercleat.process.capacity.slots import SlotLedger
 from heathercleat.process.clock import SystemClock
-from heathercleat.process.health import MAX_FAILURES, HealthBoard
-from heathercleat.process.leases import LeaseHolder
-from heathercleat.process.queue import STANDING_HOLDS, ServiceQueue
-from heathercleat.process.slots import SlotLedger
 from heathercleat.request.call import Call
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 from tests.test_text import make_text
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,7 +6,7 @@
 import msgpack
 import pytest
 
-from heathercleat.process.health import MAX_FAILURES
+from heathercleat.process.capacity.health import MAX_FAILURES
 from standins.demo import demo_text
 from standins.fleet import PORTS, Fleet, call, wait_for
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -8,9 +8,7 @@
 
 from heathercleat import FindingsError, HeathercleatError, ResultCode
 from heathercleat.errors import PlatformError
-from heathercleat.process.configuration import ConfigurationKeeper
-from heathercleat.process.directory import Directory
-from heathercleat.process.editing import (
+from heathercleat.process.configuration.editing import (
     ConflictError,
     Edit,
     Editor,
@@ -18,7 +16,9 @@
     plan_drain,
     to_drain,
 )
-from heathercleat.process.members import Membership
+from heathercleat.process.configuration.keeper import ConfigurationKeeper
+from heathercleat.process.membership.directory import Directory
+from heathercleat.process.membership.members import Membership
 from heathercleat.version.document import HEAD_KEY, Document, object_key, unpack_head
 from tests.fakes import FakeLinks, FakePlatform, FakeVm, ManualClock
 from tests.test_text import make_text
--- a/tests/test_covers.py
+++ b/tests/test_covers.py
@@ -6,15 +6,15 @@
 
 from heathercleat import HeathercleatError, ResultCode
 from heathercleat.connection.messages import Accepted, Cover
-from heathercleat.process.covers import (
+from heathercleat.process.capacity.covers import (
     SHORT,
     CoverPublisher,
     CoverRecords,
     Vouched,
     occupied_until,
 )
-from heathercleat.process.heartbeats import Heartbeats
-from heathercleat.process.members import SETTLE, Membership
+from heathercleat.process.membership.heartbeats import Heartbeats
+from heathercleat.process.membership.members import SETTLE, Membership
 from standins.fleet import Fleet, wait_for
 from standins.load import Load
 from tests.fakes import FakeLinks, FakeVm, ManualClock
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,8 +4,12 @@
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.logs import Journal
-from heathercleat.steering.process.follower import TableFollower
-from heathercleat.steering.process.store import HistoryLostError, Snapshot, StoreRow
+from heathercleat.steering.process.store.follower import TableFollower
+from heathercleat.steering.process.store.protocol import (
+    HistoryLostError,
+    Snapshot,
+    StoreRow,
+)
 
 PAUSE = 0.01
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -5,11 +5,11 @@
 
 from heathercleat import parse_text
 from heathercleat.connection.messages import Accepted, LeaseGrant, LeaseReturn
+from heathercleat.process.capacity.leases import IDLE_AFTER, HeldLease, LeaseHolder
+from heathercleat.process.capacity.slots import SlotLedger
 from heathercleat.process.clock import SystemClock
-from heathercleat.process.directory import Directory
-from heathercleat.process.leases import IDLE_AFTER, HeldLease, LeaseHolder
-from heathercleat.process.platform import VmEntry, VmList
-from heathercleat.process.slots import SlotLedger
+from heathercleat.process.configuration.platform import VmEntry, VmList
+from heathercleat.process.membership.directory import Directory
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 from tests.test_slots import HOME, make_target
 from tests.test_text import make_text
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,8 +1,8 @@
 import pytest
 
 from heathercleat.steering.process.bodies import SHARE, BodyMemory
-from heathercleat.steering.process.budget import RetryBudget
-from heathercleat.steering.process.shift import ShiftLimit
+from heathercleat.steering.process.capacity.budget import RetryBudget
+from heathercleat.steering.process.capacity.shift import ShiftLimit
 from heathercleat.steering.request.call import RepeatDetector
 from heathercleat.steering.version.routing import Share
 from heathercleat.steering.version.split import Splitter
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,9 +2,9 @@
 from curio import run
 
 from heathercleat.connection.messages import Heartbeat, HeartbeatAck, MemberRecord
-from heathercleat.process.heartbeats import Heartbeats
-from heathercleat.process.member import DEAD_AFTER, LEASE
-from heathercleat.process.members import SETTLE, Membership
+from heathercleat.process.membership.heartbeats import Heartbeats
+from heathercleat.process.membership.member import DEAD_AFTER, LEASE
+from heathercleat.process.membership.members import SETTLE, Membership
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -6,8 +6,8 @@
 
 from heathercleat import HeathercleatError, ResultCode
 from heathercleat.errors import PlatformError
-from heathercleat.process.claims import Claims, RowState
-from heathercleat.process.once import RETENTION, EntryState, OnceLedger
+from heathercleat.process.once.claims import Claims, RowState
+from heathercleat.process.once.ledger import RETENTION, EntryState, OnceLedger
 from heathercleat.request.call import Outcome
 from heathercleat.request.ticket import Ticket, issue, read
 from tests.fakes import FakePlatform, ManualClock
--- a/tests/test_operator_edits.py
+++ b/tests/test_operator_edits.py
@@ -5,7 +5,7 @@
 
 from heathercleat.connection.http import Message
 from heathercleat.connection.operator import OperatorService, operator_token
-from heathercleat.process.editing import Editor
+from heathercleat.process.configuration.editing import Editor
 from heathercleat.version.document import Document
 from tests.fakes import FakePlatform, FakeVm, ManualClock
 from tests.test_text import make_text
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -15,7 +15,7 @@
 )
 from heathercleat.platform.settings import decode_node_settings, load_node_settings
 from heathercleat.platform.units import seconds, version_number
-from heathercleat.steering.process.store import StoreRow
+from heathercleat.steering.process.store.protocol import StoreRow
 from heathercleat.steering.version.routing import Kind
 from tests.platform_samples import SETTINGS, config, target
 
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -1,7 +1,7 @@
 import pytest
 from curio import run, sleep, spawn
 
-from heathercleat.steering.process.admission import Admission
+from heathercleat.steering.process.capacity.admission import Admission
 from tests.steering_parts import Parts, call, entry, route
 
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -6,7 +6,11 @@
 from hypothesis import strategies as st
 
 from heathercleat import parse_text
-from heathercleat.process.editing import cancel_drain, plan_drain, schedule_drain
+from heathercleat.process.configuration.editing import (
+    cancel_drain,
+    plan_drain,
+    schedule_drain,
+)
 from heathercleat.version.document import Document
 from heathercleat.version.ramp import away_share, position_of
 from heathercleat.version.text import Drain, DrainScope
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -5,12 +5,12 @@
 
 from heathercleat import parse_text
 from heathercleat.connection.messages import Readiness
-from heathercleat.process.directory import Directory
-from heathercleat.process.homes import Homes
-from heathercleat.process.members import SETTLE, Membership
-from heathercleat.process.platform import VmEntry, VmList
-from heathercleat.process.readiness import GRACE, KEPT_SECONDS, ReadinessBoard
-from heathercleat.process.slots import Hold, SlotLedger
+from heathercleat.process.capacity.homes import Homes
+from heathercleat.process.capacity.readiness import GRACE, KEPT_SECONDS, ReadinessBoard
+from heathercleat.process.capacity.slots import Hold, SlotLedger
+from heathercleat.process.configuration.platform import VmEntry, VmList
+from heathercleat.process.membership.directory import Directory
+from heathercleat.process.membership.members import SETTLE, Membership
 from heathercleat.version.text import Drain, DrainScope
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 from tests.test_text import make_text
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -2,8 +2,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from heathercleat.process.shift import ShiftWindow
-from heathercleat.process.slots import CANCEL_GRACE, Hold, SlotLedger
+from heathercleat.process.capacity.shift import ShiftWindow
+from heathercleat.process.capacity.slots import CANCEL_GRACE, Hold, SlotLedger
 from heathercleat.version.text import ShiftCap, Target
 from tests.fakes import ManualClock
 
--- a/tests/test_slow_targets.py
+++ b/tests/test_slow_targets.py
@@ -6,11 +6,11 @@
 from heathercleat import HeathercleatError, parse_text
 from heathercleat.connection.messages import LeaseRequest
 from heathercleat.events import Event
-from heathercleat.process.admission import Admission
-from heathercleat.process.directory import Directory
-from heathercleat.process.health import TRIAL_INTERVAL, HealthBoard
-from heathercleat.process.leases import LeaseGranter, LeaseHolder
-from heathercleat.process.slots import SlotLedger
+from heathercleat.process.capacity.admission import Admission
+from heathercleat.process.capacity.health import TRIAL_INTERVAL, HealthBoard
+from heathercleat.process.capacity.leases import LeaseGranter, LeaseHolder
+from heathercleat.process.capacity.slots import SlotLedger
+from heathercleat.process.membership.directory import Directory
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 from tests.test_admission import FakeMembership, make_call
 from tests.test_text import make_text
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -3,14 +3,15 @@
 
 from heathercleat import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
-from heathercleat.steering.process.admission import Admission
-from heathercleat.steering.process.budget import RetryBudget
-from heathercleat.steering.process.pressure import Pressure
-from heathercleat.steering.process.rooms import RoomView
-from heathercleat.steering.process.shift import ShiftLimit
-from heathercleat.steering.process.work import WorkTimes
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.budget import RetryBudget
+from heathercleat.steering.process.capacity.losses import RegionLosses
+from heathercleat.steering.process.capacity.pressure import Pressure
+from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.capacity.shift import ShiftLimit
+from heathercleat.steering.process.capacity.view import TargetView
+from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.request.answer import Answer, End, TryResult
-from heathercleat.steering.request.candidates import Candidates
 from heathercleat.steering.request.places import Places
 from heathercleat.steering.request.steer import Steering
 from heathercleat.steering.version.routing import Kind
@@ -67,23 +68,19 @@
         self.work_times = WorkTimes()
         self.budget = RetryBudget(0.0, slack, 10.0, lambda: 1)
         self.pressure = pressure = Pressure()
-        candidates = Candidates(
-            members,
-            self.parts.registry,
-            self.parts.owners,
-            self.parts.ledger,
-            Admission(self.parts.ledger, members.region_of, clock),
-            self.rooms,
-            clock,
+        parts = self.parts
+        view = TargetView(
+            members, parts.registry, parts.owners, parts.ledger, self.rooms
         )
         places = Places(
-            candidates,
+            view,
             members,
+            Admission(parts.ledger, members.region_of, clock),
             self.rooms,
+            RegionLosses(members, self.rooms, pressure, clock),
             self.shift,
             lambda vm: 0.11,
             self.work_times,
-            pressure,
             clock,
         )
         self.steering = Steering(
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -9,7 +9,7 @@
 from heathercleat.platform.store import PAGE_ROWS, TableStore
 from heathercleat.process.clock import SystemClock
 from heathercleat.steering.process.settings import Address
-from heathercleat.steering.process.store import HistoryLostError
+from heathercleat.steering.process.store.protocol import HistoryLostError
 from standins.fleet import SUBNET_VARIABLE, Processes, call, wait_for
 
 SUBNET = 34
--- /dev/null
+++ b/tests/test_target_view.py
@@ -0,0 +1,185 @@
+import pytest
+
+from heathercleat.steering.process.capacity.losses import RegionLosses
+from heathercleat.steering.process.capacity.pressure import Pressure
+from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.capacity.view import (
+    MOST_OBJECTS,
+    MOST_RANKED,
+    SUMMARY_LIFE,
+    RegionTargets,
+    TargetView,
+)
+from tests.steering_parts import Parts, beat, entry
+
+ANY = lambda candidate: True  # noqa: E731
+
+
+class Scene:
+    """One VM's view of its own targets and of one target in the south."""
+
+    def __init__(self, own=3):
+        entries = [entry(f"t{number}", slots=4) for number in range(own)]
+        self.parts = Parts([*entries, entry("far", domain="south-a", slots=4)])
+        self.parts.members.heard(beat("vm-3", domain="south-a", region="south"))
+        self.rooms = RoomView(self.parts.clock)
+        self.view = TargetView(
+            self.parts.members,
+            self.parts.registry,
+            self.parts.owners,
+            self.parts.ledger,
+            self.rooms,
+        )
+
+    @property
+    def now(self):
+        return self.parts.clock.now()
+
+    def region(self, name) -> RegionTargets:
+        return self.view.regions("s1")[name]
+
+    def report(self, free):
+        self.rooms.report("vm-3", [["far", free, 4]], [], [])
+
+    def take_all(self):
+        for target in self.parts.ledger.all():
+            while target.free(self.now):
+                target.take(self.now)
+
+
+def ids(candidates):
+    return [each.entry.id for each in candidates]
+
+
+def test_targets_are_grouped_by_region():
+    scene = Scene()
+    regions = scene.view.regions("s1")
+    assert {name: len(each.candidates) for name, each in regions.items()} == {
+        "north": 3,
+        "south": 1,
+    }
+    assert regions["south"].owners == ["vm-3"]
+
+
+def test_service_without_targets_has_no_regions():
+    assert Scene().view.regions("other") == {}
+
+
+def test_room_of_another_owner_follows_its_reports():
+    scene = Scene()
+    (far,) = scene.region("south").candidates
+    assert far.room.free(scene.now) == 0
+    scene.report(3)
+    assert far.room.free(scene.now) == 3
+    scene.parts.clock.time += 10.0
+    assert far.room.free(scene.now) == 0
+
+
+def test_requests_sent_count_until_the_next_report():
+    scene = Scene()
+    (far,) = scene.region("south").candidates
+    scene.report(1)
+    far.room.take()
+    assert far.room.free(scene.now) == 0
+    far.room.give_back()
+    assert far.room.free(scene.now) == 1
+
+
+def test_owner_without_room_counts_as_full():
+    scene = Scene()
+    (far,) = scene.region("south").candidates
+    scene.report(2)
+    scene.rooms.full("far", "vm-3", "s1", 0.4)
+    assert far.room.free(scene.now) == 0
+    assert scene.rooms.wait("vm-3", "s1") == 0.4
+
+
+def test_reports_of_vms_that_are_gone_are_dropped():
+    scene = Scene()
+    scene.rooms.report("vm-3", [], [["s1", 0.2]], [["s1", 0.5]])
+    scene.rooms.keep({"vm-3"})
+    assert scene.rooms.wait("vm-3", "s1") == 0.2
+    scene.rooms.keep({"vm-4"})
+    assert scene.rooms.wait("vm-3", "s1") is None
+    assert scene.rooms.loss("vm-3", "s1") == 0.0
+
+
+@pytest.mark.parametrize("change", ["target", "vm"])
+def test_view_follows_changes(change):
+    scene = Scene()
+    assert len(scene.region("south").candidates) == 1
+    if change == "target":
+        scene.parts.registry.update([], ["far"])
+        assert "south" not in scene.view.regions("s1")
+    else:
+        gone = beat("vm-3", domain="south-a", region="south", serving=False)
+        scene.parts.members.heard(gone)
+        assert scene.region("south").owners == ["vm-1"]
+
+
+def test_summary_tells_free_and_idle_slots():
+    scene = Scene()
+    summary = scene.region("north").summary(scene.now)
+    assert (summary.targets, summary.sound, summary.slots, summary.free) == (
+        3,
+        3,
+        12,
+        12,
+    )
+    assert summary.idle
+    scene.take_all()
+    assert scene.region("north").summary(scene.now).free == 12
+    scene.parts.clock.time += SUMMARY_LIFE
+    summary = scene.region("north").summary(scene.now)
+    assert (summary.free, summary.idle) == (0, False)
+
+
+def test_home_of_an_object_stays_the_same():
+    scene = Scene(own=20)
+    first = ids(scene.region("north").homes("/a", 1, ANY, scene.now))
+    scene.take_all()
+    assert ids(scene.region("north").homes("/a", 1, ANY, scene.now)) == first
+
+
+def test_homes_of_objects_are_spread():
+    region = Scene(own=8).region("north")
+    homes = {ids(region.homes(f"/{each}", 1, ANY, 0.0))[0] for each in range(100)}
+    assert len(homes) == 8
+
+
+def test_next_target_is_home_while_the_first_ones_are_not_usable():
+    region = Scene(own=MOST_RANKED + 3).region("north")
+    order = []
+    for _ in range(MOST_RANKED + 3):
+        (home,) = region.homes("/a", 1, lambda each: each not in order, 0.0)
+        order.append(home)
+    assert len(set(ids(order))) == MOST_RANKED + 3
+    assert region.homes("/a", 1, lambda each: each not in order, 0.0) == []
+
+
+def test_resting_target_is_no_home():
+    scene = Scene(own=2)
+    region = scene.region("north")
+    (home,) = region.homes("/a", 1, ANY, scene.now)
+    home.room.health.rest_until = scene.now + 5.0
+    (other,) = region.homes("/a", 1, ANY, scene.now)
+    assert other is not home
+
+
+def test_number_of_remembered_objects_is_bounded():
+    region = Scene().region("north")
+    for each in range(MOST_OBJECTS + 1):
+        region.homes(f"/{each}", 1, ANY, 0.0)
+    assert len(region._ranked) == 1
+
+
+def test_losses_are_means_over_the_vms_of_a_region():
+    scene = Scene()
+    pressure = Pressure()
+    losses = RegionLosses(scene.parts.members, scene.rooms, pressure, scene.parts.clock)
+    scene.parts.members.heard(beat("vm-4", domain="south-a", region="south"))
+    scene.rooms.report("vm-3", [], [], [["s1", 0.2]])
+    scene.rooms.report("vm-4", [], [], [["s1", 0.6]])
+    assert losses.of("south", "s1") == pytest.approx(0.4)
+    assert losses.of("north", "s1") == 0.0
+    assert losses.of("nowhere", "s1") == 1.0
