Heartbeats to a fixed number of VMs in a large fleet; owners without reports are tried

Cause 1: every VM that carries requests sent heartbeats to all others; beyond 18 of them the interval grew with the fleet (2.5 s at 300, so that a dead VM was named for 10 s).

Ruled out: reports to all VMs (the cost grows with the fleet again); a relay for each region (its load grows with the region).

Now: in a large fleet each VM picks nine others, which answer it. What is not heard directly is told as news with a stamp (SWIM's objection to one's own death); partners whose checksums differ tell at random. After a pick fell silent more VMs of its failure domain are picked. Sums over a region count reporting owners only; one that does not report is tried and answers at once. Look-ups name 64 VMs at random of more.

--- a/src/heathercleat/steering/process/capacity/losses.py
+++ b/src/heathercleat/steering/process/capacity/losses.py
@@ -21,7 +21,7 @@
         self._until = 0.0
 
     def of(self, region, service):
-        """Return the part of their worth that clients lose; 1 where no VM serves."""
+        """Return the part of their worth that clients lose; 1 where no VM reports."""
         now = self._clock.now()
         if now >= self._until:
             self._means.clear()
@@ -34,8 +34,9 @@
     def _compute(self, service):
         regions = {}
         for member in self._members.serving():
-            losses = regions.setdefault(member.region, [])
-            losses.append(self._loss(member.vm, service))
+            loss = self._loss(member.vm, service)
+            if loss is not None:
+                regions.setdefault(member.region, []).append(loss)
         return {region: sum(each) / len(each) for region, each in regions.items()}
 
     def _loss(self, vm, service):
--- a/src/heathercleat/steering/process/capacity/rooms.py
+++ b/src/heathercleat/steering/process/capacity/rooms.py
@@ -4,16 +4,39 @@
 REPORT_LIFE = 1.5
 
 
-class Room:
-    """The last report on one target, corrected by what this VM sent since."""
+class Report:
+    """What one owner said last: rooms by target, waits and losses by service."""
 
-    __slots__ = ("_free", "_limit", "_valid_until")
+    __slots__ = ("rooms", "waits", "losses", "valid_until")
 
     def __init__(self):
+        self.rooms = {}
+        self.waits = {}
+        self.losses = {}
+        self.valid_until = 0.0
+
+
+class Room:
+    """The last report on one target, corrected by what this VM sent since.
+
+    :param report: the :class:`Report` of the target's owner.
+    """
+
+    __slots__ = ("_report", "_free", "_limit", "_valid_until")
+
+    def __init__(self, report):
+        self._report = report
         self._free = 0
         self._limit = None
         self._valid_until = 0.0
 
+    def is_known(self, now):
+        """Return whether the owner reports to this VM.
+
+        In a large fleet it does not hear from most owners.
+        """
+        return now < self._report.valid_until
+
     def free(self, now):
         """Return the free slots; 0 where the report is too old."""
         return self._free if now < self._valid_until else 0
@@ -42,17 +65,6 @@
         self._free = 0
 
 
-class Report:
-    """What one owner said last: rooms by target, waits and losses by service."""
-
-    __slots__ = ("rooms", "waits", "losses")
-
-    def __init__(self):
-        self.rooms = {}
-        self.waits = {}
-        self.losses = {}
-
-
 class RoomView:
     """Reports of owners on their targets and queues."""
 
@@ -72,6 +84,7 @@
         for target_id, free, limit in rooms:
             self.room(target_id, owner).report(free, limit, valid_until)
         report = self._report(owner)
+        report.valid_until = valid_until
         report.waits = dict(waits)
         report.losses = dict(losses)
 
@@ -82,19 +95,26 @@
 
     def room(self, target_id, owner):
         """Return the :class:`Room` at a target of an owner; the same one each time."""
-        rooms = self._report(owner).rooms
-        room = rooms.get(target_id)
+        report = self._report(owner)
+        room = report.rooms.get(target_id)
         if room is None:
-            room = rooms[target_id] = Room()
+            room = report.rooms[target_id] = Room(report)
         return room
 
+    def is_known(self, owner):
+        """Return whether an owner reports to this VM, or said that it was full."""
+        return self._clock.now() < self._report(owner).valid_until
+
     def wait(self, owner, service):
         """Return the seconds a new request would wait at an owner, or ``None``."""
         return self._report(owner).waits.get(service)
 
     def loss(self, owner, service):
-        """Return the part of their worth that an owner's clients lose."""
-        return self._report(owner).losses.get(service, 0.0)
+        """Return the part of their worth that an owner's clients lose.
+
+        ``None`` where the owner does not report to this VM.
+        """
+        return self._report(owner).losses.get(service)
 
     def full(self, target_id, owner, service, wait):
         """Note that an owner had no room for a request.
@@ -103,7 +123,9 @@
         """
         if target_id is not None:
             self.room(target_id, owner).fill()
-        self._report(owner).waits[service] = wait
+        report = self._report(owner)
+        report.waits[service] = wait
+        report.valid_until = self._clock.now() + REPORT_LIFE
 
     def _report(self, owner):
         report = self._reports.get(owner)
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -71,6 +71,10 @@
         self._elsewhere = 0
         self._elsewhere_until = 0.0
 
+    def is_known(self, now):
+        """Return whether the slots are counted here: they are."""
+        return True
+
     def free(self, now):
         """Return how many more requests the target takes now."""
         free = self.limit(now) - len(self.uses)
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -26,6 +26,9 @@
 class SlotSource(Protocol):
     """Tells the slots of one target, as far as they are known here."""
 
+    def is_known(self, now):
+        """Return whether the target's owner tells them to this VM."""
+
     def free(self, now):
         """Return the free slots."""
 
@@ -57,8 +60,9 @@
 
 
 class Summary:
-    """Sums over the targets of a service in a region.
+    """Sums over the targets of a service in a region whose room is known here.
 
+    :param targets: all of them, known or not.
     :param idle: whether the slots of any target are free by half.
     """
 
@@ -66,6 +70,7 @@
 
     def __init__(self, candidates, now):
         self.targets = len(candidates)
+        candidates = [each for each in candidates if each.room.is_known(now)]
         self.sound = sum(each.is_sound(now) for each in candidates)
         self.slots = sum(each.entry.slots for each in candidates)
         free = [each.room.free(now) for each in candidates]
--- a/src/heathercleat/steering/process/directory.py
+++ b/src/heathercleat/steering/process/directory.py
@@ -1,6 +1,8 @@
 """Look-ups of clients: which VMs to send requests to."""
 
-#: VMs named for a client at most.
+from random import sample
+
+#: VMs named for a client at most; of more, each look-up names others.
 MOST_ADDRESSES = 64
 #: Seconds for which clients may keep an answer: a VM that leaves goes on serving for
 #: longer, and a client asks rarely enough for it to cost under 1% of a core.
@@ -39,5 +41,7 @@
         near = [each for each in active if each.region == region]
         here = [each for each in near if each.failure_domain == failure_domain]
         chosen = here if len(here) >= ENOUGH else near or active
-        addresses = [f"{each.ip}:{self._port}" for each in chosen[:MOST_ADDRESSES]]
+        if len(chosen) > MOST_ADDRESSES:
+            chosen = sample(chosen, MOST_ADDRESSES)
+        addresses = [f"{each.ip}:{self._port}" for each in chosen]
         return Lookup(addresses, self._ttl)
--- /dev/null
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -0,0 +1,60 @@
+"""The heartbeat on the wire."""
+
+import msgpack
+
+from heathercleat.steering.process.membership.member import News
+
+
+class Beat:
+    """A heartbeat.
+
+    :param interval: seconds until the next one.
+    :param operator_version: version of the last change to the operators' table.
+    :param target_version: version of the last change to the targets that mattered.
+    :param store_lost: whether the store does not answer the VM.
+    :param strength: see :attr:`NodeSettings.strength`.
+    :param stamp: see :class:`Member`.
+    :param digest: see :attr:`Members.digest`.
+    :param news: the fields of each :class:`News` that is passed on.
+    :param rooms: see :meth:`RoomView.report`.
+    :param waits: see :meth:`RoomView.report`.
+    :param losses: see :meth:`RoomView.report`.
+    """
+
+    __slots__ = (
+        "vm",
+        "ip",
+        "failure_domain",
+        "region",
+        "incarnation",
+        "serving",
+        "interval",
+        "operator_version",
+        "target_version",
+        "store_lost",
+        "strength",
+        "stamp",
+        "digest",
+        "news",
+        "rooms",
+        "waits",
+        "losses",
+    )
+
+    def __init__(self, *fields):
+        for name, value in zip(self.__slots__, fields, strict=True):
+            setattr(self, name, value)
+
+    def without_reports(self):
+        """Drop the reports, which only VMs that carry requests use; return the beat."""
+        self.rooms = self.waits = self.losses = ()
+        return self
+
+    def pack(self):
+        """Return the bytes on the wire."""
+        return msgpack.packb([getattr(self, name) for name in self.__slots__])
+
+    def told(self):
+        """Yield each :class:`News` that is passed on."""
+        for fields in self.news:
+            yield News(*fields)
--- /dev/null
+++ b/src/heathercleat/steering/process/membership/member.py
@@ -0,0 +1,119 @@
+"""One VM, as another one knows it."""
+
+#: Seconds of silence after which a VM is taken as dead: seven heartbeats, so that a few
+#: lost datagrams (2.5% on a bad link) or a short stall do not count as a death.
+SILENCE = 1.1
+#: Heartbeats that may be lost in a row, where they come rarely.
+LOST_BEATS = 4
+
+
+class Member:
+    """What is known of one VM.
+
+    :param incarnation: differs between two processes of the same VM.
+    :param stamp: orders what is told of the VM; the highest one is believed.
+    :param told_live: whether the VM lives, by what is told with that stamp.
+    :param dead_at: instant at which what is told of its death is believed, or ``None``.
+    :param serving: whether it takes clients and owns targets.
+    :param heard_at: instant of its last heartbeat to this VM.
+    :param unreachable_until: instant until which it is left out since it fell silent
+        here, or ``None``.
+    :param lost_at: instant at which it was dropped from the live VMs, or ``None``.
+    :param digest: what its last heartbeat told of its view; see
+        :attr:`Members.digest`.
+    """
+
+    __slots__ = (
+        "vm",
+        "ip",
+        "failure_domain",
+        "region",
+        "incarnation",
+        "stamp",
+        "told_live",
+        "dead_at",
+        "serving",
+        "heard_at",
+        "unreachable_until",
+        "lost_at",
+        "interval",
+        "operator_version",
+        "target_version",
+        "store_lost",
+        "strength",
+        "digest",
+    )
+
+    def __init__(self, vm, ip, failure_domain, region):
+        self.vm = vm
+        self.ip = ip
+        self.failure_domain = failure_domain
+        self.region = region
+        self.incarnation = 0
+        self.stamp = 0
+        self.told_live = False
+        self.dead_at = None
+        self.serving = False
+        self.heard_at = None
+        self.unreachable_until = None
+        self.lost_at = None
+        self.interval = 0.0
+        self.operator_version = 0
+        self.target_version = 0
+        self.store_lost = False
+        self.strength = 1.0
+        self.digest = None
+
+    @property
+    def patience(self):
+        """Return the seconds of silence after which the VM is taken as dead."""
+        return max(SILENCE, LOST_BEATS * self.interval)
+
+    def is_heard(self, now):
+        """Return whether the VM's own heartbeats show that it lives."""
+        return self.heard_at is not None and now - self.heard_at <= self.patience
+
+    def is_unreachable(self, now):
+        """Return whether the VM is left out since it fell silent here."""
+        return self.unreachable_until is not None and now < self.unreachable_until
+
+
+class News:
+    """What is told of a VM, by itself or by one that hears or misses it."""
+
+    __slots__ = (
+        "vm",
+        "ip",
+        "failure_domain",
+        "region",
+        "incarnation",
+        "stamp",
+        "live",
+        "serving",
+        "store_lost",
+        "strength",
+    )
+
+    def __init__(self, *fields):
+        for name, value in zip(self.__slots__, fields, strict=True):
+            setattr(self, name, value)
+
+    def fields(self):
+        """Return the values in the order of the slots, for the wire."""
+        return [getattr(self, name) for name in self.__slots__]
+
+
+def news_of(member):
+    """Return the :class:`News` of a member, as this VM believes it."""
+    return News(
+        member.vm,
+        member.ip,
+        member.failure_domain,
+        member.region,
+        member.incarnation,
+        member.stamp,
+        member.told_live,
+        member.serving,
+        member.store_lost,
+        member.strength,
+    )
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -1,70 +1,38 @@
-"""The VMs that take part, as heard from their heartbeats."""
+"""The VMs that take part: heard from their heartbeats, or from what others tell."""
+
+from zlib import crc32
 
 from heathercleat.events import Event
+from heathercleat.steering.process.membership.member import Member, news_of
+from heathercleat.steering.process.membership.rumours import Rumours
+from heathercleat.steering.process.membership.topology import Topology
 
-#: Seconds of silence after which a VM is taken as dead: seven heartbeats, so that a few
-#: lost datagrams (2.5% on a bad link) or a short stall do not count as a death.
-SILENCE = 1.1
 #: Seconds without a check after which this process itself was paused; it checks at each
 #: heartbeat that it sends, every 0.9 s at the most.
 PAUSE = 1.5
-#: Heartbeats that may be lost in a row, where they come rarely.
-LOST_BEATS = 4
+#: Seconds after which it is believed that a VM is dead which is not heard directly: in
+#: these it can object. News crosses 300 VMs in three heartbeats.
+DOUBT = 0.5
 #: A VM carries requests when it has this share of the strength of its region's
 #: strongest VM, as long as such VMs have a good part of the region's strength: the
 #: requests at a VM with a twentieth of the bandwidth take several times their aim.
 STRONG_SHARE = 0.5
 ENOUGH_SHARE = 0.4
-#: Seconds of silence after which a VM is forgotten.
+#: Seconds for which a VM that fell silent here is left out, though others hear it: a
+#: link between two VMs that is cut would bring it back and lose it every second.
+RETRY_SILENT = 10.0
+#: Seconds after which a dead VM is forgotten.
 FORGET = 60.0
 
 
-class Member:
-    """What is known of one VM.
-
-    :param incarnation: differs between two processes of the same VM.
-    :param serving: whether it takes clients and owns targets.
-    :param heard_at: instant of its last heartbeat.
-    """
-
-    __slots__ = (
-        "vm",
-        "ip",
-        "failure_domain",
-        "region",
-        "incarnation",
-        "serving",
-        "heard_at",
-        "interval",
-        "operator_version",
-        "target_version",
-        "store_lost",
-        "strength",
-    )
-
-    def __init__(self, vm, ip, failure_domain, region):
-        self.vm = vm
-        self.ip = ip
-        self.failure_domain = failure_domain
-        self.region = region
-        self.incarnation = 0
-        self.serving = False
-        self.heard_at = None
-        self.interval = 0.0
-        self.operator_version = 0
-        self.target_version = 0
-        self.store_lost = False
-        self.strength = 1.0
-
-    @property
-    def patience(self):
-        """Return the seconds of silence after which the VM is taken as dead."""
-        return max(SILENCE, LOST_BEATS * self.interval)
-
-
 class Members:
     """All known VMs, this one included.
 
+    A VM that this one picked for heartbeats lives while these come. What others tell
+    decides on the rest: it carries a stamp, the highest of which is believed. A VM that
+    hears of its own death objects with a higher stamp (as in SWIM, Das, Gupta and
+    Motivala, 2002).
+
     :param settings: the :class:`NodeSettings` of this VM.
     """
 
@@ -74,20 +42,34 @@
         self._own = Member(
             settings.vm, settings.ip, settings.failure_domain, settings.region
         )
-        self._own.incarnation = incarnation
+        self._own.incarnation = self._own.stamp = incarnation
+        self._own.told_live = True
         self._own.strength = settings.strength
         self._regions = settings.regions
         self._members = {settings.vm: self._own}
         self._live = {}
         self._active = None
+        self._digest = None
         self._checked_at = clock.now()
         self._on_change = []
+        self.topology = Topology(self._own, clock)
+        self.rumours = Rumours(clock)
 
     @property
     def own(self):
         """Return the :class:`Member` of this VM."""
         return self._own
 
+    @property
+    def digest(self):
+        """Return a checksum over what is told of all live VMs."""
+        if self._digest is None:
+            self._digest = 0
+            for member in self._members.values():
+                if member.told_live:
+                    self._digest ^= crc32(f"{member.vm} {member.stamp}".encode())
+        return self._digest
+
     def on_change(self, callback):
         """Call ``callback()`` when the live VMs have changed."""
         self._on_change.append(callback)
@@ -102,18 +84,6 @@
             self._active = list(self._find_active())
         return self._active
 
-    def _find_active(self):
-        """Yield the strong VMs of each region, or all where these are too few."""
-        regions = {}
-        for member in self.serving():
-            regions.setdefault(member.region, []).append(member)
-        for members in regions.values():
-            least = STRONG_SHARE * max(each.strength for each in members)
-            strong = [each for each in members if each.strength >= least]
-            total = sum(each.strength for each in members)
-            enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
-            yield from strong if enough else members
-
     def live(self, vm):
         """Return the live :class:`Member` of that name, or ``None``."""
         return self._live.get(vm)
@@ -130,13 +100,34 @@
         """Return the region of a failure domain, or ``None``."""
         return self._regions.get(failure_domain)
 
+    def told_of(self, vm):
+        """Return the :class:`Member` of that name, live or not, or ``None``."""
+        return self._members.get(vm)
+
     def set_serving(self, serving):
         """Set whether this VM takes clients."""
         if self._own.serving != serving:
             self._own.serving = serving
             self.check()
+            self._tell_own()
             self._changed()
 
+    def set_store_lost(self, store_lost):
+        """Set whether the store does not answer this VM."""
+        if self._own.store_lost != store_lost:
+            self._own.store_lost = store_lost
+            self._tell_own()
+
+    def news(self):
+        """Return the fields of each :class:`News` to pass on.
+
+        None in a small fleet, where all hear each other.
+        """
+        if self.topology.is_mesh:
+            return []
+        known = map(self._members.get, self.rumours.current())
+        return [news_of(member).fields() for member in known if member is not None]
+
     def introduce(self, vm, ip, failure_domain, region):
         """Learn that a VM exists, from the store; it is live once it is heard."""
         member = self._members.get(vm)
@@ -146,57 +137,88 @@
     def heard(self, beat):
         """Take a heartbeat; return the :class:`Member`, or ``None`` for an old one."""
         member = self._members.get(beat.vm)
-        if member is self._own:
-            return None
-        if self._is_outdated(member, beat):
+        if member is self._own or self._is_outdated(member, beat):
             return None
         if member is None or member.ip != beat.ip:
             member = Member(beat.vm, beat.ip, beat.failure_domain, beat.region)
             self._members[beat.vm] = member
         changed = (
-            member.vm not in self._live
-            or self._live[member.vm] is not member
+            self._live.get(member.vm) is not member
             or member.serving != beat.serving
             or member.incarnation != beat.incarnation
         )
-        member.incarnation = beat.incarnation
-        member.serving = beat.serving
-        member.interval = beat.interval
-        member.operator_version = beat.operator_version
-        member.target_version = beat.target_version
-        member.store_lost = beat.store_lost
-        member.strength = beat.strength
+        _take_beat(member, beat)
         member.heard_at = self._clock.now()
+        member.unreachable_until = None
+        member.dead_at = None
+        self._weigh_stamp(member, beat.stamp)
         if changed:
-            self._live[member.vm] = member
-            self._journal.write(
-                Event.MEMBER_JOINED, peer=member.vm, serving=member.serving
-            )
-            self._changed()
+            self._join(member)
         return member
 
+    def told(self, news):
+        """Take what another VM tells of a VM."""
+        if news.vm == self._own.vm:
+            self._object(news)
+            return
+        member = self._members.get(news.vm)
+        if member is None:
+            member = Member(news.vm, news.ip, news.failure_domain, news.region)
+            self._members[news.vm] = member
+        if news.stamp <= member.stamp:
+            return
+        member.stamp = news.stamp
+        member.told_live = news.live
+        self._spread(member)
+        now = self._clock.now()
+        member.dead_at = None if news.live else now + DOUBT
+        if member.is_heard(now):
+            return
+        changed = (
+            member.vm not in self._live
+            or member.serving != news.serving
+            or member.incarnation != news.incarnation
+        )
+        _take_news(member, news)
+        if news.live and changed and not member.is_unreachable(now):
+            self._join(member)
+
     def check(self):
-        """Drop the VMs that fell silent."""
+        """Drop the VMs that fell silent or of whose death was told."""
         now = self._clock.now()
         self._forgive_pause(now)
         self._live[self._own.vm] = self._own
-        silent = [
-            member
-            for member in self._live.values()
-            if member is not self._own and now - member.heard_at > member.patience
-        ]
-        for member in silent:
-            del self._live[member.vm]
-            self._journal.write(
-                Event.MEMBER_DEAD,
-                peer=member.vm,
-                silent=round(now - member.heard_at, 3),
-            )
-        for member in self.others():
-            if member.heard_at is not None and now - member.heard_at > FORGET:
-                del self._members[member.vm]
-        if silent:
+        lost = [each for each in self.live_others() if self._is_lost(each, now)]
+        for member in lost:
+            self._lose(member, now)
+        if lost:
             self._changed()
+        elif self.topology.is_outdated():
+            self.topology.update(self.live_others(), self.active())
+        for member in self.others():
+            self._reconsider(member, now)
+
+    def _reconsider(self, member, now):
+        """Forget a VM that died long ago; try one again of which others tell."""
+        if member.vm in self._live or member.lost_at is None:
+            return
+        if now - member.lost_at > FORGET:
+            del self._members[member.vm]
+            self._digest = None
+        elif member.told_live and not member.is_unreachable(now):
+            self._join(member)
+
+    def _find_active(self):
+        """Yield the strong VMs of each region, or all where these are too few."""
+        regions = {}
+        for member in self.serving():
+            regions.setdefault(member.region, []).append(member)
+        for members in regions.values():
+            least = STRONG_SHARE * max(each.strength for each in members)
+            strong = [each for each in members if each.strength >= least]
+            total = sum(each.strength for each in members)
+            enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
+            yield from strong if enough else members
 
     def _is_outdated(self, member, beat):
         """Return whether a heartbeat is of an earlier process of a live VM.
@@ -208,6 +230,65 @@
             return False
         return member.vm in self._live
 
+    def _weigh_stamp(self, member, stamp):
+        """Believe a VM's word on itself; ask it to object where others said more."""
+        if stamp > member.stamp:
+            member.stamp = stamp
+            member.told_live = True
+            self._spread(member)
+        elif not member.told_live:
+            self.rumours.add(member.vm)
+
+    def _object(self, news):
+        """Contradict what is told of this VM, where it is wrong."""
+        if news.stamp < self._own.stamp:
+            return
+        own = news_of(self._own)
+        own.stamp = news.stamp
+        if own.fields() != news.fields():
+            self._own.stamp = news.stamp
+            self._tell_own()
+
+    def _tell_own(self):
+        self._own.stamp += 1
+        self._spread(self._own)
+
+    def _spread(self, member):
+        self._digest = None
+        self.rumours.add(member.vm)
+
+    def _join(self, member):
+        member.lost_at = None
+        self._live[member.vm] = member
+        self._journal.write(Event.MEMBER_JOINED, peer=member.vm, serving=member.serving)
+        self._changed()
+
+    def _is_lost(self, member, now):
+        if member.is_heard(now):
+            return False
+        if not member.told_live:
+            return member.dead_at is None or now >= member.dead_at
+        picked_at = self.topology.picked_at(member.vm)
+        return picked_at is not None and now - picked_at > member.patience
+
+    def _lose(self, member, now):
+        del self._live[member.vm]
+        member.lost_at = now
+        if member.told_live:
+            member.unreachable_until = now + RETRY_SILENT
+            self.topology.suspect(member.failure_domain)
+        member.dead_at = None
+        if member.told_live:
+            member.told_live = False
+            member.stamp += 1
+            self._spread(member)
+        heard_at = member.heard_at
+        self._journal.write(
+            Event.MEMBER_DEAD,
+            peer=member.vm,
+            silent=None if heard_at is None else round(now - heard_at, 3),
+        )
+
     def _forgive_pause(self, now):
         """Do not blame others for the time in which this process did not run."""
         pause = now - self._checked_at
@@ -215,10 +296,32 @@
         if pause < PAUSE:
             return
         for member in self.live_others():
-            member.heard_at += pause
+            if member.heard_at is not None:
+                member.heard_at += pause
+            if member.dead_at is not None:
+                member.dead_at += pause
         self._journal.write(Event.VM_PAUSED, gap=round(pause, 3))
 
     def _changed(self):
         self._active = None
+        self.topology.update(self.live_others(), self.active())
         for callback in self._on_change:
             callback()
+
+
+def _take_beat(member, beat):
+    member.incarnation = beat.incarnation
+    member.serving = beat.serving
+    member.interval = beat.interval
+    member.operator_version = beat.operator_version
+    member.target_version = beat.target_version
+    member.store_lost = beat.store_lost
+    member.strength = beat.strength
+    member.digest = beat.digest
+
+
+def _take_news(member, news):
+    member.incarnation = news.incarnation
+    member.serving = news.serving
+    member.store_lost = news.store_lost
+    member.strength = news.strength
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -29,7 +29,8 @@
 from heathercleat.steering.process.directory import Directory
 from heathercleat.steering.process.leavers import Leavers
 from heathercleat.steering.process.listeners import Listeners
-from heathercleat.steering.process.membership.gossip import Beat, Gossip
+from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.gossip import Gossip
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.record import RequestRecord
@@ -168,7 +169,11 @@
             clock,
         )
         self._warm = WarmConnections(
-            self._peer_pool, self._members, settings.forward_port, clock
+            self._peer_pool,
+            self._gossip.partners,
+            settings.region,
+            settings.forward_port,
+            clock,
         )
         self._directory = Directory(
             self._members, settings.front.port, settings.bounds.lookup_ttl
@@ -334,6 +339,7 @@
 
     def _compose_beat(self, interval):
         own, now = self._members.own, self.clock.now()
+        self._members.set_store_lost(self._tables.store_lost)
         rooms = [
             [target.entry.id, self._admission.room(target, now), target.limit(now)]
             for target in self._ledger.all()
@@ -356,8 +362,11 @@
             interval,
             self._tables.operator.changed,
             self._tables.targets.changed,
-            self._tables.store_lost,
+            own.store_lost,
             own.strength,
+            own.stamp,
+            self._members.digest,
+            self._members.news(),
             rooms,
             waits,
             losses,
--- a/src/heathercleat/steering/process/warm.py
+++ b/src/heathercleat/steering/process/warm.py
@@ -19,24 +19,22 @@
     """Keeps idle connections to the VMs of other regions.
 
     :param pool: connections to other VMs.
-    :param members: the live VMs.
+    :param partners: returns the VMs whose room is known here, in any region.
+    :param region: the region of this VM.
     :param port: the port on which VMs take forwarded requests.
     """
 
-    def __init__(self, pool, members, port, clock):
+    def __init__(self, pool, partners, region, port, clock):
         self._pool = pool
-        self._members = members
+        self._partners = partners
+        self._region = region
         self._port = port
         self._clock = clock
 
     async def run(self):
         """Open what is missing until cancelled."""
         while True:
-            far = [
-                member
-                for member in self._members.active()
-                if member.region != self._members.own.region
-            ]
+            far = [each for each in self._partners() if each.region != self._region]
             if far:
                 await self._fill(far, max(1, min(IDLE_EACH, IDLE_TOTAL // len(far))))
             await sleep(INTERVAL)
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -1,5 +1,7 @@
 """Where a request may be tried next, the best place first."""
 
+from random import random
+
 from heathercleat.steering.process.capacity.slots import is_open
 from heathercleat.steering.request.choice import Choice
 
@@ -119,7 +121,12 @@
         near = self._choice(call).near
         if near is None:
             return None
-        waits = [self._wait(owner, call.service) for owner in near.owners]
+        own = self._members.own.vm
+        waits = [
+            self._wait(owner, call.service)
+            for owner in near.owners
+            if owner == own or self._rooms.is_known(owner)
+        ]
         return min((each for each in waits if each is not None), default=None)
 
     def describe(self, call):
@@ -139,9 +146,15 @@
         return Choice(call, regions, own_region, avoid, avoid_vms, now)
 
     def _wait(self, owner, service):
-        """Return the seconds that a request would wait at an owner, or ``None``."""
+        """Return the seconds that a request would wait at an owner.
+
+        ``None`` where the owner has no target in service, 0 where it does not report
+        to this VM.
+        """
         if owner == self._members.own.vm:
             return self._admission.expected_wait(service)
+        if not self._rooms.is_known(owner):
+            return 0.0
         return self._rooms.wait(owner, service)
 
     def _shortest_wait(self, choice, targets, usable, patience, remote):
@@ -158,7 +171,9 @@
                 costs[owner] = cost
         if not costs:
             return None
-        return Place(min(costs, key=costs.get), None, _ids(homes), remote)
+        # Chance decides between equals: owners that do not report here all are.
+        owner = min(costs, key=lambda each: (costs[each], random()))
+        return Place(owner, None, _ids(homes), remote)
 
     def _waiting_cost(self, call, owner, patience):
         """Return the seconds that waiting at an owner costs; ``None`` without hope."""
@@ -192,7 +207,9 @@
         """
         now, known = choice.now, _ids(homes)
         for each in homes:
-            if each.room.free(now) > 0 and usable(each):
+            # An owner that does not report here is tried: it answers at once.
+            may_have_room = each.room.free(now) > 0 or not each.room.is_known(now)
+            if may_have_room and usable(each):
                 return Place(each.owner, each.entry.id, known, remote)
         summary = targets.summary(now)
         if not (summary.idle if homes else summary.free):
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -6,7 +6,7 @@
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.slots import SlotLedger
 from heathercleat.steering.process.capacity.target import TargetEntry
-from heathercleat.steering.process.membership.gossip import Beat
+from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.request.call import Call
 from heathercleat.steering.version.routing import Kind, Route, Service, Share
@@ -66,6 +66,9 @@
         0,
         False,
         strength,
+        incarnation,
+        0,
+        [],
         [],
         [],
         [],
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,254 @@
+"""Heartbeats of many VMs in one process, over a network that loses and cuts."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from heathercleat.platform.settings import decode_node_settings
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.gossip import INTERVAL, Gossip
+from heathercleat.steering.process.membership.members import Members
+from heathercleat.steering.process.membership.topology import (
+    FAR_PICKS,
+    MOST_IN_MESH,
+    NEAR_PICKS,
+)
+from tests.fakes import ManualClock
+from tests.platform_samples import SETTINGS
+
+REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south", "east-a": "east"}
+SMALL, LARGE = 8, 60
+STEP = 0.01
+#: Seconds for a fleet to find itself, and to agree on a death or a return.
+START_SECONDS = 4.0
+AGREE_SECONDS = 4.0
+
+
+class Network:
+    """Carries datagrams at once, but for those that are lost or cut.
+
+    :param loss: share of datagrams that get lost.
+    """
+
+    def __init__(self, loss=0.0, seed=1):
+        self.clock = ManualClock()
+        self.vms = {}
+        self.loss = loss
+        self.sent = Counter()
+        self.is_cut = lambda sender, receiver: False
+        self._rng = random.Random(seed)
+
+    def send(self, sender, ip, data):
+        self.sent[sender.name] += 1
+        receiver = self.vms.get(ip)
+        if receiver is None or not receiver.running or self.is_cut(sender, receiver):
+            return
+        if self._rng.random() >= self.loss:
+            receiver.gossip.take(data)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.clock.time + seconds
+        while self.clock.time < end:
+            self.clock.time += STEP
+            for vm in list(self.vms.values()):
+                vm.step()
+
+    def running(self):
+        return [vm for vm in self.vms.values() if vm.running]
+
+
+class SimulatedVm:
+    """The membership of one VM, with the network in the place of its socket."""
+
+    def __init__(self, network, number, incarnation=1):
+        self.network = network
+        self.number = number
+        self.name = f"vm-{number}"
+        self.domain = list(REGIONS)[number % len(REGIONS)]
+        self.ip = f"10.0.{number // 200}.{number % 200 + 1}"
+        self.running = True
+        self.next_at = network.clock.time + random.Random(number).uniform(0.0, 0.2)
+        settings = decode_node_settings(SETTINGS)
+        settings.vm, settings.ip, settings.seeds = self.name, self.ip, []
+        settings.failure_domain = self.domain
+        settings.region, settings.regions = REGIONS[self.domain], REGIONS
+        journal = Journal(self.name, self.domain)
+        self.members = Members(settings, journal, network.clock, incarnation)
+        self.gossip = Gossip(
+            settings,
+            self.members,
+            RoomView(network.clock),
+            self.compose,
+            journal,
+            network.clock,
+        )
+        self.gossip._sock = self
+        network.vms[self.ip] = self
+        for vm in network.vms.values():
+            if vm is not self:
+                self.members.introduce(vm.name, vm.ip, vm.domain, REGIONS[vm.domain])
+        self.members.set_serving(True)
+
+    @property
+    def known(self):
+        """Return the names of the VMs that this one takes as serving."""
+        return {each.vm for each in self.members.serving()}
+
+    async def sendto(self, data, address):
+        self.network.send(self, address[0], data)
+
+    def step(self):
+        if self.running and self.network.clock.time >= self.next_at:
+            self.next_at = self.network.clock.time + drive(self.gossip.round())
+
+    def compose(self, interval):
+        own = self.members.own
+        return Beat(
+            own.vm,
+            own.ip,
+            own.failure_domain,
+            own.region,
+            own.incarnation,
+            own.serving,
+            interval,
+            0,
+            0,
+            own.store_lost,
+            own.strength,
+            own.stamp,
+            self.members.digest,
+            self.members.news(),
+            [],
+            [],
+            [],
+        )
+
+
+def drive(coroutine):
+    """Return the value of a coroutine that waits for nothing."""
+    try:
+        coroutine.send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("it waits")
+
+
+def start(count, loss=0.0):
+    network = Network(loss)
+    for number in range(count):
+        SimulatedVm(network, number)
+    network.run(START_SECONDS)
+    return network
+
+
+def disagreeing(network):
+    """Return the VMs that do not take exactly the running ones as serving."""
+    expected = {vm.name for vm in network.running()}
+    return [vm.name for vm in network.running() if vm.known != expected]
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_all_vms_find_each_other(count, loss):
+    assert disagreeing(start(count, loss)) == []
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+@pytest.mark.parametrize("deaths", [1, 4])
+def test_all_vms_learn_of_deaths(count, loss, deaths):
+    network = start(count, loss)
+    for vm in list(network.vms.values())[1 : deaths + 1]:
+        vm.running = False
+    network.run(AGREE_SECONDS)
+    assert disagreeing(network) == []
+
+
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_loss_of_a_failure_domain_is_learned(count):
+    network = start(count)
+    for vm in network.vms.values():
+        vm.running = vm.domain != "north-a"
+    network.run(AGREE_SECONDS)
+    assert disagreeing(network) == []
+
+
+@pytest.mark.parametrize("incarnation", [2, 0])
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_restarted_vm_is_back_also_with_an_earlier_time_of_day(count, incarnation):
+    network = start(count)
+    vm = list(network.vms.values())[3]
+    vm.running = False
+    network.run(AGREE_SECONDS)
+    SimulatedVm(network, vm.number, incarnation)
+    network.run(AGREE_SECONDS)
+    assert disagreeing(network) == []
+
+
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_vm_that_leaves_is_known_to_leave(count):
+    network = start(count)
+    vm = list(network.vms.values())[3]
+    vm.members.set_serving(False)
+    drive(vm.gossip.send())
+    network.run(1.0)
+    assert all(vm.name not in each.known for each in network.running())
+
+
+@pytest.mark.parametrize("count", [SMALL, LARGE])
+def test_vms_cut_off_by_region_find_each_other_again(count):
+    network = start(count)
+    network.is_cut = lambda one, other: (
+        (one.domain == "south-a") != (other.domain == "south-a")
+    )
+    network.run(AGREE_SECONDS)
+    for vm in network.running():
+        here = vm.domain == "south-a"
+        assert all(
+            (each.domain == "south-a") == here
+            for each in network.running()
+            if each.name in vm.known
+        )
+    network.is_cut = lambda one, other: False
+    network.run(2 * AGREE_SECONDS)
+    assert disagreeing(network) == []
+
+
+def test_vm_whose_link_to_one_other_is_cut_stays_known_to_the_rest():
+    network = start(LARGE)
+    vm = next(iter(network.vms.values()))
+    pick = next(iter(vm.members.topology.picks))
+    pair = {vm.name, pick}
+    network.is_cut = lambda one, other: {one.name, other.name} == pair
+    network.run(AGREE_SECONDS)
+    assert pick not in vm.known
+    rest = [each for each in network.running() if each.name not in pair]
+    assert all(pair <= each.known for each in rest)
+
+
+def test_paused_vm_that_wakes_up_is_back():
+    network = start(LARGE)
+    vm = list(network.vms.values())[3]
+    vm.running = False
+    network.run(AGREE_SECONDS)
+    vm.running = True
+    network.run(AGREE_SECONDS)
+    assert disagreeing(network) == []
+
+
+@pytest.mark.parametrize("count", [LARGE, 2 * LARGE])
+def test_heartbeats_of_a_vm_do_not_grow_with_the_fleet(count):
+    network = start(count)
+    network.sent.clear()
+    network.run(3.0)
+    most = 3.0 / INTERVAL * 3 * (NEAR_PICKS + FAR_PICKS)
+    assert max(network.sent.values()) < most
+
+
+def test_small_fleet_tells_no_news():
+    network = start(MOST_IN_MESH)
+    assert all(vm.members.news() == [] for vm in network.running())
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -211,6 +211,16 @@
     return scene
 
 
+@pytest.mark.parametrize("sticky", [True, False])
+def test_owner_that_does_not_report_here_is_tried(sticky):
+    """VMs that carry no requests get no reports, and still serve who comes to them."""
+    scene = Scene([], [entry("t1", domain="north-b")], [answered()])
+    scene.parts.members.heard(beat("vm-2", domain="north-b"))
+    made = call(scene.parts.clock, route(sticky=sticky), affinity="/a")
+    assert scene.run(made).status == 200
+    assert len(scene.forward.tried) == 1
+
+
 def test_request_moves_to_a_region_with_room():
     scene = far_scene(10, [answered(target="t9")])
     assert scene.run(scene.call()).status == 200
