Wait for a target that knows the object where another one would be late

Ruled out: waiting in queues (nearly none of the late ones waited).

Now: work times are learned apart for targets that know the object and others; a request that would be late elsewhere waits for its home until 0.02 s before the end of its patience, then takes any idle target, or at once where the home has no hope.

Also: a heartbeat without reports was taken for a report that nothing is free, so a VM that carries no requests refused all who came to it (0 tries): it says nothing now.

--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -146,6 +146,7 @@
         call.aim_at = arrived_at + route.latency_aim
         call.returned = self._node.repeats.is_repeat(route.name, client.wait)
         call.affinity = client.affinity
+        call.client_wait = client.wait
         return call
 
     def _match(self, head, headers):
--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -125,7 +125,7 @@
         free = [
             target
             for target in self._ledger.of_service(waiter.call.service)
-            if waiter.may_use(target.entry, target.free(now))
+            if waiter.may_use(target.entry, target.free(now), now)
         ]
         if not free:
             return None
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -27,7 +27,7 @@
         self.permit = None
         self._region_of = region_of
 
-    def may_use(self, entry, free):
+    def may_use(self, entry, free, now):
         """Return whether the request may use one of the free slots of a target.
 
         A VM may own targets of regions that have no VM of their own at the moment: the
@@ -37,6 +37,8 @@
             return False
         if not self.call.route.allows(self._region_of(entry.failure_domain)):
             return False
+        if self.preferred and now < self.call.home_until:
+            return entry.id in self.preferred
         return is_open(entry, free, self.preferred)
 
     def place(self, target_id):
@@ -81,7 +83,7 @@
 
         :param entry: the :class:`TargetEntry`.
         """
-        willing = [each for each in self.waiters if each.may_use(entry, free)]
+        willing = [each for each in self.waiters if each.may_use(entry, free, now)]
         return min(
             willing,
             key=lambda each: each.rank(now, self._mean_hold, entry.id),
--- a/src/heathercleat/steering/process/capacity/work.py
+++ b/src/heathercleat/steering/process/capacity/work.py
@@ -1,22 +1,41 @@
 """How long targets take for the requests of each route."""
 
-#: Weight of the newest answer in the mean.
+#: Weight of the newest answer in the means.
 WEIGHT = 0.05
 
 
 class WorkTimes:
-    """Mean seconds from sending a request to its whole answer, by route."""
+    """Mean seconds from sending a request to its whole answer, by route.
+
+    Targets that know the object of a request take less time than others.
+    """
 
     def __init__(self):
         self._means = {}
+        self._home = {}
+        self._other = {}
+
+    def observe(self, route, seconds, home):
+        """Take the time of one answer.
 
-    def observe(self, route, seconds):
-        """Take the time of one answer."""
-        mean = self._means.get(route)
-        self._means[route] = (
-            seconds if mean is None else mean + WEIGHT * (seconds - mean)
-        )
+        :param home: whether the target is one that gets the requests for the object.
+        """
+        _move_mean(self._means, route, seconds)
+        _move_mean(self._home if home else self._other, route, seconds)
 
     def of(self, route):
         """Return the mean of a route; 0 before the first answer."""
         return self._means.get(route, 0.0)
+
+    def at_home(self, route):
+        """Return the mean at targets that get the requests for the object."""
+        return self._home.get(route, 0.0)
+
+    def elsewhere(self, route):
+        """Return the mean at other targets."""
+        return self._other.get(route, 0.0)
+
+
+def _move_mean(means, route, seconds):
+    mean = means.get(route, seconds)
+    means[route] = mean + WEIGHT * (seconds - mean)
--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -16,7 +16,7 @@
     :param stamp: see :class:`Member`.
     :param digest: see :attr:`Members.digest`.
     :param news: the fields of each :class:`News` that is passed on.
-    :param rooms: see :meth:`RoomView.report`.
+    :param rooms: see :meth:`RoomView.report`; ``None`` in a beat without reports.
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
     """
@@ -47,9 +47,14 @@
 
     def without_reports(self):
         """Drop the reports, which only VMs that carry requests use; return the beat."""
-        self.rooms = self.waits = self.losses = ()
+        self.rooms = self.waits = self.losses = None
         return self
 
+    @property
+    def has_reports(self):
+        """Return whether it tells of rooms, waits and losses."""
+        return self.rooms is not None
+
     def pack(self):
         """Return the bytes on the wire."""
         return msgpack.packb([getattr(self, name) for name in self.__slots__])
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -101,7 +101,8 @@
         self._echoes[beat.vm] = (sent_at, now)
         if echoed is not None:
             self._observe_trip(member, now - echoed - held)
-        self._rooms.report(beat.vm, beat.rooms, beat.waits, beat.losses)
+        if beat.has_reports:
+            self._rooms.report(beat.vm, beat.rooms, beat.waits, beat.losses)
 
     async def beat(self):
         """Send heartbeats until cancelled."""
--- a/src/heathercleat/steering/process/record.py
+++ b/src/heathercleat/steering/process/record.py
@@ -40,6 +40,8 @@
                 status=answer.status,
                 seconds=round(seconds, 4),
                 returned=call.returned,
+                client_wait=call.client_wait,
+                object=call.affinity,
                 tries=call.tries,
             )
 
@@ -59,6 +61,8 @@
             reason=str(error),
             seconds=round(seconds, 4),
             returned=call.returned if call else None,
+            client_wait=call.client_wait if call else None,
+            object=call.affinity if call else None,
             tries=call.tries if call else [],
             retry_in=retry_in,
         )
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -31,8 +31,10 @@
     :param deadline: when the final answer is due.
     :param aim_at: when the answer should be there.
     :param patient_until: when it is given up without a slot.
+    :param home_until: until when only targets that know its object may run it.
     :param returned: whether it came back after a refusal.
     :param affinity: key of the object that it is about, or ``None``.
+    :param client_wait: seconds for which its client waits, as the client says.
     :param tries: a line of text for each try so far, for the log.
     """
 
@@ -48,8 +50,10 @@
         "deadline",
         "aim_at",
         "patient_until",
+        "home_until",
         "returned",
         "affinity",
+        "client_wait",
         "left",
         "on_leave",
         "stream",
@@ -69,8 +73,10 @@
         self.deadline = 0.0
         self.aim_at = 0.0
         self.patient_until = 0.0
+        self.home_until = 0.0
         self.returned = False
         self.affinity = None
+        self.client_wait = None
         self.tries = []
         self.left = False
         #: What to wake or cut when the client leaves: a curio event or a stream.
--- a/src/heathercleat/steering/request/choice.py
+++ b/src/heathercleat/steering/request/choice.py
@@ -43,6 +43,11 @@
             if region != self._own_region and self.call.route.allows(region)
         ]
 
+    @property
+    def stays_at_home(self):
+        """Return whether the request waits for a target that knows its object."""
+        return self.now < self.call.home_until and bool(self.near_homes)
+
     def usable(self, candidate):
         """Return whether a candidate may run the request and its owner carry it."""
         if candidate.entry.id in self._avoid or candidate.owner in self._avoid_vms:
@@ -50,6 +55,11 @@
         region = candidate.owner_region
         return region == self._own_region or self.call.route.allows(region)
 
+    @property
+    def near_homes(self):
+        """Return the candidates of this region that know the object."""
+        return self.homes(self.near) if self.near else []
+
     def homes(self, targets, usable=None):
         """Return the candidates of a region that know the object, the best first."""
         call = self.call
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -37,6 +37,7 @@
         "aim_in",
         "wait_for",
         "patience",
+        "home_for",
     )
 
     def __init__(self, *fields):
@@ -64,6 +65,7 @@
             call.aim_at - now - trip,
             until - now,
             call.patient_until - now,
+            call.home_until - now,
         )
 
     def pack(self):
@@ -107,6 +109,7 @@
     call.deadline = now + order.remaining
     call.aim_at = now + order.aim_in
     call.patient_until = now + order.patience
+    call.home_until = now + order.home_for
     call.returned = order.returned
     call.affinity = order.affinity
     return call
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -50,13 +50,13 @@
         try:
             if call.left:
                 return TryResult(End.NOT_SENT, reason="client left")
-            result = await self._send(call, use)
+            result = await self._send(call, use, preferred)
             return result
         finally:
             answered = result is not None and result.end is End.ANSWERED
             await self._admission.release(use, answered)
 
-    async def _send(self, call, use):
+    async def _send(self, call, use, preferred):
         target = use.target
         entry = target.entry
         began_at = self._clock.now()
@@ -76,7 +76,8 @@
             call.on_leave = None
         result.work = self._clock.now() - began_at
         await self._put_back(entry, stream, exchange.head)
-        self._learn(call, target, exchange.head, result)
+        home = entry.id in preferred
+        self._learn(call, target, exchange.head, result, home)
         return result
 
     async def _connect(self, call, entry, now):
@@ -92,7 +93,7 @@
         keep_for = head.keep_for and max(0.0, head.keep_for - KEEP_MARGIN)
         await self._pool.give_back(entry.host, entry.port, stream, keep_for)
 
-    def _learn(self, call, target, head, result):
+    def _learn(self, call, target, head, result, home):
         now = self._clock.now()
         if head is not None and head.running is not None:
             target.reported(head.running, head.waiting, now)
@@ -102,7 +103,7 @@
             self._registry.forget(target.entry.id, "another incarnation answered")
         elif result.end is End.ANSWERED and result.answer.status < _SERVER_ERROR:
             target.health.succeeded(result.work)
-            self._work_times.observe(call.route.name, result.work)
+            self._work_times.observe(call.route.name, result.work, home)
         elif target.health.failed(now):
             self._log_rest(target, result.reason or "server errors")
 
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -23,6 +23,8 @@
 STALE_PATIENCE = 0.03
 #: The same once the request's patience is over: what a hop inside a region takes.
 LEAST_PATIENCE = 0.005
+#: Seconds before the end of a request's patience at which it takes any idle target.
+LAST_CHANCE = 0.02
 #: The longest wait for a slot in another region, whose queue is not seen from here.
 FAR_PATIENCE = 0.15
 #: Tries at places with room that sent nothing, after which a request is refused.
@@ -102,6 +104,7 @@
         self._last_reason = None
         self._relieved = False
         call.patient_until = self._patience()
+        call.home_until = self._home_patience()
 
     async def run(self):
         call, clock = self._call, self._steering._clock
@@ -134,9 +137,15 @@
             return place
         if now >= self._call.patient_until:
             return None
-        return self._relief() or places.waiting(
-            self._call, self._avoid, self._avoid_vms
-        )
+        place = self._relief() or self._wait_near()
+        if place is None and now < self._call.home_until:
+            self._call.home_until = now
+            place = places.free(self._call, self._avoid, self._avoid_vms)
+        return place
+
+    def _wait_near(self):
+        places = self._steering._places
+        return places.waiting(self._call, self._avoid, self._avoid_vms)
 
     def _relief(self):
         """Return a place to wait at in a region whose clients lose less, once."""
@@ -186,7 +195,9 @@
             return min(now + STALE_PATIENCE, least)
         here = place.vm == self._steering._members.own.vm
         length = WAIT_SLICE if here else FORWARDED_SLICE
-        return min(self._call.patient_until, now + length)
+        home_until = self._call.home_until
+        end = home_until if now < home_until else self._call.patient_until
+        return min(end, now + length)
 
     def _until_far(self, place, now):
         """Return how long to wait in another region and still be answered in time."""
@@ -206,6 +217,18 @@
         longest = min(RETURNED_PATIENCE * remaining, remaining - work)
         return max(first, call.arrived_at + longest)
 
+    def _home_patience(self):
+        """Return the instant until which only targets that know the object are used.
+
+        Another one is idle at times, but takes longer: a request that would be late
+        there and in time at home waits for its home first.
+        """
+        call, times = self._call, self._steering._work_times
+        latest = call.aim_at - times.at_home(call.route.name)
+        if call.arrived_at + times.elsewhere(call.route.name) <= call.aim_at:
+            return call.arrived_at
+        return min(latest, call.patient_until - LAST_CHANCE)
+
     def _take(self, place, result, until):
         """Take the result of a try; return the final answer, or ``None`` to go on."""
         self._last_reason = result.reason
@@ -233,17 +256,25 @@
         raise self._unknown(result)
 
     def _describe(self, place, result):
-        """Return a try as text: place, end, what the target took, all it took."""
+        """Return a try as text.
+
+        It tells the owner, the target and whether it knows the object, the end, what
+        the target took, and the time since the request came, in seconds.
+        """
+        knows = "home" if result.target in place.preferred else "other"
         work = "-" if result.work is None else f"{result.work:.3f}"
         took = self._steering._clock.now() - self._call.arrived_at
         target = result.target or place.target
         reason = f" {result.reason}" if result.reason else ""
-        return f"{place.vm} {target} {result.end.value} {work} {took:.3f}{reason}"
+        end = result.end.value
+        return f"{place.vm} {target} {knows} {end} {work} {took:.3f}{reason}"
 
     def _take_unsent(self, place, result, until):
         # A place that has no hope for a request returns it at once.
-        if place.target is not None or self._steering._clock.now() < until:
+        now = self._steering._clock.now()
+        if place.target is not None or now < until:
             self._unsent += 1
+            self._call.home_until = min(self._call.home_until, now)
         if self._sends:
             self._steering._budget(self._call.service).refund()
         own = self._steering._members.own.vm
@@ -257,7 +288,9 @@
 
     def _observe(self, place, result):
         if result.work is not None and place.vm != self._steering._members.own.vm:
-            self._steering._work_times.observe(self._call.route.name, result.work)
+            home = result.target in place.preferred
+            times = self._steering._work_times
+            times.observe(self._call.route.name, result.work, home)
 
     def _may_run_again(self):
         call = self._call
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -64,7 +64,7 @@
 class SimulatedVm:
     """The membership of one VM, with the network in the place of its socket."""
 
-    def __init__(self, network, number, incarnation=1):
+    def __init__(self, network, number, incarnation=1, strength=1.0):
         self.network = network
         self.number = number
         self.name = f"vm-{number}"
@@ -78,10 +78,12 @@
         settings.region, settings.regions = REGIONS[self.domain], REGIONS
         journal = Journal(self.name, self.domain)
         self.members = Members(settings, journal, network.clock, incarnation)
+        self.members.own.strength = strength
+        self.rooms = RoomView(network.clock)
         self.gossip = Gossip(
             settings,
             self.members,
-            RoomView(network.clock),
+            self.rooms,
             self.compose,
             journal,
             network.clock,
@@ -249,6 +251,16 @@
     assert max(network.sent.values()) < most
 
 
+def test_vm_that_carries_no_requests_takes_no_owner_for_known():
+    network = Network()
+    weak = SimulatedVm(network, 0, strength=0.01)
+    strong = [SimulatedVm(network, number) for number in range(1, SMALL)]
+    network.run(START_SECONDS)
+    assert weak.known == {vm.name for vm in network.running()}
+    assert not any(weak.rooms.is_known(vm.name) for vm in strong)
+    assert all(strong[0].rooms.is_known(vm.name) for vm in strong[1:])
+
+
 def test_small_fleet_tells_no_news():
     network = start(MOST_IN_MESH)
     assert all(vm.members.news() == [] for vm in network.running())
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -109,3 +109,13 @@
 
     assert run(main) is None
     assert made.waiting("s1") == 0
+
+
+@pytest.mark.parametrize(("patience", "served"), [(0.0, True), (0.1, False)])
+def test_idle_target_is_not_used_while_a_request_waits_for_its_home(patience, served):
+    parts = Parts([entry("t1", slots=2), entry("t2", slots=2)])
+    fill(parts, "t1")
+    request = call(parts.clock)
+    request.home_until = request.arrived_at + patience
+    use = acquire(admission(parts), request, preferred=("t1",))
+    assert (use is not None) is served
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -9,7 +9,7 @@
 from heathercleat.steering.process.capacity.pressure import Pressure
 from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.capacity.shift import ShiftLimit
-from heathercleat.steering.process.capacity.view import TargetView
+from heathercleat.steering.process.capacity.view import SUMMARY_LIFE, TargetView
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.request.answer import Answer, End, TryResult
 from heathercleat.steering.request.places import Places
@@ -72,7 +72,7 @@
         view = TargetView(
             members, parts.registry, parts.owners, parts.ledger, self.rooms
         )
-        places = Places(
+        self.places = places = Places(
             view,
             members,
             Admission(parts.ledger, members.region_of, clock),
@@ -246,3 +246,46 @@
     with pytest.raises(RequestError):
         scene.run(scene.call())
     assert len(scene.forward.tried) == 1
+
+
+def busy_home_scene():
+    """A sticky call whose home is full, beside an idle target."""
+    scene = Scene([], [entry("t1", slots=2), entry("t2", slots=2)])
+    made = call(scene.parts.clock, route(sticky=True), affinity="/a")
+    home = scene.places.free(made, set(), set()).target
+    target = scene.parts.ledger.get(home)
+    while target.free(scene.parts.clock.now()):
+        target.take(scene.parts.clock.now())
+    scene.parts.clock.time += SUMMARY_LIFE
+    return scene, made, home
+
+
+def test_request_goes_to_an_idle_target_while_its_home_is_busy():
+    scene, made, home = busy_home_scene()
+    place = scene.places.free(made, set(), set())
+    assert place.target not in (None, home)
+
+
+def test_request_that_would_be_late_elsewhere_waits_for_its_home_first():
+    scene, made, home = busy_home_scene()
+    made.home_until = scene.parts.clock.now() + 0.05
+    assert scene.places.free(made, set(), set()) is None
+    made.patient_until = made.home_until
+    assert scene.places.waiting(made, set(), set()).preferred == (home,)
+    scene.parts.clock.time = made.home_until
+    assert scene.places.free(made, set(), set()).target not in (None, home)
+
+
+@pytest.mark.parametrize(("elsewhere", "waits"), [(0.2, False), (0.5, True)])
+def test_request_waits_for_its_home_where_others_take_too_long(elsewhere, waits):
+    until = []
+
+    def note(made):
+        until.append(made.home_until - made.arrived_at)
+        return answered()
+
+    scene = Scene([note])
+    scene.work_times.observe("r1", 0.1, True)
+    scene.work_times.observe("r1", elsewhere, False)
+    scene.run(call(scene.parts.clock, route(sticky=True), affinity="/a"))
+    assert (until[0] > 0.0) is waits
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -16,7 +16,12 @@
         line(1.0, "store_lost", table="op"),
         line(80.0, "target_ejected", vm="vm-2", target="i-1"),
         line(81.0, "member_dead", vm="vm-9", peer="vm-8"),
-        line(90.0, "request_refused", request="q1", tries=["vm-2 i-1 not-sent - 0.03"]),
+        line(
+            90.0,
+            "request_refused",
+            request="q1",
+            tries=["vm-2 i-1 home not-sent - 0.03"],
+        ),
         line(91.0, "request_late", request="q2", tries=[]),
         line(92.0, "lines_left_out", lines=7),
         "2026-12-02 a collector's prefix " + line(89.0, "route_retried", request="q1"),
@@ -35,7 +40,7 @@
 def test_story_as_json(log, capsys):
     main(["trace", "q1", log, "--json"])
     told = [json.loads(text) for text in capsys.readouterr().out.splitlines()]
-    assert told[-1]["tries"] == ["vm-2 i-1 not-sent - 0.03"]
+    assert told[-1]["tries"] == ["vm-2 i-1 home not-sent - 0.03"]
 
 
 def test_unknown_request_tells_why_it_may_be_missing(log, capsys):
