--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -8,12 +8,10 @@
 class Beat:
     """A heartbeat.
 
+    :param own: what the VM tells of itself, a :class:`News`.
     :param interval: seconds until the next one.
     :param operator_version: version of the last change to the operators' table.
     :param target_version: version of the last change to the targets that mattered.
-    :param store_lost: whether the store does not answer the VM.
-    :param strength: see :attr:`NodeSettings.strength`.
-    :param stamp: see :class:`Member`.
     :param digest: see :attr:`Members.digest`.
     :param news: the fields of each :class:`News` that is passed on.
     :param rooms: see :meth:`RoomView.report`; ``None`` in a beat without reports.
@@ -22,18 +20,10 @@
     """
 
     __slots__ = (
-        "vm",
-        "ip",
-        "failure_domain",
-        "region",
-        "incarnation",
-        "serving",
+        "own",
         "interval",
         "operator_version",
         "target_version",
-        "store_lost",
-        "strength",
-        "stamp",
         "digest",
         "news",
         "rooms",
@@ -57,7 +47,17 @@
 
     def pack(self):
         """Return the bytes on the wire."""
-        return msgpack.packb([getattr(self, name) for name in self.__slots__])
+        fields = [getattr(self, name) for name in self.__slots__[1:]]
+        return msgpack.packb([self.own.fields(), *fields])
+
+    @classmethod
+    def of(cls, fields):
+        """Return the heartbeat of the fields on the wire.
+
+        :raises TypeError: when they are not those of a heartbeat, as ValueError.
+        """
+        own, *rest = fields
+        return cls(News(*own), *rest)
 
     def told(self):
         """Yield each :class:`News` that is passed on."""
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -88,7 +88,7 @@
         """
         unpacker = msgpack.Unpacker()
         unpacker.feed(data)
-        beat = Beat(*unpacker.unpack())
+        beat = Beat.of(unpacker.unpack())
         sent_at, echoed, held, asks = unpacker.unpack()
         member = self._members.heard(beat)
         if member is None:
@@ -97,12 +97,12 @@
             self._members.told(news)
         now = self._clock.now()
         if asks:
-            self._answer_until[beat.vm] = now + ANSWER_SECONDS
-        self._echoes[beat.vm] = (sent_at, now)
+            self._answer_until[beat.own.vm] = now + ANSWER_SECONDS
+        self._echoes[beat.own.vm] = (sent_at, now)
         if echoed is not None:
             self._observe_trip(member, now - echoed - held)
         if beat.has_reports:
-            self._rooms.report(beat.vm, beat.rooms, beat.waits, beat.losses)
+            self._rooms.report(beat.own.vm, beat.rooms, beat.waits, beat.losses)
 
     async def beat(self):
         """Send heartbeats until cancelled."""
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -136,22 +136,23 @@
 
     def heard(self, beat):
         """Take a heartbeat; return the :class:`Member`, or ``None`` for an old one."""
-        member = self._members.get(beat.vm)
-        if member is self._own or self._is_outdated(member, beat):
+        own = beat.own
+        member = self._members.get(own.vm)
+        if member is self._own or self._is_outdated(member, own):
             return None
-        if member is None or member.ip != beat.ip:
-            member = Member(beat.vm, beat.ip, beat.failure_domain, beat.region)
-            self._members[beat.vm] = member
-        changed = (
-            self._live.get(member.vm) is not member
-            or member.serving != beat.serving
-            or member.incarnation != beat.incarnation
-        )
-        _take_beat(member, beat)
+        if member is None or member.ip != own.ip:
+            member = Member(own.vm, own.ip, own.failure_domain, own.region)
+            self._members[own.vm] = member
+        changed = self._is_change(member, own)
+        _take_news(member, own)
+        member.interval = beat.interval
+        member.operator_version = beat.operator_version
+        member.target_version = beat.target_version
+        member.digest = beat.digest
         member.heard_at = self._clock.now()
         member.unreachable_until = None
         member.dead_at = None
-        self._weigh_stamp(member, beat.stamp)
+        self._weigh_stamp(member, own.stamp)
         if changed:
             self._join(member)
         return member
@@ -174,11 +175,7 @@
         member.dead_at = None if news.live else now + DOUBT
         if member.is_heard(now):
             return
-        changed = (
-            member.vm not in self._live
-            or member.serving != news.serving
-            or member.incarnation != news.incarnation
-        )
+        changed = self._is_change(member, news)
         _take_news(member, news)
         if news.live and changed and not member.is_unreachable(now):
             self._join(member)
@@ -220,13 +217,21 @@
             enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
             yield from strong if enough else members
 
-    def _is_outdated(self, member, beat):
+    def _is_change(self, member, news):
+        """Return whether news changes which VMs live or what they do."""
+        return (
+            self._live.get(member.vm) is not member
+            or member.serving != news.serving
+            or member.incarnation != news.incarnation
+        )
+
+    def _is_outdated(self, member, news):
         """Return whether a heartbeat is of an earlier process of a live VM.
 
         Incarnations are times of day: one that was set back must not keep a restarted
         VM out once the process before it has fallen silent.
         """
-        if member is None or beat.incarnation >= member.incarnation:
+        if member is None or news.incarnation >= member.incarnation:
             return False
         return member.vm in self._live
 
@@ -309,17 +314,6 @@
             callback()
 
 
-def _take_beat(member, beat):
-    member.incarnation = beat.incarnation
-    member.serving = beat.serving
-    member.interval = beat.interval
-    member.operator_version = beat.operator_version
-    member.target_version = beat.target_version
-    member.store_lost = beat.store_lost
-    member.strength = beat.strength
-    member.digest = beat.digest
-
-
 def _take_news(member, news):
     member.incarnation = news.incarnation
     member.serving = news.serving
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -31,6 +31,7 @@
 from heathercleat.steering.process.listeners import Listeners
 from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.gossip import Gossip
+from heathercleat.steering.process.membership.member import news_of
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.record import RequestRecord
@@ -353,18 +354,10 @@
             for service in (self._table.services if self._table else ())
         ]
         return Beat(
-            own.vm,
-            own.ip,
-            own.failure_domain,
-            own.region,
-            own.incarnation,
-            own.serving,
+            news_of(own),
             interval,
             self._tables.operator.changed,
             self._tables.targets.changed,
-            own.store_lost,
-            own.strength,
-            own.stamp,
             self._members.digest,
             self._members.news(),
             rooms,
--- a/standins/fault_proxy.py
+++ b/standins/fault_proxy.py
@@ -22,7 +22,7 @@
 import h11
 from curio import TaskGroup, open_connection, run, sleep, tcp_server
 
-from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
+from heathercleat.connection.http import HttpStream, Message, serve_messages
 
 CHUNK_BYTES = 1 << 16
 #: Seconds between two looks at a direction that is cut.
@@ -141,26 +141,14 @@
     async def serve(self, sock, address):
         """Answer requests on one connection."""
         stream = HttpStream(sock, h11.SERVER)
-        try:
-            while await self._serve_one(stream):
-                pass
-        except CONNECTION_ERRORS:
-            return
+        await serve_messages(stream, self._answer, MAX_SWITCH_BYTES)
 
-    async def _serve_one(self, stream):
-        head = await stream.next_event()
-        if not isinstance(head, h11.Request):
-            return False
-        body = await read_body(stream, MAX_SWITCH_BYTES)
-        if head.target == b"/switch":
-            for name, faults in json.loads(body).items():
+    async def _answer(self, message):
+        if message.path == "/switch":
+            for name, faults in json.loads(message.body).items():
                 await self._links[name].switch(**faults)
         counts = {name: link.count for name, link in self._links.items()}
-        text = json.dumps(counts).encode()
-        headers = [(b"content-length", str(len(text)).encode())]
-        answer = h11.Response(status_code=200, headers=headers)
-        await stream.send(answer, h11.Data(data=text), h11.EndOfMessage())
-        return stream.next_cycle()
+        return Message(body=json.dumps(counts).encode())
 
 
 def parse_link(spec):
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -7,6 +7,7 @@
 from heathercleat.steering.process.capacity.slots import SlotLedger
 from heathercleat.steering.process.capacity.target import TargetEntry
 from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.member import News
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.request.call import Call
 from heathercleat.steering.version.routing import Kind, Route, Service, Share
@@ -54,25 +55,19 @@
     incarnation=1,
     strength=0.86,
 ):
-    return Beat(
+    own = News(
         vm,
         "127.0.9.2",
         domain,
         region,
         incarnation,
+        incarnation,
+        True,
         serving,
-        0.15,
-        0,
-        0,
         False,
         strength,
-        incarnation,
-        0,
-        [],
-        [],
-        [],
-        [],
     )
+    return Beat(own, 0.15, 0, 0, 0, [], [], [], [])
 
 
 class Parts:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,6 +10,7 @@
 from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.gossip import INTERVAL, Gossip
+from heathercleat.steering.process.membership.member import news_of
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.membership.topology import (
     FAR_PICKS,
@@ -110,18 +111,10 @@
     def compose(self, interval):
         own = self.members.own
         return Beat(
-            own.vm,
-            own.ip,
-            own.failure_domain,
-            own.region,
-            own.incarnation,
-            own.serving,
+            news_of(own),
             interval,
             0,
             0,
-            own.store_lost,
-            own.strength,
-            own.stamp,
             self.members.digest,
             self.members.news(),
             [],
