Far homes judged by their own work times; VMs that start together serve at once

Cause 1: whether a request is in time in another region was judged by the mean work time of the route, which targets that do not know the object raise; and a request waited for a home here whose queue alone made it late.

Now heartbeats go to all at the usual rate in the first 2 s, a newcomer is answered at once, the first targets make a VM serve, and a request waits 0.25 s for them.

--- a/bench/places.py
+++ b/bench/places.py
@@ -10,6 +10,7 @@
 from heathercleat.steering.process.capacity.shift import ShiftLimit
 from heathercleat.steering.process.capacity.view import TargetView
 from heathercleat.steering.process.capacity.work import WorkTimes
+from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.places import Places
 from tests.steering_parts import Parts, beat, call, entry, route
 
@@ -75,15 +76,13 @@
     for owned in parts.ledger.all():
         for _ in range(SLOTS):
             owned.take(clock.now())
+    admission = Admission(parts.ledger, members.region_of, clock)
     return Places(
         TargetView(members, parts.registry, parts.owners, parts.ledger, rooms),
         members,
-        Admission(parts.ledger, members.region_of, clock),
-        rooms,
+        Estimates(members, admission, rooms, lambda vm: TRIP, WorkTimes(), clock),
         RegionLosses(members, rooms, pressure, clock),
         ShiftLimit(0.15, clock),
-        lambda vm: TRIP,
-        WorkTimes(),
         clock,
     )
 
--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -3,7 +3,7 @@
 from secrets import token_hex
 
 import h11
-from curio import ignore_after
+from curio import ignore_after, sleep
 
 from heathercleat.codes import ResultCode
 from heathercleat.connection.http import (
@@ -24,6 +24,10 @@
 LINGER_BYTES = 8 << 20
 #: Seconds after which a refused client is welcome, where nothing else is known.
 UNKNOWN_RETURN = 0.3
+#: Seconds for which a request waits at a process that has just started: it knows its
+#: configuration and its targets 0.2 to 0.25 s after its start.
+START_PATIENCE = 0.25
+START_POLL = 0.01
 _TOO_LARGE = 431
 
 
@@ -123,6 +127,7 @@
         """Read the rest of a request and return its :class:`Call`."""
         headers = list(head.headers)
         check_framing(headers, ResultCode.BAD_REQUEST)
+        await self._wait_for_start(arrived_at + START_PATIENCE)
         if self._node.refusing:
             now = self._clock.now()
             raise RequestError(ResultCode.NO_ROOM, "the VM is leaving", retry_at=now)
@@ -149,6 +154,11 @@
         call.client_wait = client.wait
         return call
 
+    async def _wait_for_start(self, until):
+        """Wait for the configuration and the targets, an instant at most."""
+        while not self._node.started and self._clock.now() < until:
+            await sleep(START_POLL)
+
     def _match(self, head, headers):
         table = self._node.table
         if table is None:
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -23,6 +23,9 @@
 #: VMs that are not known to live which get a heartbeat with each round to all, and as
 #: many that only others hear: after a cut that has ended, each of 100 VMs tries eight.
 TRIED_AT_ONCE = 8
+#: Seconds after the start in which a VM sends heartbeats to all at the usual rate:
+#: without it, VMs that were started together found each other after 0.9 s.
+START_SECONDS = 2.0
 MAX_DATAGRAM = 8192
 #: VMs of which is told again at once where partners believe otherwise.
 REPAIRED_AT_ONCE = 24
@@ -52,6 +55,7 @@
         self._echoes = {}
         self._answer_until = {}
         self._idle_at = 0.0
+        self._started_at = clock.now()
         self._bad = 0
 
     def trip(self, vm):
@@ -77,12 +81,15 @@
         while True:
             data, address = await self._sock.recvfrom(MAX_DATAGRAM)
             try:
-                self.take(data)
+                newcomer = self.take(data)
             except (ValueError, TypeError, UnpackException) as error:
                 self._log_bad(address, error)
+                continue
+            if newcomer is not None:
+                await self._send_all([newcomer])
 
     def take(self, data):
-        """Take one datagram.
+        """Take one datagram; return the :class:`Member` if it was not live before.
 
         :raises ValueError: when it does not decode, as do the other errors of msgpack.
         """
@@ -90,9 +97,10 @@
         unpacker.feed(data)
         beat = Beat.of(unpacker.unpack())
         sent_at, echoed, held, asks = unpacker.unpack()
+        is_new = self._members.live(beat.own.vm) is None
         member = self._members.heard(beat)
         if member is None:
-            return
+            return None
         for news in beat.told():
             self._members.told(news)
         now = self._clock.now()
@@ -103,6 +111,7 @@
             self._observe_trip(member, now - echoed - held)
         if beat.has_reports:
             self._rooms.report(beat.own.vm, beat.rooms, beat.waits, beat.losses)
+        return member if is_new else None
 
     async def beat(self):
         """Send heartbeats until cancelled."""
@@ -113,7 +122,7 @@
         """Send the heartbeats that are due, and return the seconds to the next ones."""
         self._members.check()
         now = self._clock.now()
-        to_all = now >= self._idle_at
+        to_all = now >= self._idle_at or self._is_starting()
         if to_all:
             self._idle_at = now + IDLE_INTERVAL
             self._repair()
@@ -125,23 +134,32 @@
 
         :param to_all: send it to every known VM and seed.
         """
-        active = self._members.active()
-        own_active = self._members.own in active
-        full = self._compose(self._interval()).pack() if own_active else None
-        short = None
-        if to_all or not own_active:
-            short = self._compose(IDLE_INTERVAL).without_reports().pack()
-        names = {member.vm for member in active} if own_active else ()
-        for vm, ip in list(self._receivers(active, to_all)):
-            echo = [self._clock.now(), *self._echo(vm), self._asks(vm)]
-            body = full if vm in names else short
-            try:
-                await self._send_to(ip, body + msgpack.packb(echo))
-            except OSError as error:
-                self._journal.write(Event.PEER_REJECTED, peer=vm, reason=repr(error))
+        await self._send_all(self._receivers(to_all))
+        for seed in self._unknown_seeds() if to_all else ():
+            await self._send_to(seed, self._short_beat(), None)
 
-    async def _send_to(self, ip, data):
-        await self._sock.sendto(data, (ip, self._settings.gossip_port))
+    async def _send_all(self, members):
+        """Send a heartbeat to some members, with reports where both are active."""
+        active = self._members.active()
+        full = short = None
+        for member in members:
+            if self._members.own in active and member in active:
+                full = full or self._compose(self._interval()).pack()
+                await self._send_to(member.ip, full, member.vm)
+            else:
+                short = short or self._short_beat()
+                await self._send_to(member.ip, short, member.vm)
+
+    def _short_beat(self):
+        return self._compose(IDLE_INTERVAL).without_reports().pack()
+
+    async def _send_to(self, ip, body, vm):
+        echo = [self._clock.now(), *self._echo(vm), self._asks(vm)]
+        address = ip, self._settings.gossip_port
+        try:
+            await self._sock.sendto(body + msgpack.packb(echo), address)
+        except OSError as error:
+            self._journal.write(Event.PEER_REJECTED, peer=vm, reason=repr(error))
 
     def _repair(self):
         """Tell of some VMs again while partners believe otherwise than this VM.
@@ -163,10 +181,16 @@
     def _interval(self):
         """Return the seconds between two heartbeats from here to active VMs."""
         active = self._members.active()
+        if self._is_starting():
+            unheard = sum(each.heard_at is None for each in self._members.others())
+            return max(INTERVAL, unheard / MOST_PER_SECOND)
         if self._members.own not in active:
             return IDLE_INTERVAL
         return max(INTERVAL, len(self._regular(active)) / MOST_PER_SECOND)
 
+    def _is_starting(self):
+        return self._clock.now() < self._started_at + START_SECONDS
+
     def _regular(self, active):
         """Return the active VMs that get each heartbeat."""
         topology = self._members.topology
@@ -186,17 +210,16 @@
         members, topology = self._members, self._members.topology
         return topology.is_mesh or vm in topology.picks or members.live(vm) is None
 
-    def _receivers(self, active, to_all):
-        """Yield the name, if known, and IP number of each VM to send to."""
-        receivers = self._regular(active)
-        if to_all:
-            receivers = [*receivers, *self._rare(receivers)]
-        for member in receivers:
-            yield member.vm, member.ip
+    def _receivers(self, to_all):
+        """Return the VMs to send to."""
+        regular = self._regular(self._members.active())
+        return [*regular, *self._rare(regular)] if to_all else regular
+
+    def _unknown_seeds(self):
+        """Return the IP numbers in the settings that belong to no known VM."""
         known = {each.ip for each in self._members.others()}
-        for seed in self._settings.seeds if to_all else ():
-            if seed != self._settings.ip and seed not in known:
-                yield None, seed
+        known.add(self._settings.ip)
+        return [seed for seed in self._settings.seeds if seed not in known]
 
     def _rare(self, regular):
         """Return the other VMs that get a heartbeat now and then."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -38,6 +38,7 @@
 from heathercleat.steering.process.store.tables import Tables
 from heathercleat.steering.process.warm import WarmConnections
 from heathercleat.steering.request.call import RepeatDetector
+from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.forward import ForwardTry
 from heathercleat.steering.request.local import LocalTry
 from heathercleat.steering.request.places import Places
@@ -143,18 +144,17 @@
             self._members, self._registry, self._owners, self._ledger, self._rooms
         )
         self._members.on_change(self._forget_rooms)
+        self._registry.on_change(self._update_serving)
         losses = RegionLosses(self._members, self._rooms, self._pressure, clock)
-        places = Places(
-            view,
+        estimates = Estimates(
             self._members,
             self._admission,
             self._rooms,
-            losses,
-            self._shift,
             self._gossip.trip,
             self._work_times,
             clock,
         )
+        places = Places(view, self._members, estimates, losses, self._shift, clock)
         self._steering = Steering(
             places,
             self._local,
@@ -213,6 +213,11 @@
         """Return whether this VM is about to end and refuses requests."""
         return self._refusing
 
+    @property
+    def started(self):
+        """Return whether the configuration and the targets are known."""
+        return self._table is not None and self._registry.known
+
     @property
     def ready(self):
         """Return whether this VM takes clients."""
@@ -306,8 +311,7 @@
         return bool(self.leavers.count) or self._listeners.busy
 
     def _update_serving(self):
-        known = self._table is not None and self._registry.known
-        if known and not self._leaving:
+        if self.started and not self._leaving and not self._members.own.serving:
             self._members.set_serving(True)
 
     def _adopt(self, table):
--- /dev/null
+++ b/src/heathercleat/steering/request/estimates.py
@@ -0,0 +1,70 @@
+"""How long a request would wait and take at a place, as far as this VM knows."""
+
+
+class Estimates:
+    """Estimates for the choice of a place; all lengths in seconds.
+
+    :param members: the live VMs.
+    :param admission: the waits at own targets.
+    :param rooms: the waits at other owners' targets.
+    :param trip: returns the round trip to a VM.
+    :param work_times: the :class:`WorkTimes`.
+    """
+
+    def __init__(self, members, admission, rooms, trip, work_times, clock):
+        self._members = members
+        self._admission = admission
+        self._rooms = rooms
+        self._trip = trip
+        self._work_times = work_times
+        self._clock = clock
+
+    def trip(self, owner):
+        """Return the round trip to an owner."""
+        return self._trip(owner)
+
+    def wait(self, owner, service):
+        """Return the time for which a request would wait at an owner.
+
+        ``None`` where the owner has no target in service, 0 where it does not report
+        to this VM.
+        """
+        if owner == self._members.own.vm:
+            return self._admission.expected_wait(service)
+        if not self._rooms.is_known(owner):
+            return 0.0
+        return self._rooms.wait(owner, service)
+
+    def shortest_wait(self, targets, service):
+        """Return the shortest known wait at the owners of a region, or ``None``.
+
+        :param targets: the :class:`RegionTargets`.
+        """
+        own = self._members.own.vm
+        waits = [
+            self.wait(owner, service)
+            for owner in targets.owners
+            if owner == own or self._rooms.is_known(owner)
+        ]
+        return min((each for each in waits if each is not None), default=None)
+
+    def work(self, call, is_home):
+        """Return how long a target takes that knows the object, or does not."""
+        times, route = self._work_times, call.route.name
+        if call.affinity is None or not call.route.sticky:
+            return times.of(route)
+        return times.at_home(route) if is_home else times.elsewhere(route)
+
+    def is_in_time(self, call, owner, is_home):
+        """Return whether a request is in time through an owner that has room."""
+        expected = self._trip(owner) + self.work(call, is_home)
+        return self._clock.now() + expected <= call.aim_at
+
+    def is_home_in_time(self, choice):
+        """Return whether a request is in time after its wait for its home here."""
+        call = choice.call
+        waits = [self.wait(each.owner, call.service) for each in choice.near_homes]
+        known = [each for each in waits if each is not None]
+        if not known:
+            return False
+        return choice.now + min(known) + self.work(call, True) <= call.aim_at
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -46,25 +46,17 @@
 
     :param view: the :class:`TargetView`.
     :param members: the live VMs.
-    :param admission: the waits at own targets.
-    :param rooms: the waits at other owners' targets.
+    :param estimates: the :class:`Estimates` of waits and times.
     :param losses: the :class:`RegionLosses`.
     :param shift: the :class:`ShiftLimit`.
-    :param trip: returns the round trip to a VM in seconds.
-    :param work_times: the :class:`WorkTimes`.
     """
 
-    def __init__(
-        self, view, members, admission, rooms, losses, shift, trip, work_times, clock
-    ):
+    def __init__(self, view, members, estimates, losses, shift, clock):
         self._view = view
         self._members = members
-        self._admission = admission
-        self._rooms = rooms
+        self._estimates = estimates
         self._losses = losses
         self._shift = shift
-        self._trip = trip
-        self._work_times = work_times
         self._clock = clock
 
     def free(self, call, avoid, avoid_vms):
@@ -75,9 +67,9 @@
         found = self._best_near(choice)
         if found is not None or not self._shift.may_move():
             return found
-        if choice.stays_at_home:
+        if choice.stays_at_home and self._estimates.is_home_in_time(choice):
             return None
-        return self._best_far(choice, self._near_wait(call))
+        return self._best_far(choice, self._near_wait(choice))
 
     def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` of this region to wait at, or ``None``.
@@ -114,22 +106,16 @@
             return None
 
         def in_time(candidate):
-            return choice.usable(candidate) and self._is_in_time(call, candidate.owner)
+            return choice.usable(candidate) and self._estimates.is_in_time(
+                call, candidate.owner, is_home=True
+            )
 
         return self._shortest_wait(choice, least, in_time, FAR_WAIT, True)
 
     def expected_wait(self, call):
         """Return the shortest known wait in this region in seconds, or ``None``."""
         near = self._choice(call).near
-        if near is None:
-            return None
-        own = self._members.own.vm
-        waits = [
-            self._wait(owner, call.service)
-            for owner in near.owners
-            if owner == own or self._rooms.is_known(owner)
-        ]
-        return min((each for each in waits if each is not None), default=None)
+        return self._estimates.shortest_wait(near, call.service) if near else None
 
     def describe(self, call):
         """Return what is known of the targets that may run a request, for the log."""
@@ -147,18 +133,6 @@
         now = self._clock.now()
         return Choice(call, regions, own_region, avoid, avoid_vms, now)
 
-    def _wait(self, owner, service):
-        """Return the seconds that a request would wait at an owner.
-
-        ``None`` where the owner has no target in service, 0 where it does not report
-        to this VM.
-        """
-        if owner == self._members.own.vm:
-            return self._admission.expected_wait(service)
-        if not self._rooms.is_known(owner):
-            return 0.0
-        return self._rooms.wait(owner, service)
-
     def _shortest_wait(self, choice, targets, usable, patience, remote):
         """Return the :class:`Place` to wait at in a region, or ``None``.
 
@@ -179,7 +153,7 @@
 
     def _waiting_cost(self, call, owner, patience):
         """Return the seconds that waiting at an owner costs; ``None`` without hope."""
-        wait = self._wait(owner, call.service)
+        wait = self._estimates.wait(owner, call.service)
         if wait is None or wait > HOPELESS_FACTOR * patience:
             return None
         return wait if owner == self._members.own.vm else wait + FORWARD_COST
@@ -241,41 +215,37 @@
         elsewhere = candidate.owner != self._members.own.vm
         return elsewhere, -candidate.room.free(now) / candidate.entry.slots
 
+    def _near_wait(self, choice):
+        """Return the shortest wait in this region; infinite where there is none."""
+        wait = self.expected_wait(choice.call)
+        return float("inf") if wait is None else wait
+
     def _best_far(self, choice, near_wait):
         """Return the :class:`Place` in the region with the most room, or ``None``.
 
         :param near_wait: seconds that the request would wait in this region.
         """
 
+        known = set()
+
         def helps(candidate):
-            return choice.usable(candidate) and self._helps(
-                choice.call, candidate.owner, near_wait
-            )
+            if not choice.usable(candidate):
+                return False
+            owner, is_home = candidate.owner, candidate.entry.id in known
+            in_time = self._estimates.is_in_time(choice.call, owner, is_home)
+            return in_time or self._estimates.trip(owner) < near_wait
 
         rooms = [(_spare(each.summary(choice.now)), each) for each in choice.far]
         for room, targets in sorted(rooms, key=lambda each: -each[0]):
             if room <= 0.0:
                 return None
             homes = choice.homes(targets)
+            known.update(_ids(homes))
             place = self._best(choice, targets, homes, helps, True)
             if place is not None:
                 return place
         return None
 
-    def _helps(self, call, owner, near_wait):
-        """Return whether a request is answered in time there, or sooner than here."""
-        return self._is_in_time(call, owner) or self._trip(owner) < near_wait
-
-    def _is_in_time(self, call, owner):
-        """Return whether a request is in time through an owner that has room."""
-        expected = self._trip(owner) + self._work_times.of(call.route.name)
-        return self._clock.now() + expected <= call.aim_at
-
-    def _near_wait(self, call):
-        """Return the shortest wait in this region; infinite where there is none."""
-        wait = self.expected_wait(call)
-        return float("inf") if wait is None else wait
-
 
 def _spare(summary):
     """Return the free slots of a region that others' clients may use."""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -152,6 +152,14 @@
     assert disagreeing(start(count, loss)) == []
 
 
+def test_vms_that_are_started_together_find_each_other_soon():
+    network = Network()
+    for number in range(SMALL):
+        SimulatedVm(network, number)
+    network.run(0.5)
+    assert disagreeing(network) == []
+
+
 @pytest.mark.parametrize("loss", [0.0, 0.05])
 @pytest.mark.parametrize("count", [SMALL, LARGE])
 @pytest.mark.parametrize("deaths", [1, 4])
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -12,6 +12,7 @@
 from heathercleat.steering.process.capacity.view import SUMMARY_LIFE, TargetView
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.request.answer import Answer, End, TryResult
+from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.places import Places
 from heathercleat.steering.request.steer import Steering
 from heathercleat.steering.version.routing import Kind
@@ -72,17 +73,18 @@
         view = TargetView(
             members, parts.registry, parts.owners, parts.ledger, self.rooms
         )
-        self.places = places = Places(
-            view,
+        estimates = Estimates(
             members,
             Admission(parts.ledger, members.region_of, clock),
             self.rooms,
-            RegionLosses(members, self.rooms, pressure, clock),
-            self.shift,
             lambda vm: 0.11,
             self.work_times,
             clock,
         )
+        losses = RegionLosses(members, self.rooms, pressure, clock)
+        self.places = places = Places(
+            view, members, estimates, losses, self.shift, clock
+        )
         self.steering = Steering(
             places,
             self.local,
