--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -6,14 +6,8 @@
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
 from heathercleat.steering.request.answer import End
+from heathercleat.steering.request.patience import Patience
 
-#: Part of the latency aim for which a first request waits for a slot at most: a refusal
-#: within a quarter of it can still be answered in time when the client comes back.
-FIRST_PATIENCE = 0.2
-#: Part of its remaining time for which a request waits that came back after a refusal,
-#: while its service is not overloaded: a second refusal loses it, and a late answer is
-#: worth something. In overload those in time take every slot, and waiting is in vain.
-RETURNED_PATIENCE = 0.8
 #: Seconds after which a request that waits looks for room elsewhere again.
 WAIT_SLICE = 0.08
 #: The same where another VM owns the targets: each slice sends the body again.
@@ -23,8 +17,6 @@
 STALE_PATIENCE = 0.03
 #: The same once the request's patience is over: what a hop inside a region takes.
 LEAST_PATIENCE = 0.005
-#: Seconds before the end of a request's patience at which it takes any idle target.
-LAST_CHANCE = 0.02
 #: The longest wait for a slot in another region, whose queue is not seen from here.
 FAR_PATIENCE = 0.15
 #: Tries at places with room that sent nothing, after which a request is refused.
@@ -76,6 +68,7 @@
         self._budget = budget
         self._work_times = work_times
         self._pressure = pressure
+        self._patience = Patience(work_times, pressure)
         self._journal = journal
         self._clock = clock
 
@@ -103,8 +96,8 @@
         self._failed_answer = None
         self._last_reason = None
         self._relieved = False
-        call.patient_until = self._patience()
-        call.home_until = self._home_patience()
+        call.patient_until = steering._patience.of(call)
+        call.home_until = steering._patience.for_home(call)
 
     async def run(self):
         call, clock = self._call, self._steering._clock
@@ -206,29 +199,6 @@
         latest = call.aim_at - steering._trip(place.vm) - work
         return min(max(now + STALE_PATIENCE, latest), now + FAR_PATIENCE)
 
-    def _patience(self):
-        """Return the instant at which the request is given up without a slot."""
-        call, steering = self._call, self._steering
-        first = call.arrived_at + FIRST_PATIENCE * call.route.latency_aim
-        if not call.returned or steering._pressure.is_overloaded(call.service):
-            return first
-        work = steering._work_times.of(call.route.name)
-        remaining = call.deadline - call.arrived_at
-        longest = min(RETURNED_PATIENCE * remaining, remaining - work)
-        return max(first, call.arrived_at + longest)
-
-    def _home_patience(self):
-        """Return the instant until which only targets that know the object are used.
-
-        Another one is idle at times, but takes longer: a request that would be late
-        there and in time at home waits for its home first.
-        """
-        call, times = self._call, self._steering._work_times
-        latest = call.aim_at - times.at_home(call.route.name)
-        if call.arrived_at + times.elsewhere(call.route.name) <= call.aim_at:
-            return call.arrived_at
-        return min(latest, call.patient_until - LAST_CHANCE)
-
     def _take(self, place, result, until):
         """Take the result of a try; return the final answer, or ``None`` to go on."""
         self._last_reason = result.reason
