Mutations that show which tests notice a mechanism taken out

Three did not: the client that leaves sent no request id, so that the stand-in of the target broke off (the slot was free at once); the VM that the store turns away still had a call open; the stand-in refused requests that name no incarnation. All three notice it now.

--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -76,7 +76,8 @@
     async def _serve_request(self, stream, head, body):
         headers = dict(head.headers)
         echo = [(REQUEST_ID, headers.get(REQUEST_ID, b""))]
-        if headers.get(EXPECTED_INSTANCE) != self._switches["id"].encode():
+        instance = self._switches["id"].encode()
+        if headers.get(EXPECTED_INSTANCE, instance) != instance:
             await self._send(stream, 421, echo, b"")
             return
         if self._must_shed():
--- a/tests/test_steering_path.py
+++ b/tests/test_steering_path.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from heathercleat.steering.process.store.tables import OPERATOR_WAIT
 from standins.fleet import wait_for
 from standins.steering_fleet import FRONT_PORT, SteeringFleet
 from tests.platform_samples import config
@@ -154,9 +155,17 @@
 
 
 def test_client_that_leaves_frees_the_slot(fleet, vm):
+    document = config("r9")
+    for route in document["hosts"][0]["paths"]:
+        route["timeout"] = "60s"
+    fleet.put("op", "config", document)
+    wait_for(lambda: '"configuration"} 9.0' in fleet.metrics(vm))
     for each in TARGETS:
         fleet.switch_target(each, work_s=30.0)
-    head = b"GET /one/two/x HTTP/1.1\r\nHost: a.example\r\nDeadline-Ms: 30000\r\n\r\n"
+    head = (
+        b"GET /one/two/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n"
+        b"Deadline-Ms: 30000\r\n\r\n"
+    )
     with socket.create_connection((vm.host, FRONT_PORT)) as sock:
         sock.sendall(head)
         wait_for(lambda: 'requests_under_way"} 1.0' in fleet.metrics(vm))
@@ -217,6 +226,8 @@
 def test_vm_that_the_store_turns_away_learns_from_another(fleet, vm):
     fleet.switch_store(refused=[vm.host])
     wait_for(lambda: any(line["name"] == "store_lost" for line in fleet.log(vm)))
+    # A call that had begun before still tells of changes until it ends.
+    time.sleep(OPERATOR_WAIT)
     fleet.put("op", "config", config("r9"))
     wait_for(lambda: '"configuration"} 9.0' in fleet.metrics(vm))
 
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,249 @@
+"""Takes one mechanism out at a time and shows that a test notices it.
+
+Each mutation replaces a piece of a source file in a copy of the tree and runs the tests
+that have to fail then. ``python tools/mutations.py [NAME...]`` prints a line for each
+and exits with 1 when the tests passed all the same.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+COPIED = ("src", "tests", "standins", "bench", "tools", "pyproject.toml", "docs")
+STEERING = "src/heathercleat/steering"
+#: Seconds after which tests that do not end count as failed.
+TEST_SECONDS = 90
+
+
+class Mutation:
+    """A mechanism taken out.
+
+    :param name: the rule that it guards.
+    :param file: path of the source file.
+    :param old: the text that is replaced; it has to stand there once.
+    :param new: the text in its place.
+    :param tests: what to run, as pytest takes it.
+    """
+
+    __slots__ = ("name", "file", "old", "new", "tests")
+
+    def __init__(self, name, file, old, new, *tests):
+        self.name = name
+        self.file = file
+        self.old = old
+        self.new = new
+        self.tests = tests
+
+    def apply(self, root):
+        """Change the copy below ``root``.
+
+        :raises ValueError: when the text does not stand there once.
+        """
+        path = root / self.file
+        text = path.read_text()
+        if text.count(self.old) != 1:
+            count = text.count(self.old)
+            message = f"{self.name}: {self.old!r} stands {count} times, not once"
+            raise ValueError(message)
+        path.write_text(text.replace(self.old, self.new))
+
+
+MUTATIONS = (
+    Mutation(
+        "MIXED-signature",
+        f"{STEERING}/request/exchange.py",
+        "(not head.signed or head.encoded)",
+        "False",
+        "tests/test_steering_path.py",
+        "-k",
+        "broken_answer",
+    ),
+    Mutation(
+        "MIXED-request-id",
+        f"{STEERING}/request/exchange.py",
+        "head.request_id is not None and head.request_id != self._call.id",
+        "False",
+        "tests/test_steering_path.py",
+        "-k",
+        "stray",
+    ),
+    Mutation(
+        "TWICE",
+        f"{STEERING}/request/steer.py",
+        "not call.route.kind.idempotent or self._runs",
+        "self._runs",
+        "tests/test_steer.py",
+        "-k",
+        "may_have_run",
+    ),
+    Mutation(
+        "REFUSED",
+        f"{STEERING}/request/steer.py",
+        "            raise RequestError(ResultCode.ANSWER_LOST, message)",
+        "            pass",
+        "tests/test_steer.py",
+        "tests/test_soak.py",
+    ),
+    Mutation(
+        "DENIED",
+        f"{STEERING}/connection/client.py",
+        "                ResultCode.NO_CONFIGURATION,",
+        "                ResultCode.NO_ROUTE,",
+        "tests/test_steering_start.py",
+    ),
+    Mutation(
+        "BUDGET",
+        f"{STEERING}/request/steer.py",
+        "        spent = budget.spend(now)",
+        "        spent = budget.spend(now) or True",
+        "tests/test_steer.py",
+    ),
+    Mutation(
+        "GONE",
+        f"{STEERING}/process/leavers.py",
+        "if not call.left and call.stream.is_closed():",
+        "if False:",
+        "tests/test_steering_path.py",
+        "-k",
+        "client_that_leaves",
+    ),
+    Mutation(
+        "LOST",
+        f"{STEERING}/process/node.py",
+        "        await self._finish_requests(stop_by)",
+        "        del stop_by",
+        "tests/test_steering_path.py",
+        "-k",
+        "planned_stop",
+    ),
+    Mutation(
+        "CONFIG",
+        f"{STEERING}/process/store/tables.py",
+        "        if not newer:",
+        "        if True:",
+        "tests/test_steering_path.py",
+        "-k",
+        "turns_away",
+    ),
+    Mutation(
+        "ROUTE",
+        "src/heathercleat/platform/headers.py",
+        "    yield EXPECTED_INSTANCE, target_id.encode()",
+        "    del target_id",
+        "tests/test_steering_path.py",
+        "-k",
+        "replaced_target",
+    ),
+    Mutation(
+        "EVAC",
+        f"{STEERING}/process/capacity/registry.py",
+        "entry.failure_domain not in self._evacuated",
+        "True",
+        "tests/test_steering_path.py",
+        "tests/test_registry.py",
+        "-k",
+        "evacuat",
+    ),
+    Mutation(
+        "FAILBACK",
+        f"{STEERING}/process/capacity/slots.py",
+        "if now < self.cold_until and self.cold_limit is not None:",
+        "if False:",
+        "tests/test_owned_slots.py",
+    ),
+    Mutation(
+        "SHIFT",
+        f"{STEERING}/process/capacity/shift.py",
+        "        return self._moved + 1 <= limit",
+        "        return True or limit",
+        "tests/test_limits.py",
+    ),
+    Mutation(
+        "HOME",
+        f"{STEERING}/request/choice.py",
+        "if region != self._own_region and self.call.route.allows(region)",
+        "if region != self._own_region",
+        "tests/test_steer.py",
+        "tests/test_steering_path.py",
+        "-k",
+        "regions",
+    ),
+    Mutation(
+        "RECOVER",
+        f"{STEERING}/process/membership/gossip.py",
+        "to_all = now >= self._idle_at or self._is_starting()",
+        "to_all = now >= self._idle_at",
+        "tests/test_membership.py",
+        "-k",
+        "soon",
+    ),
+    Mutation(
+        "MEMBERS-objection",
+        f"{STEERING}/process/membership/members.py",
+        "        if own.fields() != news.fields():",
+        "        if False:",
+        "tests/test_membership.py",
+    ),
+    Mutation(
+        "MEMBERS-suspicion",
+        f"{STEERING}/process/membership/members.py",
+        "            self.topology.suspect(member.failure_domain)",
+        "            pass",
+        "tests/test_membership.py",
+        "-k",
+        "cut_off",
+    ),
+    Mutation(
+        "MEMBERS-repair",
+        f"{STEERING}/process/membership/gossip.py",
+        "        if digests <= {members.digest}:",
+        "        if True:",
+        "tests/test_membership.py",
+    ),
+)
+
+
+def passes(mutation):
+    """Return whether the tests pass although the mechanism is taken out."""
+    with tempfile.TemporaryDirectory(prefix="mutation-") as folder:
+        root = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            copy = shutil.copytree if source.is_dir() else shutil.copy
+            copy(source, root / name)
+        mutation.apply(root)
+        command = [sys.executable, "-m", "pytest", "-q", "-x", *mutation.tests]
+        environment = {**os.environ, "PYTHONPATH": "src:."}
+        try:
+            result = subprocess.run(
+                command,
+                cwd=root,
+                env=environment,
+                capture_output=True,
+                timeout=TEST_SECONDS,
+            )
+        except subprocess.TimeoutExpired:
+            return False
+    return result.returncode == 0
+
+
+def main():
+    """Run the mutations named in the arguments, or all of them."""
+    wanted = sys.argv[1:] or [each.name for each in MUTATIONS]
+    unnoticed = []
+    for mutation in MUTATIONS:
+        if mutation.name not in wanted:
+            continue
+        if passes(mutation):
+            unnoticed.append(mutation.name)
+        verdict = "NOT NOTICED" if mutation.name in unnoticed else "noticed"
+        print(f"{mutation.name}: {verdict}", flush=True)
+    sys.exit(1 if unnoticed else 0)
+
+
+if __name__ == "__main__":
+    main()
