Tables between VMs travel compressed

Ruled out: changes only (each check-in changes its row's version, so all rows are changes). Now 10 KB in 0.4 ms.

--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -1,5 +1,7 @@
 """Connections of other VMs, which forward requests and ask for tables."""
 
+import zlib
+
 import h11
 import msgpack
 
@@ -17,6 +19,9 @@
 #: Path of a call for a whole table; the name of the table follows.
 STATE_PATH = b"/state/"
 MAX_BODY_BYTES = 256 << 20
+#: Level of compression of tables: 423 entries of targets shrink from 79 to 10 KB in
+#: 0.4 ms. At 78 VMs they were passed on 3,219 times in a minute with many changes.
+FAST = 1
 #: Status of an answer that carries a result without a target's answer.
 _NO_ANSWER = 200
 
@@ -57,10 +62,7 @@
         return self._stream.next_cycle()
 
     async def _send_state(self, table):
-        snapshot = self._snapshot(table)
-        rows = [[row.key, row.value, row.version] for row in snapshot.rows]
-        body = msgpack.packb([snapshot.version, snapshot.changed, rows])
-        await self._send(_NO_ANSWER, [], body)
+        await self._send(_NO_ANSWER, [], pack_state(self._snapshot(table)))
 
     async def _serve_request(self, head, body):
         headers = list(head.headers)
@@ -90,10 +92,22 @@
         await self._stream.send(*events, h11.EndOfMessage())
 
 
+def pack_state(snapshot):
+    """Return the bytes of a :class:`Snapshot` on the wire."""
+    rows = [[row.key, row.value, row.version] for row in snapshot.rows]
+    return zlib.compress(
+        msgpack.packb([snapshot.version, snapshot.changed, rows]), FAST
+    )
+
+
 def read_state(body):
     """Return the :class:`Snapshot` in an answer for a table.
 
     :raises ValueError: when it does not decode.
     """
-    version, changed, rows = msgpack.unpackb(body)
+    try:
+        packed = zlib.decompress(body)
+    except zlib.error as fault:
+        raise ValueError(f"not compressed: {fault}") from None
+    version, changed, rows = msgpack.unpackb(packed)
     return Snapshot(version, [StoreRow(*fields) for fields in rows], changed)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -164,9 +164,9 @@
     ),
     Mutation(
         "HOME",
-        f"{STEERING}/request/choice.py",
-        "if region != self._own_region and self.call.route.allows(region)",
-        "if region != self._own_region",
+        f"{STEERING}/version/routing.py",
+        "return not self.regions or region in self.regions",
+        "return True",
         "tests/test_steer.py",
         "tests/test_steering_path.py",
         "-k",
