--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -43,6 +43,7 @@
         self._clock = node.clock
         self._stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
         self._busy = False
+        self._closed = False
         self._held = 0
 
     @property
@@ -53,6 +54,7 @@
     def close_idle(self):
         """End the connection if no request is under way."""
         if not self._busy:
+            self._closed = True
             self._stream.abort()
 
     async def serve(self):
@@ -105,6 +107,9 @@
                     return None
             except TimeoutError:
                 return None
+        if self._closed:
+            # Bytes that came before the close are still read after it.
+            return None
         self._busy = True
         head_until = self._clock.now() + limits.header_timeout
         try:
--- a/src/heathercleat/steering/process/listeners.py
+++ b/src/heathercleat/steering/process/listeners.py
@@ -47,14 +47,20 @@
         self._journal = journal
         self._clock = clock
         self._clients = set()
+        self._closing = False
 
     @property
     def busy(self):
         """Return whether a client's request is under way or begins to arrive."""
         return any(connection.busy for connection in self._clients)
 
-    def close_idle(self):
-        """End the clients' connections on which no request is under way."""
+    def close(self):
+        """Take no more requests; those under way go on.
+
+        A request that comes on an open connection between the last look at what is
+        under way and the end of the process would be passed on and cut.
+        """
+        self._closing = True
         for connection in list(self._clients):
             connection.close_idle()
 
@@ -75,6 +81,8 @@
             yield settings.inner_address(self._metrics_port), self._serve_metrics
 
     async def _serve_client(self, sock, address):
+        if self._closing:
+            return
         connection = ClientConnection(sock, self._node)
         self._clients.add(connection)
         try:
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -293,7 +293,9 @@
         await self._gossip.send()
         await spawn(self._tables.deregister, daemon=True)
         await self._finish_requests(stop_by)
-        self._listeners.close_idle()
+        self._listeners.close()
+        while self._is_busy() and self.clock.now() < stop_by:
+            await sleep(SIGNAL_INTERVAL)
 
     async def _finish_requests(self, stop_by):
         """Serve on until nothing is under way, or the instant ``stop_by``."""
--- /dev/null
+++ b/tests/test_steering_stop.py
@@ -0,0 +1,102 @@
+"""What becomes of connections when a steering process ends."""
+
+import socket
+
+from curio import run, sleep, spawn
+from curio.io import Socket
+
+from heathercleat.platform.settings import decode_node_settings
+from heathercleat.process.logs import Journal
+from heathercleat.steering.connection.client import ClientConnection
+from heathercleat.steering.process.listeners import Listeners
+from heathercleat.steering.version.routing import Limits
+from tests.fakes import ManualClock
+from tests.platform_samples import SETTINGS
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a.example\r\nRequest-Id: q1\r\n\r\n"
+
+
+class FakeNode:
+    """Counts the requests that connections match against its table."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.limits = Limits(16 << 10, 1 << 20, 3.0, 15.0)
+        self.requests = 0
+
+    @property
+    def started(self):
+        self.requests += 1
+        raise EOFError("the request was taken")
+
+
+def pair():
+    """Return the server's curio socket and the client's plain one."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        client = socket.create_connection(listener.getsockname())
+        server, _ = listener.accept()
+    client.settimeout(5.0)
+    return Socket(server), client
+
+
+def listeners(node):
+    settings = decode_node_settings(SETTINGS)
+    journal = Journal("vm-1", "north-a")
+    return Listeners(node, settings, None, None, None, None, None, journal, node.clock)
+
+
+async def _close_beside_a_request(node, before):
+    """Close a connection whose request has arrived but was not looked at yet."""
+    sock, client = pair()
+    connection = ClientConnection(sock, node)
+    task = await spawn(connection.serve)
+    await sleep(0)
+    if before:
+        client.sendall(REQUEST)
+    connection.close_idle()
+    await task.join()
+    return client
+
+
+def test_request_that_crosses_the_close_is_not_taken():
+    node = FakeNode()
+    client = run(_close_beside_a_request, node, True)
+    assert node.requests == 0
+    assert client.recv(100) == b""
+
+
+def test_idle_connection_is_closed():
+    node = FakeNode()
+    client = run(_close_beside_a_request, node, False)
+    assert client.recv(100) == b""
+
+
+def test_connection_that_comes_after_the_close_is_not_served():
+    node = FakeNode()
+    made = listeners(node)
+    made.close()
+
+    async def main():
+        sock, client = pair()
+        client.sendall(REQUEST)
+        await made._serve_client(sock, None)
+
+    run(main)
+    assert node.requests == 0
+
+
+def test_open_connections_are_closed_with_the_listeners():
+    node = FakeNode()
+    made = listeners(node)
+
+    async def main():
+        sock, client = pair()
+        task = await spawn(made._serve_client, sock, None)
+        await sleep(0)
+        made.close()
+        await task.join()
+        return client
+
+    client = run(main)
+    assert client.recv(100) == b""
+    assert not made.busy
