--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: test soak demo bench lint format binary capacity
+.PHONY: test soak demo bench lint format binary capacity mutations
 
 $(STAMP): requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -38,3 +38,6 @@
 
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak --seeds 10
+
+mutations: $(STAMP)
+	$(BIN)/python tools/mutations.py
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -11,7 +11,7 @@
 #: heartbeat that it sends, every 0.9 s at the most.
 PAUSE = 1.5
 #: Seconds after which it is believed that a VM is dead which is not heard directly: in
-#: these it can object. News crosses 300 VMs in three heartbeats.
+#: these it can refute it. News crosses 300 VMs in three heartbeats.
 DOUBT = 0.5
 #: A VM carries requests when it has this share of the strength of its region's
 #: strongest VM, as long as such VMs have a good part of the region's strength: the
@@ -30,7 +30,7 @@
 
     A VM that this one picked for heartbeats lives while these come. What others tell
     decides on the rest: it carries a stamp, the highest of which is believed. A VM that
-    hears of its own death objects with a higher stamp (as in SWIM, Das, Gupta and
+    hears of its own death refutes it with a higher stamp (as in SWIM, Das, Gupta and
     Motivala, 2002).
 
     :param settings: the :class:`NodeSettings` of this VM.
@@ -160,7 +160,7 @@
     def told(self, news):
         """Take what another VM tells of a VM."""
         if news.vm == self._own.vm:
-            self._object(news)
+            self._refute(news)
             return
         member = self._members.get(news.vm)
         if member is None:
@@ -236,7 +236,7 @@
         return member.vm in self._live
 
     def _weigh_stamp(self, member, stamp):
-        """Believe a VM's word on itself; ask it to object where others said more."""
+        """Believe a VM's word on itself; let it refute what others said since."""
         if stamp > member.stamp:
             member.stamp = stamp
             member.told_live = True
@@ -244,7 +244,7 @@
         elif not member.told_live:
             self.rumours.add(member.vm)
 
-    def _object(self, news):
+    def _refute(self, news):
         """Contradict what is told of this VM, where it is wrong."""
         if news.stamp < self._own.stamp:
             return
@@ -279,11 +279,10 @@
     def _lose(self, member, now):
         del self._live[member.vm]
         member.lost_at = now
+        member.dead_at = None
         if member.told_live:
             member.unreachable_until = now + RETRY_SILENT
             self.topology.suspect(member.failure_domain)
-        member.dead_at = None
-        if member.told_live:
             member.told_live = False
             member.stamp += 1
             self._spread(member)
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -225,7 +225,6 @@
 
         :param near_wait: seconds that the request would wait in this region.
         """
-
         known = set()
 
         def helps(candidate):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -182,7 +182,7 @@
         "soon",
     ),
     Mutation(
-        "MEMBERS-objection",
+        "MEMBERS-refutation",
         f"{STEERING}/process/membership/members.py",
         "        if own.fields() != news.fields():",
         "        if False:",
