Requests cut at once make one rest of a target

Ruled out: the trials themselves, one at a time. Now a failure of a request that was sent before the rest began tells nothing new.

--- a/src/heathercleat/steering/process/capacity/health.py
+++ b/src/heathercleat/steering/process/capacity/health.py
@@ -2,6 +2,8 @@
 
 from random import uniform
 
+from heathercleat.process.clock import NEVER
+
 #: Weight of the newest answer in the means.
 LATENCY_WEIGHT = 0.15
 FAILURE_WEIGHT = 0.2
@@ -23,11 +25,19 @@
 class TargetHealth:
     """Means over a target's answers, and its rests; latency in seconds."""
 
-    __slots__ = ("latency", "failures", "rest_until", "rests", "on_trial")
+    __slots__ = (
+        "latency",
+        "failures",
+        "rest_began_at",
+        "rest_until",
+        "rests",
+        "on_trial",
+    )
 
     def __init__(self):
         self.latency = 0.0
         self.failures = 0.0
+        self.rest_began_at = NEVER
         self.rest_until = 0.0
         self.rests = 0
         self.on_trial = False
@@ -42,8 +52,20 @@
             self.failures = 0.0
         self.rests = max(0, self.rests - 1)
 
-    def failed(self, now):
-        """Note a refused, broken or failed answer; return whether a rest begins."""
+    def is_known(self, began_at):
+        """Return whether a failure tells nothing new: it began before the rest.
+
+        Four requests that were cut at once made a rest of 4 s out of one of 0.5 s.
+        """
+        return began_at <= self.rest_began_at
+
+    def failed(self, now, began_at):
+        """Note a refused, broken or failed answer; return whether a rest begins.
+
+        :param began_at: instant at which the request was sent.
+        """
+        if self.is_known(began_at):
+            return False
         self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
         if self.failures < REST_SHARE and not self.on_trial:
             return False
@@ -52,6 +74,7 @@
 
     def rest(self, now):
         """Take the target out for a while; then one request tries it."""
+        self.rest_began_at = now
         length = min(LONGEST_REST, FIRST_REST * 2**self.rests)
         self.rest_until = now + uniform(0.8, 1.2) * length
         self.rests += 1
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -63,7 +63,7 @@
         try:
             stream = await self._connect(call, entry, began_at)
         except (OSError, TimeoutError) as error:
-            self._rest(target, f"connect: {error!r}")
+            self._rest(target, began_at, f"connect: {error!r}")
             return TryResult(End.NOT_SENT, target=entry.id, reason=repr(error))
         exchange = TargetExchange(stream, call, entry, self._clock)
         call.on_leave = stream
@@ -77,7 +77,7 @@
         result.work = self._clock.now() - began_at
         await self._put_back(entry, stream, exchange.head)
         home = entry.id in preferred
-        self._learn(call, target, exchange.head, result, home)
+        self._learn(call, use, exchange.head, result, home)
         return result
 
     async def _connect(self, call, entry, now):
@@ -93,8 +93,8 @@
         keep_for = head.keep_for and max(0.0, head.keep_for - KEEP_MARGIN)
         await self._pool.give_back(entry.host, entry.port, stream, keep_for)
 
-    def _learn(self, call, target, head, result, home):
-        now = self._clock.now()
+    def _learn(self, call, use, head, result, home):
+        target, now = use.target, self._clock.now()
         if head is not None and head.running is not None:
             target.reported(head.running, head.waiting, now)
         if call.left:
@@ -104,10 +104,12 @@
         elif result.end is End.ANSWERED and result.answer.status < _SERVER_ERROR:
             target.health.succeeded(result.work)
             self._work_times.observe(call.route.name, result.work, home)
-        elif target.health.failed(now):
+        elif target.health.failed(now, use.began_at):
             self._log_rest(target, result.reason or "server errors")
 
-    def _rest(self, target, reason):
+    def _rest(self, target, began_at, reason):
+        if target.health.is_known(began_at):
+            return
         target.health.rest(self._clock.now())
         self._log_rest(target, reason)
 
--- a/tests/test_owned_slots.py
+++ b/tests/test_owned_slots.py
@@ -64,11 +64,37 @@
     assert len(owned(parts).uses) == len(target.uses) > 0
 
 
+def fail_until_it_rests(target, now):
+    while not target.health.failed(now, now):
+        pass
+
+
+def test_requests_cut_at_the_same_time_make_one_rest():
+    parts = Parts([entry("t1", slots=4)])
+    target = owned(parts)
+    began_at = parts.clock.now()
+    parts.clock.time += 0.1
+    fail_until_it_rests(target, parts.clock.now())
+    rest_until = target.health.rest_until
+    parts.clock.time += 0.01
+    assert not target.health.failed(parts.clock.now(), began_at)
+    assert target.health.rest_until == rest_until
+
+
+def test_trial_that_fails_makes_a_longer_rest():
+    parts = Parts([entry("t1", slots=4)])
+    target = owned(parts)
+    fail_until_it_rests(target, parts.clock.now())
+    first = target.health.rest_until - parts.clock.now()
+    parts.clock.time += 1.0
+    assert target.health.failed(parts.clock.now(), parts.clock.now())
+    assert target.health.rest_until - parts.clock.now() > first
+
+
 def test_failing_target_rests_and_is_tried_by_one_request():
     parts = Parts([entry("t1", slots=4)])
     target = owned(parts)
-    while not target.health.failed(parts.clock.now()):
-        pass
+    fail_until_it_rests(target, parts.clock.now())
     assert target.free(parts.clock.now()) == 0
     parts.clock.time += 5.0
     assert target.free(parts.clock.now()) == 1
