A lab: scenarios on real processes, an open load, tables, a plot and comparisons

Known libraries for histograms (hdrhistogram) and plots (pygal), both for development only. Targets of the stand-in remember objects and take longer for others.

--- /dev/null
+++ b/standins/lab/experiment.py
@@ -0,0 +1,118 @@
+"""Runs a scenario: processes, load and faults."""
+
+import signal
+import threading
+import time
+
+from standins.lab.load import Load
+from standins.steering_fleet import SteeringFleet
+
+SUBNET = 39
+SERVICE = "s1"
+#: Attributes of the only route.
+ROUTE = {
+    "name": "two",
+    "prefix": "/one/two/",
+    "kind": "safe",
+    "priority": 1,
+    "service": SERVICE,
+    "maxAttempts": 2,
+    "sessionAffinity": True,
+    "allowedRegions": [],
+}
+LIMITS = {
+    "maxHeaderBytes": 16384,
+    "maxBodyBytes": 1 << 20,
+    "headerTimeout": "3000ms",
+    "idleTimeout": "15000ms",
+}
+
+
+def run_scenario(scenario):
+    """Run a :class:`Scenario` and return its list of :class:`Result`."""
+    targets = {
+        name: (SERVICE, domain, slots)
+        for name, (domain, slots) in scenario.targets.items()
+    }
+    with SteeringFleet(
+        _configuration(scenario),
+        scenario.failure_domains,
+        scenario.vms,
+        targets,
+        subnet=SUBNET,
+        proxied=True,
+    ) as fleet:
+        for name in targets:
+            fleet.switch_target(
+                name,
+                work_s=scenario.work,
+                learning_x=scenario.learning_factor,
+                remembers=scenario.remembered,
+            )
+        load = Load(fleet, scenario)
+        thread = threading.Thread(target=load.run)
+        thread.start()
+        _inject(fleet, scenario)
+        thread.join()
+        return load.results
+
+
+def _configuration(scenario):
+    route = {
+        **ROUTE,
+        "timeout": f"{scenario.deadline}s",
+        "targetLatency": f"{scenario.aim}s",
+    }
+    return {
+        "version": "r1",
+        "services": [{"name": SERVICE, "maxConnections": 400}],
+        "limits": LIMITS,
+        "hosts": [{"host": "a.example", "paths": [route]}],
+    }
+
+
+def _inject(fleet, scenario):
+    """Begin and end the faults at their instants."""
+    began_at = time.monotonic()
+    steps = []
+    for fault in scenario.faults:
+        begin, end = _actions(fleet, scenario, fault)
+        steps.append((fault.at, begin))
+        if fault.until is not None and end is not None:
+            steps.append((fault.until, end))
+    for at, act in sorted(steps, key=lambda step: step[0]):
+        time.sleep(max(0.0, began_at + at - time.monotonic()))
+        act()
+
+
+def _actions(fleet, scenario, fault):
+    """Return what begins a fault and what ends it, ``None`` where nothing does."""
+    vm = fleet.vms.get(fault.name)
+    name, seconds = fault.name, fault.seconds
+    return {
+        "kill_vm": lambda: (lambda: vm.process.kill(), lambda: fleet.start_vm(vm)),
+        "stop_vm": lambda: (
+            lambda: fleet.stop_vm(vm),
+            lambda: fleet.start_vm(vm),
+        ),
+        "pause_vm": lambda: (
+            lambda: fleet.stop_vm(vm, signal.SIGSTOP),
+            lambda: fleet.stop_vm(vm, signal.SIGCONT),
+        ),
+        "store_down": lambda: (
+            lambda: fleet.switch_store(down="silent"),
+            lambda: fleet.switch_store(down=None),
+        ),
+        "slow_target": lambda: (
+            lambda: fleet.switch_target(name, work_s=seconds),
+            lambda: fleet.switch_target(name, work_s=scenario.work),
+        ),
+        "cut_link": lambda: (
+            lambda: fleet.switch_link(name, cut="both"),
+            lambda: fleet.switch_link(name, cut=None),
+        ),
+        "delay_link": lambda: (
+            lambda: fleet.switch_link(name, delay_s=seconds),
+            lambda: fleet.switch_link(name, delay_s=0.0),
+        ),
+    }[fault.kind]()
--- /dev/null
+++ b/standins/lab/load.py
@@ -0,0 +1,145 @@
+"""An open load of requests on steering VMs, with clients that come back once."""
+
+import json
+from random import Random
+
+from curio import TaskGroup, run, sleep
+
+from heathercleat.connection.http import (
+    CONNECTION_ERRORS,
+    Message,
+    before,
+    connect,
+    exchange,
+)
+from heathercleat.process.clock import SystemClock
+from standins.steering_fleet import FRONT_PORT, READY_PORT
+
+MAX_ANSWER_BYTES = 1 << 20
+#: Seconds for which a client keeps a look-up, and that it waits for one.
+LOOKUP_SECONDS = 1.0
+#: Seconds after which a client without advice comes back.
+USUAL_RETURN = 0.1
+#: Attempts of a client: the first one and one repeat.
+MOST_ATTEMPTS = 2
+
+
+class Result:
+    """How one request ended; instants are seconds from the start of the load.
+
+    :param status: of the last answer, ``None`` when there was none.
+    """
+
+    __slots__ = ("sent_at", "domain", "seconds", "status", "attempts")
+
+    def __init__(self, sent_at, domain, seconds, status, attempts):
+        self.sent_at = sent_at
+        self.domain = domain
+        self.seconds = seconds
+        self.status = status
+        self.attempts = attempts
+
+
+class Load:
+    """Sends the requests of a scenario.
+
+    :param fleet: the :class:`SteeringFleet`.
+    """
+
+    def __init__(self, fleet, scenario):
+        self._fleet = fleet
+        self._scenario = scenario
+        self._clock = SystemClock()
+        self._began_at = 0.0
+        self._known = {}
+        self.results = []
+
+    def run(self):
+        """Send until the scenario's end, and wait for the last answers."""
+        run(self._run)
+
+    async def _run(self):
+        self._began_at = self._clock.now()
+        async with TaskGroup() as group:
+            for domain, rate in self._scenario.clients.items():
+                await group.spawn(self._arrivals, group, domain, rate)
+
+    async def _arrivals(self, group, domain, rate):
+        rng = Random(f"{self._scenario.seed} {domain}")
+        at = self._began_at
+        number = 0
+        while True:
+            at += rng.expovariate(rate)
+            if at >= self._began_at + self._scenario.length:
+                return
+            await sleep(max(0.0, at - self._clock.now()))
+            number += 1
+            request = f"{domain}-{number}"
+            item = rng.randrange(self._scenario.objects)
+            await group.spawn(self._request, domain, request, item, rng)
+
+    async def _request(self, domain, request, item, rng):
+        began_at = self._clock.now()
+        deadline = began_at + self._scenario.deadline
+        status = None
+        for attempt in range(1, MOST_ATTEMPTS + 1):
+            status, wait = await self._attempt(
+                domain, f"{request}-{attempt}", item, deadline, rng
+            )
+            if status is not None and status != 503:
+                break
+            if self._clock.now() + wait >= deadline or attempt == MOST_ATTEMPTS:
+                break
+            await sleep(wait)
+        seconds = self._clock.now() - began_at
+        sent_at = began_at - self._began_at
+        self.results.append(Result(sent_at, domain, seconds, status, attempt))
+
+    async def _attempt(self, domain, request, item, deadline, rng):
+        """Return the status, and after how many seconds to come back."""
+        remaining = int(1000 * (deadline - self._clock.now()))
+        headers = {
+            "host": "a.example",
+            "request-id": request,
+            "deadline-ms": str(max(1, remaining)),
+            "cookie": f"Affinity-Key={item}",
+        }
+        message = Message(path=f"/one/two/{item}", headers=headers)
+        try:
+            host = rng.choice(await self._look_up(domain))
+            stream = await connect(host, FRONT_PORT, deadline, self._clock)
+            try:
+                asking = exchange(stream, message, MAX_ANSWER_BYTES)
+                answer = await before(deadline, self._clock, asking)
+            finally:
+                await stream.close()
+        except (TimeoutError, *CONNECTION_ERRORS):
+            self._known.pop(domain, None)
+            return None, USUAL_RETURN
+        wait = float(answer.headers.get("retry-after", USUAL_RETURN))
+        return answer.status, wait
+
+    async def _look_up(self, domain):
+        """Return the hosts that the directory names for a failure domain."""
+        known, until = self._known.get(domain, (None, 0.0))
+        if self._clock.now() < until:
+            return known
+        region = self._scenario.failure_domains[domain]
+        path = f"/v1/resolve?name=a.example&region={region}&zone={domain}"
+        for vm in self._fleet.vms.values():
+            deadline = self._clock.now() + LOOKUP_SECONDS
+            try:
+                stream = await connect(vm.host, READY_PORT, deadline, self._clock)
+                try:
+                    asking = exchange(stream, Message(path=path), MAX_ANSWER_BYTES)
+                    answer = await before(deadline, self._clock, asking)
+                finally:
+                    await stream.close()
+            except (TimeoutError, *CONNECTION_ERRORS):
+                continue
+            if answer.status == 200:
+                addresses = json.loads(answer.body)["addresses"]
+                hosts = [address.rpartition(":")[0] for address in addresses]
+                self._known[domain] = hosts, self._clock.now() + LOOKUP_SECONDS
+                return hosts
+        raise EOFError("no VM answered a look-up")
--- /dev/null
+++ b/standins/lab/report.py
@@ -0,0 +1,137 @@
+"""Reports on an experiment: tables in Markdown, a plot, and the figures as JSON."""
+
+import json
+
+import pygal
+from hdrh.histogram import HdrHistogram
+
+OUTCOMES = ("in aim", "late", "refused", "failed")
+MILLISECONDS = 1000
+#: Milliseconds that the histogram distinguishes at most, with three digits.
+LONGEST_MS = 60_000
+DIGITS = 3
+
+
+class Group:
+    """Counts and latencies of some requests.
+
+    :param aim: seconds within which an answer is in aim.
+    """
+
+    def __init__(self, results, aim):
+        self.counts = dict.fromkeys(OUTCOMES, 0)
+        self._latencies = HdrHistogram(1, LONGEST_MS, DIGITS)
+        for result in results:
+            self.counts[outcome(result, aim)] += 1
+            if result.status == 200:
+                self._latencies.record_value(int(result.seconds * MILLISECONDS))
+
+    @property
+    def total(self):
+        """Return the number of requests."""
+        return sum(self.counts.values())
+
+    def latency(self, percentile):
+        """Return a percentile of the latency of answers, in milliseconds."""
+        return self._latencies.get_value_at_percentile(percentile)
+
+    def row(self, name):
+        """Return a line of a Markdown table."""
+        counts = " | ".join(str(self.counts[each]) for each in OUTCOMES)
+        times = f"{self.latency(50)} | {self.latency(99)}"
+        return f"| {name} | {self.total} | {counts} | {times} |"
+
+
+HEADING = (
+    f"| | asked | {' | '.join(OUTCOMES)} | p50 ms | p99 ms |\n"
+    "| --- | --- | --- | --- | --- | --- | --- | --- |"
+)
+
+
+def outcome(result, aim):
+    """Return which of :data:`OUTCOMES` a request had."""
+    if result.status == 200:
+        return "in aim" if result.seconds <= aim else "late"
+    return "refused" if result.status == 503 else "failed"
+
+
+class Report:
+    """What came of a scenario.
+
+    :param scenario: the :class:`Scenario`.
+    :param results: a list of :class:`Result`.
+    """
+
+    def __init__(self, scenario, results):
+        self._scenario = scenario
+        self._whole = Group(results, scenario.aim)
+        self._domains = _grouped(results, lambda each: each.domain, scenario.aim)
+        self._seconds = _grouped(results, lambda each: int(each.sent_at), scenario.aim)
+
+    def write(self, folder):
+        """Write ``report.md``, ``plot.svg`` and ``report.json``."""
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "report.md").write_text(self.markdown())
+        (folder / "plot.svg").write_bytes(self._plot())
+        (folder / "report.json").write_text(json.dumps(self.figures(), indent=1))
+
+    def markdown(self):
+        """Return the tables."""
+        faults = [f"- {fault.describe()}" for fault in self._scenario.faults]
+        return "\n".join(
+            [
+                "# Faults",
+                "",
+                *(faults or ["none"]),
+                "",
+                "# All requests and by failure domain of the client",
+                "",
+                HEADING,
+                self._whole.row("all"),
+                *(each.row(name) for name, each in self._domains.items()),
+                "",
+                "# By second",
+                "",
+                HEADING,
+                *(each.row(second) for second, each in self._seconds.items()),
+                "",
+            ]
+        )
+
+    def figures(self):
+        """Return the figures that :func:`compare` puts side by side."""
+        groups = {"all": self._whole, **self._domains}
+        return {
+            name: {
+                "in aim %": round(100 * group.counts["in aim"] / group.total, 1),
+                "refused %": round(100 * group.counts["refused"] / group.total, 1),
+                "failed %": round(100 * group.counts["failed"] / group.total, 1),
+                "p50 ms": group.latency(50),
+                "p99 ms": group.latency(99),
+            }
+            for name, group in groups.items()
+        }
+
+    def _plot(self):
+        chart = pygal.StackedLine(fill=True, title="Requests by second and outcome")
+        chart.x_labels = list(map(str, self._seconds))
+        for each in OUTCOMES:
+            counts = [group.counts[each] for group in self._seconds.values()]
+            chart.add(each, counts)
+        return chart.render()
+
+
+def compare(before, after):
+    """Return a Markdown table of two files' figures side by side."""
+    lines = ["| | figure | before | after |", "| --- | --- | --- | --- |"]
+    for name in before.keys() & after.keys():
+        for figure, value in before[name].items():
+            lines.append(f"| {name} | {figure} | {value} | {after[name][figure]} |")
+    return "\n".join([*lines[:2], *sorted(lines[2:])])
+
+
+def _grouped(results, key, aim):
+    groups = {}
+    for result in results:
+        groups.setdefault(key(result), []).append(result)
+    return {name: Group(groups[name], aim) for name in sorted(groups)}
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -3,13 +3,15 @@
 ``POST /switch`` with a JSON map sets: ``work_s`` (seconds that a request takes), ``id``
 (its incarnation), ``shed`` (share of requests refused), ``status`` (of its answers),
 ``cut`` (close in the middle of the answer), ``stray`` (an answer to another request
-goes first), ``unsigned`` (no signature), ``encoded`` (an encoding header) and ``lose``
-(run the request and reset). ``GET /record`` tells the runs and the most requests at
-once.
+goes first), ``unsigned`` (no signature), ``encoded`` (an encoding header), ``lose``
+(run the request and reset), ``learning_x`` (times longer that it takes for an object
+that it does not remember) and ``remembers`` (how many it does). ``GET /record`` tells
+the runs and the most requests at once.
 """
 
 import json
 from argparse import ArgumentParser
+from collections import OrderedDict
 from hashlib import sha256
 
 import h11
@@ -47,7 +49,10 @@
             "unsigned": False,
             "encoded": False,
             "lose": False,
+            "learning_x": 1.0,
+            "remembers": 24,
         }
+        self._remembered = OrderedDict()
 
     async def serve(self, sock, address):
         """Answer requests on one connection."""
@@ -95,11 +100,22 @@
             ]
         )
         try:
-            await sleep(self._switches["work_s"])
+            await sleep(self._work(headers.get(b"cookie")))
         finally:
             self._running -= 1
         await self._answer(stream, echo, body)
 
+    def _work(self, item):
+        """Return the seconds that a request for an object takes, and remember it."""
+        known = item in self._remembered
+        self._remembered[item] = None
+        self._remembered.move_to_end(item)
+        while len(self._remembered) > self._switches["remembers"]:
+            self._remembered.popitem(last=False)
+        return self._switches["work_s"] * (
+            1.0 if known else self._switches["learning_x"]
+        )
+
     def _must_shed(self):
         share = self._switches["shed"]
         total = len(self._runs) + self._shed + 1
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,98 @@
+import json
+import subprocess
+import sys
+
+import pytest
+
+from standins.lab.load import Result
+from standins.lab.report import Group, Report, compare, outcome
+from standins.lab.scenario import Scenario, ScenarioError, load_scenario
+
+DOCUMENT = {
+    "seconds": 2,
+    "failure_domains": {"north-a": "north"},
+    "vms": {"north-a": 1},
+    "targets": {"t-1": {"failure_domain": "north-a", "slots": 4}},
+    "clients": {"north-a": 10},
+    "work_s": 0.02,
+    "faults": [{"at_s": 1, "for_s": 0.5, "kind": "store_down"}],
+}
+
+
+def result(status=200, seconds=0.1, sent_at=0.5, domain="north-a"):
+    return Result(sent_at, domain, seconds, status, 1)
+
+
+def write(folder, **changes):
+    path = folder / "scenario.jsonc"
+    path.write_text("// a comment\n" + json.dumps({**DOCUMENT, **changes}))
+    return path
+
+
+@pytest.mark.parametrize(
+    ("ended", "expected"),
+    [
+        (result(), "in aim"),
+        (result(seconds=0.4), "late"),
+        (result(503), "refused"),
+        (result(502), "failed"),
+        (result(None), "failed"),
+    ],
+)
+def test_outcomes(ended, expected):
+    assert outcome(ended, 0.3) == expected
+
+
+def test_latencies_are_those_of_answers():
+    group = Group([result(seconds=0.1), result(503, seconds=9.0)], 0.3)
+    assert (group.total, group.latency(99)) == (2, 100)
+
+
+@pytest.mark.parametrize(
+    ("changes", "message"),
+    [
+        ({"clients": {"nowhere": 1}}, "clients/nowhere: no such failure domain"),
+        ({"vms": {"nowhere": 1}}, "vms/nowhere: no such failure domain"),
+        ({"seconds": 0}, "seconds: 0 is less than"),
+        ({"typo": 1}, "'typo' was unexpected"),
+        ({"faults": [{"at_s": 1, "kind": "flood"}]}, "'flood' is not one of"),
+    ],
+)
+def test_scenario_that_makes_no_sense_is_an_error(tmp_path, changes, message):
+    with pytest.raises(ScenarioError, match=message):
+        load_scenario(write(tmp_path, **changes))
+
+
+def test_report_has_tables_a_plot_and_figures(tmp_path):
+    results = [result(), result(503, sent_at=1.5, domain="north-b")]
+    Report(Scenario(DOCUMENT), results).write(tmp_path)
+    text = (tmp_path / "report.md").read_text()
+    assert "1 s to 1.5 s: store_down" in text
+    assert "| north-b | 1 | 0 | 0 | 1 | 0 |" in text
+    assert (tmp_path / "plot.svg").read_bytes().startswith(b"<?xml")
+    figures = json.loads((tmp_path / "report.json").read_text())
+    assert figures["all"]["in aim %"] == 50.0
+
+
+def test_two_reports_are_put_side_by_side():
+    before = {"all": {"in aim %": 50.0}}
+    after = {"all": {"in aim %": 75.0}, "north-a": {"in aim %": 75.0}}
+    assert compare(before, after).splitlines()[-1] == "| all | in aim % | 50.0 | 75.0 |"
+
+
+def test_scenario_runs_from_the_command_line(tmp_path):
+    command = [sys.executable, "-m", "standins.lab", "run"]
+    paths = [str(write(tmp_path)), str(tmp_path / "out")]
+    done = subprocess.run([*command, *paths], capture_output=True, text=True)
+    assert done.returncode == 0, done.stderr
+    figures = json.loads((tmp_path / "out" / "report.json").read_text())
+    assert figures["all"]["in aim %"] > 0
+
+
+def test_bad_scenario_is_told_on_the_command_line(tmp_path):
+    command = [sys.executable, "-m", "standins.lab", "run"]
+    paths = [str(write(tmp_path, typo=1)), str(tmp_path / "out")]
+    done = subprocess.run([*command, *paths], capture_output=True, text=True)
+    assert done.returncode != 0
+    assert "typo" in done.stderr
+    assert "Traceback" not in done.stderr
