--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -211,8 +211,8 @@
         path.write_text(json.dumps(settings, indent=1))
         reloads = self._reloads(vm)
         vm.process.send_signal(signal.SIGHUP)
-        # Without the wait, a VM that lacks processor time goes on for a while uncut; one
-        # that is paused or dead takes nothing.
+        # Without the wait, a VM that lacks processor time goes on for a while uncut.
+        # One that is paused or dead takes nothing.
         with suppress(TimeoutError):
             wait_for(lambda: self._reloads(vm) > reloads, RELOAD_SECONDS)
 
