A reader of the store takes what other VMs know while its call is not answered

Ruled out: the storm of 80 versions (others followed it), the relay (it was not asked at all). Now a reader looks at what others know all the while, under the same delays as others. test_follower: a reader whose call is not answered, red before.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -2,7 +2,7 @@
 
 from random import uniform
 
-from curio import sleep
+from curio import sleep, spawn
 
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
@@ -94,7 +94,7 @@
         """Follow the table until cancelled."""
         while True:
             if self._may_read():
-                await sleep(await self._read_store())
+                await sleep(await self._read_beside_peers())
             else:
                 await self._ask_peer()
                 await sleep(PEER_INTERVAL)
@@ -104,6 +104,23 @@
             return True
         return self.lost and self._clock.now() >= self._try_at
 
+    async def _read_beside_peers(self):
+        """Make one call and return the seconds until the next one.
+
+        Meanwhile take what other VMs know: a call whose answer is lost lasts up to six
+        seconds, in which this VM was the only one without the new configuration.
+        """
+        watch = await spawn(self._watch_peers)
+        try:
+            return await self._read_store()
+        finally:
+            await watch.cancel()
+
+    async def _watch_peers(self):
+        while True:
+            await sleep(PEER_INTERVAL)
+            await self._ask_peer()
+
     async def _read_store(self):
         """Make one call and return the seconds until the next one."""
         try:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -12,6 +12,7 @@
 )
 
 PAUSE = 0.01
+SILENT_SECONDS = 60.0
 
 
 class ScriptedStore:
@@ -23,6 +24,7 @@
         self.version = 0
         self.down = False
         self.forget = False
+        self.silent = False
         self.reads = 0
         self.calls = 0
 
@@ -41,6 +43,9 @@
 
     async def follow(self, table, after, wait):
         self._call()
+        if self.silent:
+            await sleep(SILENT_SECONDS)
+            raise PlatformError("no answer")
         if self.forget:
             self.forget = False
             raise HistoryLostError("gone")
@@ -131,6 +136,21 @@
     assert made.store.reads == 2
 
 
+def test_reader_whose_call_is_not_answered_takes_what_others_know():
+    made = Follower()
+    made.store.put("a", b"1")
+
+    def lose():
+        made.store.silent = True
+
+    def change_elsewhere():
+        made.peer = Snapshot(9, [StoreRow("b", b"2", 9)])
+
+    made.play(lose, change_elsewhere)
+    assert made.keys == ["b"]
+    assert made.follower.changed == 9
+
+
 def test_store_that_returns_is_noticed():
     made = Follower()
     made.play(
