Read again: what was worked out or written twice

- The near targets that know an object were ranked up to four times for a request whose home is busy, and the choice of targets was made anew for its expected wait: once each now.
- The rule for half of a target's slots and the moving mean by key stand once.
- Whether a VM may serve was still looked at each 0.5 s, though the first configuration and the first targets tell it.
- The lab wrote one exchange twice, and started a stopped VM without waiting for its end.
No behaviour of steer is changed.

--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -28,7 +28,12 @@
     """
     if not preferred or entry.id in preferred:
         return True
-    return free >= IDLE_SHARE * entry.slots
+    return is_half(entry, free)
+
+
+def is_half(entry, count):
+    """Return whether so many slots are :data:`IDLE_SHARE` of a target's."""
+    return count >= IDLE_SHARE * entry.slots
 
 
 class Use:
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -10,7 +10,7 @@
 from heapq import nlargest
 from typing import Protocol
 
-from heathercleat.steering.process.capacity.slots import IDLE_SHARE
+from heathercleat.steering.process.capacity.slots import is_half
 from heathercleat.version.hashing import weight
 
 #: Seconds for which the sums over a region's targets are kept: a tenth of the interval
@@ -56,7 +56,7 @@
     def is_sound(self, now):
         """Return whether the target takes requests at its usual rate."""
         limit = self.room.limit(now)
-        return limit is None or limit >= IDLE_SHARE * self.entry.slots
+        return limit is None or is_half(self.entry, limit)
 
 
 class Summary:
@@ -76,7 +76,7 @@
         free = [each.room.free(now) for each in candidates]
         self.free = sum(max(0, each) for each in free)
         self.idle = any(
-            count > 0 and count >= IDLE_SHARE * each.entry.slots
+            count > 0 and is_half(each.entry, count)
             for count, each in zip(free, candidates, strict=True)
         )
 
--- a/src/heathercleat/steering/process/capacity/work.py
+++ b/src/heathercleat/steering/process/capacity/work.py
@@ -1,5 +1,7 @@
 """How long targets take for the requests of each route."""
 
+from heathercleat.steering.process.means import move_mean
+
 #: Weight of the newest answer in the means.
 WEIGHT = 0.05
 
@@ -20,8 +22,9 @@
 
         :param home: whether the target is one that gets the requests for the object.
         """
-        _move_mean(self._means, route, seconds)
-        _move_mean(self._home if home else self._other, route, seconds)
+        parts = self._home if home else self._other
+        move_mean(self._means, route, seconds, WEIGHT)
+        move_mean(parts, route, seconds, WEIGHT)
 
     def of(self, route):
         """Return the mean of a route; 0 before the first answer."""
@@ -34,8 +37,3 @@
     def elsewhere(self, route):
         """Return the mean at other targets."""
         return self._other.get(route, 0.0)
-
-
-def _move_mean(means, route, seconds):
-    mean = means.get(route, seconds)
-    means[route] = mean + WEIGHT * (seconds - mean)
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -8,6 +8,7 @@
 from msgpack.exceptions import UnpackException
 
 from heathercleat.events import Event
+from heathercleat.steering.process.means import move_mean
 from heathercleat.steering.process.membership.beat import Beat
 
 #: Seconds between two heartbeats: room reports are stale for half of it on average,
@@ -248,8 +249,8 @@
 
     def _observe_trip(self, member, seconds):
         seconds = max(0.0, seconds)
-        _move_mean(self._trips, member.vm, seconds)
-        _move_mean(self._region_trips, member.region, seconds)
+        move_mean(self._trips, member.vm, seconds, _TRIP_WEIGHT)
+        move_mean(self._region_trips, member.region, seconds, _TRIP_WEIGHT)
 
     def _log_bad(self, address, error):
         self._bad += 1
@@ -261,8 +262,3 @@
 def _some(members):
     """Return a few members, others each time."""
     return sample(members, min(TRIED_AT_ONCE, len(members)))
-
-
-def _move_mean(means, key, value):
-    mean = means.get(key, value)
-    means[key] = mean + _TRIP_WEIGHT * (value - mean)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -271,7 +271,6 @@
                 self._ledger.judge_speeds()
                 await self._target_pool.sweep()
                 await self._peer_pool.sweep()
-                self._update_serving()
             await self._admission.pump_all()
             await sleep(UPKEEP_INTERVAL)
 
--- a/src/heathercleat/steering/request/choice.py
+++ b/src/heathercleat/steering/request/choice.py
@@ -17,7 +17,15 @@
     :param avoid_vms: names of VMs whose targets to leave out.
     """
 
-    __slots__ = ("call", "now", "_regions", "_own_region", "_avoid", "_avoid_vms")
+    __slots__ = (
+        "call",
+        "now",
+        "_regions",
+        "_own_region",
+        "_avoid",
+        "_avoid_vms",
+        "_near_homes",
+    )
 
     def __init__(self, call, regions, own_region, avoid, avoid_vms, now):
         self.call = call
@@ -26,6 +34,7 @@
         self._own_region = own_region
         self._avoid = avoid
         self._avoid_vms = avoid_vms
+        self._near_homes = None
 
     @property
     def near(self):
@@ -58,7 +67,9 @@
     @property
     def near_homes(self):
         """Return the candidates of this region that know the object."""
-        return self.homes(self.near) if self.near else []
+        if self._near_homes is None:
+            self._near_homes = self.homes(self.near) if self.near else []
+        return self._near_homes
 
     def homes(self, targets, usable=None):
         """Return the candidates of a region that know the object, the best first."""
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -114,8 +114,7 @@
 
     def expected_wait(self, call):
         """Return the shortest known wait in this region in seconds, or ``None``."""
-        near = self._choice(call).near
-        return self._estimates.shortest_wait(near, call.service) if near else None
+        return self._known_wait(self._choice(call))
 
     def describe(self, call):
         """Return what is known of the targets that may run a request, for the log."""
@@ -123,7 +122,7 @@
         near = [choice.near] if choice.near else []
         parts = [_describe("here", near, choice.now)]
         parts.append(_describe("elsewhere", choice.far, choice.now))
-        wait = self.expected_wait(call)
+        wait = self._known_wait(choice)
         parts.append("no wait known" if wait is None else f"wait {wait:.3f} s")
         return "; ".join(parts)
 
@@ -163,7 +162,7 @@
         near = choice.near
         if near is None:
             return None
-        homes = choice.homes(near)
+        homes = choice.near_homes
         if len(choice.call.body) < LARGE_BODY:
             return self._best(choice, near, homes, choice.usable, False)
         here = self._members.own.failure_domain
@@ -215,9 +214,16 @@
         elsewhere = candidate.owner != self._members.own.vm
         return elsewhere, -candidate.room.free(now) / candidate.entry.slots
 
+    def _known_wait(self, choice):
+        """Return the shortest known wait in this region, or ``None``."""
+        near = choice.near
+        if near is None:
+            return None
+        return self._estimates.shortest_wait(near, choice.call.service)
+
     def _near_wait(self, choice):
         """Return the shortest wait in this region; infinite where there is none."""
-        wait = self.expected_wait(choice.call)
+        wait = self._known_wait(choice)
         return float("inf") if wait is None else wait
 
     def _best_far(self, choice, near_wait):
--- a/standins/lab/experiment.py
+++ b/standins/lab/experiment.py
@@ -90,10 +90,10 @@
     vm = fleet.vms.get(fault.name)
     name, seconds = fault.name, fault.seconds
     return {
-        "kill_vm": lambda: (lambda: vm.process.kill(), lambda: fleet.start_vm(vm)),
+        "kill_vm": lambda: (vm.process.kill, lambda: fleet.restart_vm(vm)),
         "stop_vm": lambda: (
             lambda: fleet.stop_vm(vm),
-            lambda: fleet.start_vm(vm),
+            lambda: fleet.restart_vm(vm),
         ),
         "pause_vm": lambda: (
             lambda: fleet.stop_vm(vm, signal.SIGSTOP),
--- a/standins/lab/load.py
+++ b/standins/lab/load.py
@@ -107,18 +107,22 @@
         message = Message(path=f"/one/two/{item}", headers=headers)
         try:
             host = rng.choice(await self._look_up(domain))
-            stream = await connect(host, FRONT_PORT, deadline, self._clock)
-            try:
-                asking = exchange(stream, message, MAX_ANSWER_BYTES)
-                answer = await before(deadline, self._clock, asking)
-            finally:
-                await stream.close()
+            answer = await self._ask(host, FRONT_PORT, message, deadline)
         except (TimeoutError, *CONNECTION_ERRORS):
             self._known.pop(domain, None)
             return None, USUAL_RETURN
         wait = float(answer.headers.get("retry-after", USUAL_RETURN))
         return answer.status, wait
 
+    async def _ask(self, host, port, message, deadline):
+        """Return the answer to a message on a connection of its own."""
+        stream = await connect(host, port, deadline, self._clock)
+        try:
+            asking = exchange(stream, message, MAX_ANSWER_BYTES)
+            return await before(deadline, self._clock, asking)
+        finally:
+            await stream.close()
+
     async def _look_up(self, domain):
         """Return the hosts that the directory names for a failure domain."""
         known, until = self._known.get(domain, (None, 0.0))
@@ -129,12 +133,8 @@
         for vm in self._fleet.vms.values():
             deadline = self._clock.now() + LOOKUP_SECONDS
             try:
-                stream = await connect(vm.host, READY_PORT, deadline, self._clock)
-                try:
-                    asking = exchange(stream, Message(path=path), MAX_ANSWER_BYTES)
-                    answer = await before(deadline, self._clock, asking)
-                finally:
-                    await stream.close()
+                message = Message(path=path)
+                answer = await self._ask(vm.host, READY_PORT, message, deadline)
             except (TimeoutError, *CONNECTION_ERRORS):
                 continue
             if answer.status == 200:
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -7,7 +7,13 @@
 import sys
 from http.client import HTTPException
 
-from standins.fleet import SUBNET_VARIABLE, Deployment, call, wait_for
+from standins.fleet import (
+    STOP_SECONDS,
+    SUBNET_VARIABLE,
+    Deployment,
+    call,
+    wait_for,
+)
 from standins.skewed import SKEW_VARIABLE
 
 STORE_PORT = 7000
@@ -137,6 +143,11 @@
         }
         vm.process = self._processes.start(vm.name, command, **variables)
 
+    def restart_vm(self, vm):
+        """Start a VM whose process was told to end, once it has."""
+        vm.process.wait(STOP_SECONDS)
+        self.start_vm(vm)
+
     def stop_vm(self, vm, signum=signal.SIGTERM):
         """Send a signal to the process of a VM."""
         vm.process.send_signal(signum)
