One loop for connections that serve requests

The connections of clients in steer and of callers in serve had the same loop, the same end of a request and the same errors of a head. They stand in connection/serving.py now. Gone too: a counter of the store's client that nobody read, lambdas around lambdas in the lab.

--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -6,11 +6,9 @@
 from urllib.parse import parse_qs, urlsplit
 
 import h11
-from curio import ignore_after
 
 from heathercleat.codes import ResultCode, Run
 from heathercleat.connection.http import (
-    CONNECTION_ERRORS,
     MAX_HEADER_BYTES,
     HttpStream,
     Message,
@@ -18,6 +16,7 @@
     read_body,
     send_message,
 )
+from heathercleat.connection.serving import ServingConnection, head_error
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
 from heathercleat.process.clock import from_wall, to_wall
@@ -52,7 +51,7 @@
 ID_BYTES = 8
 
 
-class CallerConnection:
+class CallerConnection(ServingConnection):
     """One connection of a caller, or of a VM that forwards requests.
 
     :param vm: the process that serves it.
@@ -60,26 +59,10 @@
     """
 
     def __init__(self, vm, sock, address, forwarded=False):
+        super().__init__(HttpStream(sock, h11.SERVER), LINGER_SECONDS, LINGER_BYTES)
         self._vm = vm
-        self._stream = HttpStream(sock, h11.SERVER)
         self._caller = address[0]
         self._forwarded = forwarded
-        self._busy = False
-
-    @property
-    def busy(self):
-        """Return whether a request is under way."""
-        return self._busy
-
-    async def serve(self):
-        """Serve requests one after the other until either side closes."""
-        try:
-            while await self._serve_next():
-                self._busy = False
-        except CONNECTION_ERRORS:
-            return
-        finally:
-            self._busy = False
 
     async def _serve_next(self):
         """Serve one request; return whether the connection can take another."""
@@ -98,11 +81,7 @@
         except BaseException:
             self._stream.abort()
             raise
-        if not self._stream.request_complete:
-            async with ignore_after(LINGER_SECONDS):
-                await self._stream.linger(LINGER_BYTES)
-            return False
-        return self._stream.next_cycle()
+        return await self._can_go_on()
 
     async def _read_head(self):
         """Return the head of the next request, or ``None`` to close."""
@@ -115,10 +94,7 @@
                 await self._refuse(RequestError(ResultCode.SLOW_SENDER, message))
             return None
         except h11.RemoteProtocolError as error:
-            code = ResultCode.BAD_REQUEST
-            if error.error_status_hint == 431:
-                code = ResultCode.HEADERS_TOO_LARGE
-            await self._refuse(RequestError(code, str(error)))
+            await self._refuse(head_error(error))
             return None
         return event if isinstance(event, h11.Request) else None
 
--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -41,12 +41,6 @@
         self._timeout = timeout
         self._source_ip = source_ip
         self._connection = KeptConnection(self._connect, MAX_ANSWER_BYTES)
-        self._calls = 0
-
-    @property
-    def calls(self):
-        """Return the number of calls made so far."""
-        return self._calls
 
     async def read(self, table):
         """Return a :class:`Snapshot` of all rows of a table.
@@ -97,7 +91,6 @@
         await self._connection.close()
 
     async def _call(self, method, path, body=b"", wait=0.0):
-        self._calls += 1
         deadline = self._clock.now() + self._timeout + wait
         message = Message(method=method, path=path, body=body, headers=_JSON)
         try:
--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -3,23 +3,18 @@
 from secrets import token_hex
 
 import h11
-from curio import ignore_after, sleep
+from curio import sleep
 
 from heathercleat.codes import ResultCode
-from heathercleat.connection.http import (
-    CONNECTION_ERRORS,
-    HttpStream,
-    before,
-    read_body,
-)
+from heathercleat.connection.http import HttpStream, before, read_body
+from heathercleat.connection.serving import ServingConnection, head_error
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.platform.headers import read_client_head, refusal_headers
 from heathercleat.request.headers import check_framing, end_to_end, find
 from heathercleat.steering.request.call import Call
 
 ID_BYTES = 8
-#: Seconds and bytes for which the rest of a refused request is read, so that a reset
-#: does not overtake the answer.
+#: Seconds and bytes for which the rest of a refused request is read.
 LINGER_SECONDS = 0.5
 LINGER_BYTES = 8 << 20
 #: Seconds after which a refused client is welcome, where nothing else is known.
@@ -28,10 +23,9 @@
 #: configuration and its targets 0.2 to 0.25 s after its start.
 START_PATIENCE = 0.25
 START_POLL = 0.01
-_TOO_LARGE = 431
 
 
-class ClientConnection:
+class ClientConnection(ServingConnection):
     """One connection of a client.
 
     :param sock: the accepted curio socket.
@@ -39,34 +33,19 @@
     """
 
     def __init__(self, sock, node):
+        stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
+        super().__init__(stream, LINGER_SECONDS, LINGER_BYTES)
         self._node = node
         self._clock = node.clock
-        self._stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
-        self._busy = False
         self._closed = False
         self._held = 0
 
-    @property
-    def busy(self):
-        """Return whether a request is under way or has begun to arrive."""
-        return self._busy
-
     def close_idle(self):
         """End the connection if no request is under way."""
         if not self._busy:
             self._closed = True
             self._stream.abort()
 
-    async def serve(self):
-        """Serve requests one after the other until either side closes."""
-        try:
-            while await self._serve_next():
-                self._busy = False
-        except (CallerLeftError, *CONNECTION_ERRORS):
-            return
-        finally:
-            self._busy = False
-
     async def _serve_next(self):
         """Serve one request; return whether the connection can take another."""
         head = await self._read_head()
@@ -90,11 +69,7 @@
         finally:
             self._node.bodies.give(self._held)
             self._held = 0
-        if not self._stream.request_complete:
-            async with ignore_after(LINGER_SECONDS):
-                await self._stream.linger(LINGER_BYTES)
-            return False
-        return self._stream.next_cycle()
+        return await self._can_go_on()
 
     async def _read_head(self):
         """Return the head of the next request, or ``None`` to close."""
@@ -119,10 +94,7 @@
             await self._refuse(RequestError(ResultCode.SLOW_SENDER, message))
             return None
         except h11.RemoteProtocolError as error:
-            code = ResultCode.BAD_REQUEST
-            if error.error_status_hint == _TOO_LARGE:
-                code = ResultCode.HEADERS_TOO_LARGE
-            refusal = RequestError(code, str(error))
+            refusal = head_error(error)
             self._node.record.refused(None, refusal, self._clock.now())
             await self._refuse(refusal)
             return None
--- a/standins/lab/experiment.py
+++ b/standins/lab/experiment.py
@@ -78,7 +78,7 @@
     for fault in scenario.faults:
         begin, end = _actions(fleet, scenario, fault)
         steps.append((fault.at, begin))
-        if fault.until is not None and end is not None:
+        if fault.until is not None:
             steps.append((fault.until, end))
     for at, act in sorted(steps, key=lambda step: step[0]):
         time.sleep(max(0.0, began_at + at - time.monotonic()))
@@ -86,33 +86,30 @@
 
 
 def _actions(fleet, scenario, fault):
-    """Return what begins a fault and what ends it, ``None`` where nothing does."""
+    """Return what begins a fault and what ends it."""
     vm = fleet.vms.get(fault.name)
     name, seconds = fault.name, fault.seconds
     return {
-        "kill_vm": lambda: (vm.process.kill, lambda: fleet.restart_vm(vm)),
-        "stop_vm": lambda: (
-            lambda: fleet.stop_vm(vm),
-            lambda: fleet.restart_vm(vm),
-        ),
-        "pause_vm": lambda: (
+        "kill_vm": (lambda: vm.process.kill(), lambda: fleet.restart_vm(vm)),
+        "stop_vm": (lambda: fleet.stop_vm(vm), lambda: fleet.restart_vm(vm)),
+        "pause_vm": (
             lambda: fleet.stop_vm(vm, signal.SIGSTOP),
             lambda: fleet.stop_vm(vm, signal.SIGCONT),
         ),
-        "store_down": lambda: (
+        "store_down": (
             lambda: fleet.switch_store(down="silent"),
             lambda: fleet.switch_store(down=None),
         ),
-        "slow_target": lambda: (
+        "slow_target": (
             lambda: fleet.switch_target(name, work_s=seconds),
             lambda: fleet.switch_target(name, work_s=scenario.work),
         ),
-        "cut_link": lambda: (
+        "cut_link": (
             lambda: fleet.switch_link(name, cut="both"),
             lambda: fleet.switch_link(name, cut=None),
         ),
-        "delay_link": lambda: (
+        "delay_link": (
             lambda: fleet.switch_link(name, delay_s=seconds),
             lambda: fleet.switch_link(name, delay_s=0.0),
         ),
-    }[fault.kind]()
+    }[fault.kind]
