--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -3,8 +3,8 @@
 What depends on which targets and VMs there are is worked out when these change, so that
 the work for a request hardly grows with their number. To find that there is no place
 took 23 ms of processor time with 1,900 targets of a service, and 1.8 ms with 210, when
-every target was looked at for each request; it takes 0.28 and 0.06 ms (processor time of
-2,000 refusals on a busy machine).
+every target was looked at for each request; it takes 0.28 and 0.06 ms (processor time
+on a busy machine).
 """
 
 from heapq import nlargest
