--- /dev/null
+++ b/tests/test_fence.py
@@ -0,0 +1,35 @@
+"""A fenced VM gets no answer from the platform."""
+
+import pytest
+from curio import run, sleep, spawn, tcp_server
+
+from heathercleat.errors import PlatformError
+from heathercleat.process.clock import SystemClock
+from heathercleat.process.configuration.platform import HttpPlatform
+from heathercleat.process.fence import Fence
+
+TIMEOUT = 0.2
+#: Seconds for the stand-in to listen.
+STARTED = 0.2
+
+
+async def _call_fenced(host):
+    asked = []
+
+    async def serve(sock, address):
+        asked.append(address)
+
+    server = await spawn(tcp_server, host, 7441, serve, daemon=True)
+    await sleep(STARTED)
+    fence = Fence([f"{host}/32"])
+    platform = HttpPlatform(host, 7441, SystemClock(), TIMEOUT, lambda: fence)
+    try:
+        with pytest.raises(PlatformError):
+            await platform.list_vms(0)
+    finally:
+        await server.cancel()
+    return asked
+
+
+def test_fenced_platform_is_not_reached():
+    assert run(_call_fenced, "127.9.9.9") == []
