At most a third of a service's targets rest for failed answers

Ruled out: the budget of repeats alone (140 of the refusals name a target's refusal).

Change: capacity/rests.py lets a target rest for failed answers only while a third of the known targets of its service at most do; a failed connection still rests at once. A trial that fails where no more may rest gives the slots back.

--- a/src/heathercleat/steering/process/capacity/health.py
+++ b/src/heathercleat/steering/process/capacity/health.py
@@ -59,16 +59,20 @@
         """
         return began_at <= self.rest_began_at
 
-    def failed(self, now, began_at):
+    def failed(self, now, began_at, may_rest=True):
         """Note a refused, broken or failed answer; return whether a rest begins.
 
         :param began_at: instant at which the request was sent.
+        :param may_rest: whether others of its service can do its work.
         """
         if self.is_known(began_at):
             return False
         self.failures += FAILURE_WEIGHT * (1.0 - self.failures)
         if self.failures < REST_SHARE and not self.on_trial:
             return False
+        if not may_rest:
+            self.on_trial = False
+            return False
         self.rest(now)
         return True
 
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -21,6 +21,7 @@
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.pressure import Pressure
 from heathercleat.steering.process.capacity.registry import TargetRegistry
+from heathercleat.steering.process.capacity.rests import RestLimit
 from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.capacity.shift import ShiftLimit
 from heathercleat.steering.process.capacity.slots import SlotLedger
@@ -127,6 +128,9 @@
             journal,
             clock,
         )
+        view = TargetView(
+            self._members, self._registry, self._owners, self._ledger, self._rooms
+        )
         self._local = LocalTry(
             self._admission,
             self._ledger,
@@ -134,12 +138,10 @@
             self._target_pool,
             self._work_times,
             self.departure,
+            RestLimit(view, clock),
             journal,
             clock,
         )
-        view = TargetView(
-            self._members, self._registry, self._owners, self._ledger, self._rooms
-        )
         self._members.on_change(self._forget_rooms)
         self._registry.on_change(self._update_serving)
         losses = RegionLosses(self._members, self._rooms, self._pressure, clock)
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -26,6 +26,7 @@
     :param pool: connections to targets.
     :param work_times: the :class:`WorkTimes`.
     :param departure: the :class:`Departure` of this VM.
+    :param rests: tells whether a target may rest, a :class:`RestLimit`.
     """
 
     def __init__(
@@ -36,6 +37,7 @@
         pool,
         work_times,
         departure,
+        rests,
         journal,
         clock,
     ):
@@ -45,6 +47,7 @@
         self._pool = pool
         self._work_times = work_times
         self._departure = departure
+        self._rests = rests
         self._journal = journal
         self._clock = clock
 
@@ -121,10 +124,13 @@
             return
         if result.reason == "replaced":
             self._registry.forget(target.entry.id, "another incarnation answered")
-        elif result.end is End.ANSWERED and result.answer.status < _SERVER_ERROR:
+            return
+        if result.end is End.ANSWERED and result.answer.status < _SERVER_ERROR:
             target.health.succeeded(result.work)
             self._work_times.observe(call.route.name, result.work, home)
-        elif target.health.failed(now, use.began_at):
+            return
+        may_rest = self._rests.may_rest(call.service)
+        if target.health.failed(now, use.began_at, may_rest):
             self._log_rest(target, result.reason or "server errors")
 
     def _rest(self, target, began_at, reason):
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -86,6 +86,7 @@
         None,
         times,
         made,
+        None,
         parts.journal,
         parts.clock,
     )
