--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -1,9 +1,7 @@
 """Connections of clients."""
 
-from secrets import token_hex
-
 import h11
-from curio import CancelledError, ignore_after, sleep
+from curio import CancelledError, ignore_after
 
 from heathercleat.codes import ResultCode
 from heathercleat.connection.http import (
@@ -14,21 +12,14 @@
 )
 from heathercleat.connection.serving import head_error
 from heathercleat.errors import CallerLeftError, RequestError
-from heathercleat.platform.headers import read_client_head, refusal_headers
-from heathercleat.request.headers import check_framing, end_to_end, find
+from heathercleat.platform.headers import refusal_headers
+from heathercleat.request.headers import find
 from heathercleat.steering.connection.pipeline import Pipeline, Turn
-from heathercleat.steering.request.call import Call
+from heathercleat.steering.connection.reading import CallReader
 
-ID_BYTES = 8
 #: Seconds and bytes for which the rest of a refused request is read.
 LINGER_SECONDS = 0.5
 LINGER_BYTES = 8 << 20
-#: Seconds after which a refused client is welcome, where nothing else is known.
-UNKNOWN_RETURN = 0.3
-#: Seconds for which a request waits at a process that has just started: it knows its
-#: configuration and its targets 0.2 to 0.25 s after its start.
-START_PATIENCE = 0.25
-START_POLL = 0.01
 #: Requests of one connection that are served at the same time: an estimate. Each may
 #: take a slot of a target, so that one client could take all of a small service.
 MOST_AHEAD = 8
@@ -48,6 +39,7 @@
         self._stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
         self._node = node
         self._clock = node.clock
+        self._reader = CallReader(node)
         self._pipeline = Pipeline(MOST_AHEAD, self._abort)
         self._reading = False
         self._closed = False
@@ -116,7 +108,7 @@
         """Serve a request to its end."""
         call = None
         try:
-            call = await self._read_call(turn)
+            call = await self._reader.read(turn)
             answer = await self._steer(turn, call)
             await self._send(turn, answer.status, answer.headers, answer.body)
             self._node.record.answered(call, answer, self._clock.now())
@@ -182,92 +174,6 @@
         self._node.record.refused(None, error, self._clock.now())
         await self._refuse(Turn(self._stream, None, self._clock.now()), error)
 
-    async def _read_call(self, turn):
-        """Read the rest of a request and return its :class:`Call`."""
-        head, arrived_at = turn.head, turn.arrived_at
-        headers = list(head.headers)
-        check_framing(headers, ResultCode.BAD_REQUEST)
-        await self._wait_for_start(arrived_at + START_PATIENCE)
-        client = read_client_head(headers)
-        route = self._match(head, headers)
-        self._node.departure.check(route.name, self._clock.now())
-        deadline = arrived_at + min(client.wait, route.timeout)
-        if turn.body is None:
-            turn.body = await self._read_body(turn, headers, deadline)
-        passed = [each for each in end_to_end(headers) if each[0] != b"content-length"]
-        call = Call(
-            client.request_id or token_hex(ID_BYTES),
-            head.method,
-            head.target,
-            passed,
-            turn.body,
-            route,
-            self._node.choose_service(route),
-            turn.stream,
-        )
-        call.arrived_at = arrived_at
-        call.deadline = deadline
-        # The aim counts from the first attempt: what is late already leaves the slots
-        # to those that are not.
-        elapsed = self._node.repeats.elapsed(route.name, client.wait)
-        call.aim_at = arrived_at + route.latency_aim - elapsed
-        call.returned = elapsed > 0.0
-        call.affinity = client.affinity
-        call.client_wait = client.wait
-        return call
-
-    async def _wait_for_start(self, until):
-        """Wait for the configuration and the targets, an instant at most."""
-        while not self._node.started and self._clock.now() < until:
-            await sleep(START_POLL)
-
-    def _match(self, head, headers):
-        table = self._node.table
-        if table is None:
-            now = self._clock.now()
-            raise RequestError(
-                ResultCode.NO_CONFIGURATION,
-                "no configuration is known yet",
-                retry_at=now + UNKNOWN_RETURN,
-            )
-        host = next((value for name, value in headers if name == b"host"), b"")
-        path = head.target.split(b"?", 1)[0].decode("latin-1")
-        route = table.match(host.decode("latin-1").lower(), path)
-        if route is None:
-            message = f'no route for "{host.decode("latin-1")}" and "{path}"'
-            raise RequestError(ResultCode.NO_ROUTE, message)
-        return route
-
-    async def _read_body(self, turn, headers, deadline):
-        limit = self._node.limits.body_bytes
-        self._hold(turn, int(find(headers, "content-length") or 0))
-        try:
-            reading = read_body(turn.stream, limit)
-            body = await before(deadline, self._clock, reading)
-            # A body in chunks tells its length only now.
-            self._hold(turn, len(body) - turn.held)
-            return body
-        except ValueError as error:
-            raise RequestError(ResultCode.BODY_TOO_LARGE, str(error)) from None
-        except TimeoutError:
-            message = "the request body took too long"
-            raise RequestError(ResultCode.SLOW_SENDER, message) from None
-        except h11.RemoteProtocolError as error:
-            raise RequestError(ResultCode.BAD_REQUEST, str(error)) from None
-
-    def _hold(self, turn, size):
-        """Hold memory for a body.
-
-        :raises RequestError: when other bodies have taken it.
-        """
-        if size <= 0:
-            return
-        if not self._node.bodies.take(size):
-            message = f"no memory for a body of {size} bytes beside the others"
-            retry_at = self._clock.now() + UNKNOWN_RETURN
-            raise RequestError(ResultCode.NO_ROOM, message, retry_at)
-        turn.held += size
-
     async def _refuse(self, turn, error):
         """Send the final answer for an error."""
         if not turn.stream.can_answer:
--- /dev/null
+++ b/src/heathercleat/steering/process/membership/composer.py
@@ -0,0 +1,65 @@
+"""What a VM tells of itself and its targets in heartbeats."""
+
+from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.member import news_of
+
+
+class BeatComposer:
+    """Composes heartbeats from the beliefs of this VM.
+
+    :param members: the known VMs.
+    :param tables: the followed tables of the store.
+    :param ledger: the owned targets.
+    :param admission: the waits at their slots.
+    :param pressure: what this VM's clients lose.
+    :param services: returns the names of all services.
+    """
+
+    def __init__(self, members, tables, ledger, admission, pressure, services, clock):
+        self._members = members
+        self._tables = tables
+        self._ledger = ledger
+        self._admission = admission
+        self._pressure = pressure
+        self._services = services
+        self._clock = clock
+
+    def compose(self, interval):
+        """Return a new :class:`Beat`.
+
+        :param interval: seconds until the next one.
+        """
+        members, tables = self._members, self._tables
+        members.set_store_lost(tables.store_lost)
+        return Beat(
+            news_of(members.own),
+            interval,
+            tables.operator.changed,
+            tables.targets.changed,
+            members.digest,
+            members.news(),
+            list(self._rooms()),
+            list(self._waits()),
+            list(self._losses()),
+        )
+
+    def _rooms(self):
+        """Yield the fields of each owned target."""
+        now = self._clock.now()
+        for target in self._ledger.all():
+            room = self._admission.room(target, now)
+            yield [target.entry.id, room, target.limit(now)]
+
+    def _waits(self):
+        """Yield the fields of each owned service's :class:`Waits`, in seconds."""
+        for service in self._ledger.services():
+            waits = self._admission.waits(service)
+            if waits is None:
+                yield [service, None, None]
+            else:
+                yield [service, round(waits.early, 3), round(waits.late, 3)]
+
+    def _losses(self):
+        """Yield the part of their worth that clients lose, for each service."""
+        for service in self._services():
+            yield [service, round(self._pressure.lost(service), 3)]
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -31,9 +31,8 @@
 from heathercleat.steering.process.directory import Directory
 from heathercleat.steering.process.leavers import Leavers
 from heathercleat.steering.process.listeners import Listeners
-from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.composer import BeatComposer
 from heathercleat.steering.process.membership.gossip import Gossip
-from heathercleat.steering.process.membership.member import news_of
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.record import RequestRecord
@@ -110,9 +109,6 @@
         self.departure = Departure(self._work_times)
         self._pressure = Pressure()
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
-        self._gossip = Gossip(
-            settings, self._members, self._rooms, self._compose_beat, journal, clock
-        )
         self._target_pool = Pool(
             clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
         )
@@ -128,6 +124,18 @@
             journal,
             clock,
         )
+        composer = BeatComposer(
+            self._members,
+            self._tables,
+            self._ledger,
+            self._admission,
+            self._pressure,
+            lambda: self._table.services if self._table else (),
+            clock,
+        )
+        self._gossip = Gossip(
+            settings, self._members, self._rooms, composer.compose, journal, clock
+        )
         view = TargetView(
             self._members, self._registry, self._owners, self._ledger, self._rooms
         )
@@ -338,33 +346,6 @@
             )
         return budget
 
-    def _compose_beat(self, interval):
-        own, now = self._members.own, self.clock.now()
-        self._members.set_store_lost(self._tables.store_lost)
-        rooms = [
-            [target.entry.id, self._admission.room(target, now), target.limit(now)]
-            for target in self._ledger.all()
-        ]
-        waits = [
-            _describe_waits(service, self._admission.waits(service))
-            for service in self._ledger.services()
-        ]
-        losses = [
-            [service, round(self._pressure.lost(service), 3)]
-            for service in (self._table.services if self._table else ())
-        ]
-        return Beat(
-            news_of(own),
-            interval,
-            self._tables.operator.changed,
-            self._tables.targets.changed,
-            self._members.digest,
-            self._members.news(),
-            rooms,
-            waits,
-            losses,
-        )
-
     def _forget_rooms(self):
         """Drop the reports of VMs that are gone for good."""
         self._rooms.keep({member.vm for member in self._members.others()})
@@ -405,13 +386,6 @@
         self._reload_requested = True
 
 
-def _describe_waits(service, waits):
-    """Return the fields of a service's :class:`Waits` in a heartbeat."""
-    if waits is None:
-        return [service, None, None]
-    return [service, round(waits.early, 3), round(waits.late, 3)]
-
-
 def _age(instant, now):
     """Return the seconds since an instant; -1 when there was none."""
     return -1 if instant is None else round(now - instant, 3)
