--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -5,7 +5,7 @@
 import h11
 import pytest
 from curio import Event as Signal
-from curio import Kernel, TaskError, sleep, spawn
+from curio import Kernel, TaskError, run, sleep, spawn
 from curio.io import Socket
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -20,6 +20,7 @@
 from heathercleat.errors import CallerLeftError
 from heathercleat.process.clock import SystemClock
 from heathercleat.steering.connection.client import MOST_AHEAD, ClientConnection
+from heathercleat.steering.connection.pipeline import Turn
 from heathercleat.steering.process.bodies import BodyMemory
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
@@ -271,6 +272,23 @@
     assert isinstance(caught.value.__cause__, RuntimeError)
 
 
+@pytest.mark.parametrize("sent", [True, False])
+def test_turn_comes_only_after_the_answer_before_it(sent):
+    before, turn = Turn(None, None, 0.0), Turn(None, None, 0.0)
+    before.sent, turn.before = sent, before
+
+    async def come():
+        await before.over.set()
+        await turn.come()
+        return True
+
+    if sent:
+        assert run(come)
+        return
+    with pytest.raises(EOFError):
+        run(come)
+
+
 class PipeliningMachine(RuleBasedStateMachine):
     """Any order of requests and answers on one connection."""
 
