Drop the checks for near homes that one home over all regions made dead

Places.free returns before them: a request that still waits for its home is given none of the other places. Choice.stays_at_home and Estimates.is_home_in_time had no other caller. The factor for most run times stood twice with one value; homes take it from patience. Nothing changes in what is decided.

--- a/src/heathercleat/steering/request/choice.py
+++ b/src/heathercleat/steering/request/choice.py
@@ -57,11 +57,6 @@
         """Return whether the request may still wait for the home of its object."""
         return self.now < self.call.home_until
 
-    @property
-    def stays_at_home(self):
-        """Return whether it waits for a target of this region that knows its object."""
-        return self.waits_for_home and bool(self.near_homes)
-
     def usable(self, candidate):
         """Return whether a candidate may run the request and its owner carry it."""
         if candidate.entry.id in self._avoid or candidate.owner in self._avoid_vms:
--- a/src/heathercleat/steering/request/estimates.py
+++ b/src/heathercleat/steering/request/estimates.py
@@ -64,12 +64,3 @@
         """Return whether a request is in time through an owner that has room."""
         expected = self._trip(owner) + self.work(call, is_home)
         return self._clock.now() + expected <= call.aim_at
-
-    def is_home_in_time(self, choice):
-        """Return whether a request is in time after its wait for its home here."""
-        call = choice.call
-        waits = [self.wait(each.owner, call) for each in choice.near_homes]
-        known = [each for each in waits if each is not None]
-        if not known:
-            return False
-        return choice.now + min(known) + self.work(call, True) <= call.aim_at
--- a/src/heathercleat/steering/request/homes.py
+++ b/src/heathercleat/steering/request/homes.py
@@ -10,10 +10,9 @@
 place of 8.0% and 9.2% (one run each).
 """
 
+from heathercleat.steering.request.patience import SPREAD
 from heathercleat.version.hashing import weight
 
-#: Times the time of a known object that a run at a home takes at most.
-SPREAD = 1.25
 #: Part of the aim that a round trip may take where the time of a known object is not
 #: told yet. The mean would not do: it is that of objects being learned at first, so
 #: that homes lay near, and went to other regions seconds later. On one of 40 drawn days
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -75,8 +75,6 @@
         found = self._best_near(choice)
         if found is not None or not self._shift.may_move():
             return found
-        if choice.stays_at_home and self._estimates.is_home_in_time(choice):
-            return None
         return self._best_far(choice, self._near_wait(choice))
 
     def waiting(self, call, avoid, avoid_vms):
@@ -210,8 +208,6 @@
             may_have_room = each.room.free(now) > 0 or not each.room.is_known(now)
             if may_have_room and usable(each):
                 return Place(each.owner, each.entry.id, known, remote)
-        if homes and not remote and choice.stays_at_home:
-            return None
         summary = targets.summary(now)
         if not (summary.idle if homes else summary.free):
             return None
