--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -77,6 +77,8 @@
             draining=document["state"] != _READY,
             # How much longer the target stays cold, counted from the row's writing.
             cold_for=seconds(document.get("coldRemaining", "0ms")),
+            sequence=document.get("sequence"),
+            version=row.version,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"not a target: {error!r}") from None
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -126,10 +126,13 @@
                 domain=entry.failure_domain,
                 slots=entry.slots,
                 cold_for=entry.cold_for,
+                draining=entry.draining,
+                sequence=entry.sequence,
+                version=entry.version,
             )
             return True
-        if entry.draining and not before.draining:
-            self._journal.write(Event.TARGET_DRAINING, target=entry.id, reason="entry")
+        if entry.draining != before.draining:
+            self._log_drain(before, entry)
         usual = entry.draining == before.draining and entry.slots == before.slots
         return turned_cold or not usual
 
@@ -138,13 +141,35 @@
             return False
         now = self._clock.now()
         if now < self._grace_until:
-            self._lapsing[target_id] = self._grace_until
+            self._keep_lapsing(target_id, now)
             return False
         del self._targets[target_id]
         self._cold_until.pop(target_id, None)
         self._journal.write(Event.TARGET_GONE, target=target_id, reason="entry removed")
         return True
 
+    def _keep_lapsing(self, target_id, now):
+        if target_id in self._lapsing:
+            return
+        self._lapsing[target_id] = self._grace_until
+        self._journal.write(
+            Event.TARGET_LAPSING,
+            target=target_id,
+            seconds=round(self._grace_until - now, 3),
+        )
+
+    def _log_drain(self, before, entry):
+        """Log that a target's entry turned from one state to the other."""
+        event = Event.TARGET_DRAINING if entry.draining else Event.TARGET_REOPENED
+        self._journal.write(
+            event,
+            target=entry.id,
+            reason="entry",
+            sequence=entry.sequence,
+            sequence_before=before.sequence,
+            version=entry.version,
+        )
+
     def _expire_lapsed(self):
         now = self._clock.now()
         expired = [each for each, until in self._lapsing.items() if until <= now]
--- a/src/heathercleat/steering/process/capacity/target.py
+++ b/src/heathercleat/steering/process/capacity/target.py
@@ -8,6 +8,8 @@
     :param slots: requests that it works on at once.
     :param draining: whether it takes no new requests.
     :param cold_for: seconds for which it was still cold when the entry was written.
+    :param sequence: the target's own count of its reports, ``None`` if it tells none.
+    :param version: the store's version of the row that the entry was read from.
     """
 
     __slots__ = (
@@ -19,10 +21,22 @@
         "slots",
         "draining",
         "cold_for",
+        "sequence",
+        "version",
     )
 
     def __init__(
-        self, id, service, host, port, failure_domain, slots, draining, cold_for
+        self,
+        id,
+        service,
+        host,
+        port,
+        failure_domain,
+        slots,
+        draining,
+        cold_for,
+        sequence=None,
+        version=0,
     ):
         self.id = id
         self.service = service
@@ -32,3 +46,5 @@
         self.slots = slots
         self.draining = draining
         self.cold_for = cold_for
+        self.sequence = sequence
+        self.version = version
