A target's reports count in its own order; foreign entries name no target

- A delayed report may be written to the store after a later one.
The registry took the row that was written last, so a drain could be undone, and a target that had left come back.
Entries are ordered by start (born) and count (sequence) now; the last entry of a target that is gone is remembered for 60 s.
- A target may start again under its id with a later start: its slots, rests, cold time and drain of the life before are dropped at once.
- A whole table that was read again prolonged the cold time of targets whose rows had not changed; a row of a known version is no news now.

Tests: corpus and properties of rows, order and lives at the registry, two with processes.

--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -1,10 +1,9 @@
-"""Rows of the platform's tables as types of the product."""
+"""Rows of the operators' table as types of the product."""
 
 import json
 
 from heathercleat.platform.names import CONFIG_KEY, EVACUATE_PREFIX
 from heathercleat.platform.units import seconds, version_number
-from heathercleat.steering.process.capacity.target import TargetEntry
 from heathercleat.steering.version.routing import (
     Kind,
     Limits,
@@ -14,7 +13,6 @@
     Share,
 )
 
-_READY = "ready"
 #: Seconds until the answer to a request of a route that names no timeout.
 DEFAULT_TIMEOUT = "60s"
 DEFAULT_LATENCY_AIM = "1s"
@@ -59,31 +57,6 @@
         raise ValueError(f"not a configuration: {error!r}") from None
 
 
-def decode_target(row):
-    """Return the :class:`TargetEntry` of a row of the targets' table.
-
-    :raises ValueError: when it does not decode.
-    """
-    try:
-        document = json.loads(row.value)
-        host, _, port = document["address"].rpartition(":")
-        return TargetEntry(
-            id=row.key,
-            service=document["service"],
-            host=host,
-            port=int(port),
-            failure_domain=document["zone"],
-            slots=int(document["slots"]),
-            draining=document["state"] != _READY,
-            # How much longer the target stays cold, counted from the row's writing.
-            cold_for=seconds(document.get("coldRemaining", "0ms")),
-            sequence=document.get("sequence"),
-            version=row.version,
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"not a target: {error!r}") from None
-
-
 def _service(document):
     # Requests a second that a cold target stands.
     cold_rate = float(document.get("coldPerS", 0)) or None
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -6,6 +6,22 @@
 #: two by the platform's word, and up to 0.45 between two tries of a VM that reads the
 #: store, the first of which is taken for the earliest instant of the return.
 LAPSE_GRACE = 2.45
+#: Seconds for which the last entry of a target that is gone is remembered: an estimate,
+#: ten times the longest delay of a write that the platform's pages name.
+DEPARTED_LIFE = 60.0
+
+
+class Departed:
+    """The last entry of a target that is gone.
+
+    :param forget_at: instant from which it is of no use.
+    """
+
+    __slots__ = ("entry", "forget_at")
+
+    def __init__(self, entry, forget_at):
+        self.entry = entry
+        self.forget_at = forget_at
 
 
 class TargetRegistry:
@@ -22,7 +38,7 @@
         self._clock = clock
         self._targets = {}
         self._lapsing = {}
-        self._belied = {}
+        self._departed = {}
         self._by_service = {}
         self._cold_until = {}
         self._evacuated = frozenset()
@@ -86,11 +102,6 @@
         """
         self._known = True
         present = {entry.id for entry in entries}
-        self._belied = {
-            target_id: version
-            for target_id, version in self._belied.items()
-            if target_id in present
-        }
         for entry in entries:
             self._put(entry)
         now = self._clock.now()
@@ -140,41 +151,74 @@
 
         Its entry stays in the table until it lapses, and must not bring it back.
         """
-        entry = self._targets.get(target_id)
-        if entry is not None:
-            self._belied[target_id] = entry.version
+        if target_id in self._targets:
             self._drop(target_id, reason)
             self._rebuild()
 
+    def reject(self, target_ids):
+        """Drop targets whose entries cannot be used; return whether any was known."""
+        known = [each for each in target_ids if each in self._targets]
+        for target_id in known:
+            self._drop(target_id, "entry rejected")
+        if known:
+            self._rebuild()
+        return bool(known)
+
     def _put(self, entry):
         """Keep an entry; return whether what matters for steering has changed."""
-        if entry.version <= self._belied.get(entry.id, -1):
+        before = self._targets.get(entry.id)
+        if self._is_old_news(entry, before):
             return False
-        self._belied.pop(entry.id, None)
-        now = self._clock.now()
         self._lapsing.pop(entry.id, None)
-        turned_cold = entry.cold_for > 0 and self.cold_until(entry.id) <= now
-        if entry.cold_for > 0:
-            self._cold_until[entry.id] = now + entry.cold_for
-        before = self._targets.get(entry.id)
+        if before is not None and entry.version == before.version:
+            return False
+        self._departed.pop(entry.id, None)
         self._targets[entry.id] = entry
+        restarted = before is not None and not entry.is_same_life(before)
+        if restarted:
+            self._cold_until.pop(entry.id, None)
+        turned_cold = self._note_cold(entry)
         if before is None:
-            self._journal.write(
-                Event.TARGET_FOUND,
-                target=entry.id,
-                service=entry.service,
-                domain=entry.failure_domain,
-                slots=entry.slots,
-                cold_for=entry.cold_for,
-                draining=entry.draining,
-                sequence=entry.sequence,
-                version=entry.version,
-            )
+            self._log_found(entry)
             return True
-        if entry.draining != before.draining:
+        if restarted:
+            self._log_restart(before, entry)
+        elif entry.draining != before.draining:
             self._log_drain(before, entry)
-        usual = entry.draining == before.draining and entry.slots == before.slots
-        return turned_cold or not usual
+        return turned_cold or not entry.steers_like(before)
+
+    def _is_old_news(self, entry, before):
+        """Return whether a target said more since it reported an entry, or is gone.
+
+        Without it a report that was delayed undoes a drain: the target would be used
+        again until its end.
+        """
+        departed = self._departed.get(entry.id)
+        if before is None and departed is not None:
+            before = departed.entry
+            if entry.version <= before.version:
+                return True
+        if before is None or not entry.is_older_than(before):
+            return False
+        self._journal.write(
+            Event.ENTRY_OUTDATED,
+            target=entry.id,
+            sequence=entry.sequence,
+            sequence_before=before.sequence,
+            born=entry.born,
+            born_before=before.born,
+            version=entry.version,
+        )
+        return True
+
+    def _note_cold(self, entry):
+        """Note until when a target is cold; return whether it was warm before."""
+        if not entry.cold_for:
+            return False
+        now = self._clock.now()
+        turned_cold = self.cold_until(entry.id) <= now
+        self._cold_until[entry.id] = now + entry.cold_for
+        return turned_cold
 
     def _remove(self, target_id, until):
         """Take it that an entry was removed; return whether that is news.
@@ -182,7 +226,6 @@
         :param until: instant until which the target is used if it has not said that it
             leaves.
         """
-        self._belied.pop(target_id, None)
         entry = self._targets.get(target_id)
         if entry is None:
             return False
@@ -201,11 +244,44 @@
         return known_until is None
 
     def _drop(self, target_id, reason):
-        del self._targets[target_id]
+        now = self._clock.now()
+        self._forget_departed(now)
+        entry = self._targets.pop(target_id)
+        self._departed[target_id] = Departed(entry, now + DEPARTED_LIFE)
         self._lapsing.pop(target_id, None)
         self._cold_until.pop(target_id, None)
         self._journal.write(Event.TARGET_GONE, target=target_id, reason=reason)
 
+    def _forget_departed(self, now):
+        """Forget the targets that are gone for long; they stand in that order."""
+        for target_id, departed in list(self._departed.items()):
+            if departed.forget_at > now:
+                return
+            del self._departed[target_id]
+
+    def _log_found(self, entry):
+        self._journal.write(
+            Event.TARGET_FOUND,
+            target=entry.id,
+            service=entry.service,
+            domain=entry.failure_domain,
+            slots=entry.slots,
+            cold_for=entry.cold_for,
+            draining=entry.draining,
+            sequence=entry.sequence,
+            version=entry.version,
+        )
+
+    def _log_restart(self, before, entry):
+        self._journal.write(
+            Event.TARGET_RESTARTED,
+            target=entry.id,
+            born=entry.born,
+            born_before=before.born,
+            cold_for=entry.cold_for,
+            draining=entry.draining,
+        )
+
     def _log_drain(self, before, entry):
         """Log that a target's entry turned from one state to the other."""
         event = Event.TARGET_DRAINING if entry.draining else Event.TARGET_REOPENED
--- /dev/null
+++ b/src/heathercleat/steering/process/store/member_rows.py
@@ -0,0 +1,26 @@
+"""Rows of the table in which VMs tell of themselves."""
+
+from ipaddress import IPv4Address
+
+import msgpack
+
+from heathercleat.steering.process.membership.member import Member
+
+
+def encode_member(ip, failure_domain, region):
+    """Return the value of a VM's row."""
+    return msgpack.packb([ip, failure_domain, region])
+
+
+def decode_member(row):
+    """Return the :class:`Member` of a row.
+
+    :raises ValueError: when the row names no VM.
+    """
+    fields = msgpack.unpackb(row.value)
+    if not isinstance(fields, list) or len(fields) != 3:
+        raise ValueError(f"{fields!r} is not an address, a failure domain, a region")
+    if not all(isinstance(each, str) and each for each in fields):
+        raise ValueError(f"{fields!r} has to hold three texts")
+    IPv4Address(fields[0])
+    return Member(row.key, *fields)
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -2,17 +2,19 @@
 
 from math import ceil
 
-import msgpack
 from curio import sleep
 
 from heathercleat.connection.http import CONNECTION_ERRORS, Message, before, exchange
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
-from heathercleat.platform.decode import decode_operator_rows, decode_target
+from heathercleat.platform.decode import decode_operator_rows
 from heathercleat.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from heathercleat.platform.store import TableStore
+from heathercleat.platform.targets import decode_target
 from heathercleat.steering.connection.forwarded import STATE_PATH, read_state
 from heathercleat.steering.process.store.follower import TableFollower
+from heathercleat.steering.process.store.member_rows import decode_member, encode_member
+from heathercleat.steering.process.store.rejections import Rejections
 from heathercleat.version.hashing import ranked
 
 MEMBER_TABLE = "heathercleat-members"
@@ -58,6 +60,7 @@
         self._adopt = adopt
         self._journal = journal
         self._clock = clock
+        self._rejections = Rejections(journal, clock)
         self._own_store = self._new_store()
         self._newer_since = {}
         self.operator = self._follow(
@@ -111,10 +114,9 @@
     async def _register(self):
         """Write this VM's row, so that others find it."""
         settings = self._settings
-        row = [settings.ip, settings.failure_domain, settings.region]
+        value = encode_member(settings.ip, settings.failure_domain, settings.region)
         while True:
             try:
-                value = msgpack.packb(row)
                 await self._own_store.write(MEMBER_TABLE, settings.vm, value)
                 return
             except PlatformError as error:
@@ -203,35 +205,41 @@
         return True
 
     def _take_targets(self, snapshot, whole):
-        entries = list(self._decode_targets(snapshot.rows))
+        rows = [row for row in snapshot.rows if row.value is not None]
+        entries = list(self._decode(rows, self._decode_target))
+        decoded = {entry.id for entry in entries}
+        matters = self._registry.reject(
+            row.key for row in rows if row.key not in decoded
+        )
         if whole:
             self._registry.replace(entries, snapshot.lapsing)
             return True
         removed = [row.key for row in snapshot.rows if row.value is None]
-        return self._registry.update(entries, removed)
+        return self._registry.update(entries, removed) or matters
 
-    def _decode_targets(self, rows):
-        for row in rows:
-            if row.value is None:
-                continue
-            try:
-                yield decode_target(row)
-            except ValueError as error:
-                self._journal.write(Event.ROW_REJECTED, key=row.key, reason=str(error))
+    def _decode_target(self, row):
+        entry = decode_target(row)
+        if entry.failure_domain not in self._settings.regions:
+            raise ValueError(f"no failure domain has the name {entry.failure_domain!r}")
+        return entry
 
     def _take_members(self, snapshot, whole):
-        for row in snapshot.rows:
-            if row.value is None:
-                continue
-            try:
-                ip, failure_domain, region = msgpack.unpackb(row.value)
-            except (ValueError, TypeError) as error:
-                self._journal.write(Event.ROW_REJECTED, key=row.key, reason=repr(error))
-                continue
-            if row.key != self._settings.vm:
-                self._members.introduce(row.key, ip, failure_domain, region)
+        rows = [row for row in snapshot.rows if row.value is not None]
+        for member in self._decode(rows, decode_member):
+            if member.vm != self._settings.vm:
+                self._members.introduce(
+                    member.vm, member.ip, member.failure_domain, member.region
+                )
         return True
 
+    def _decode(self, rows, decode):
+        """Yield what the rows stand for; log those that cannot be used."""
+        for row in rows:
+            try:
+                yield decode(row)
+            except ValueError as error:
+                self._rejections.note(row.key, error)
+
     async def _ask_peers(self, table, version, version_of):
         """Return a newer snapshot from the nearest VM that has one, or ``None``."""
         newer = [
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -1,5 +1,7 @@
 """Parts of a steering VM for tests, with fakes at the interfaces."""
 
+from itertools import count
+
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.capacity.owners import Owners
@@ -15,6 +17,7 @@
 from tests.platform_samples import SETTINGS
 
 COLD_RATE = 10.0
+_versions = count(1)
 
 
 def entry(
@@ -24,8 +27,11 @@
     slots=2,
     draining=False,
     cold=0.0,
-    version=0,
+    sequence=None,
+    born=None,
+    version=None,
 ):
+    """Return an entry, of a newer row than the ones before if no version is given."""
     return TargetEntry(
         id,
         service,
@@ -35,7 +41,9 @@
         slots,
         draining,
         cold,
-        version=version,
+        sequence,
+        born,
+        next(_versions) if version is None else version,
     )
 
 
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -6,7 +6,6 @@
 from heathercleat.platform.decode import (
     decode_config,
     decode_operator_rows,
-    decode_target,
 )
 from heathercleat.platform.headers import (
     read_answer_head,
@@ -17,7 +16,7 @@
 from heathercleat.platform.units import seconds, version_number
 from heathercleat.steering.process.store.protocol import StoreRow
 from heathercleat.steering.version.routing import Kind
-from tests.platform_samples import SETTINGS, config, target
+from tests.platform_samples import SETTINGS, config
 
 
 def row(key, document):
@@ -86,21 +85,6 @@
     assert evacuated == {"north-a"}
 
 
-def test_target_entry_is_decoded():
-    entry = decode_target(row("i-1", target(state="draining", coldRemaining="1500ms")))
-    assert (entry.id, entry.host, entry.port) == ("i-1", "127.0.0.9", 8080)
-    assert entry.draining
-    assert entry.cold_for == 1.5
-
-
-@pytest.mark.parametrize("broken", ["service", "address", "zone", "slots", "state"])
-def test_target_without_a_field_is_refused(broken):
-    document = target()
-    del document[broken]
-    with pytest.raises(ValueError):
-        decode_target(row("i-1", document))
-
-
 def test_client_head_with_a_malformed_wait_has_the_usual_one():
     head = read_client_head([(b"deadline-ms", b"soon"), (b"cookie", b"a=1")])
     assert head.wait == 30.0
--- /dev/null
+++ b/tests/test_target_lives.py
@@ -0,0 +1,164 @@
+"""Targets that report in another order than they are read, and that start again.
+
+A report that was delayed may be written to the store after a later one: the drain that
+the later one tells of would be undone. A target that starts again under its id counts
+its reports anew, and holds nothing of what it held.
+"""
+
+import time
+
+import pytest
+
+from standins.fleet import wait_for
+from standins.steering_fleet import SteeringFleet
+from tests.platform_samples import config
+from tests.steering_parts import Parts, entry
+
+DOMAINS = {"north-a": "north", "north-b": "north"}
+TARGETS = {"i-1": ("s1", "north-a", 4), "i-2": ("s1", "north-b", 4)}
+FOREIGN = [{}, [], "ready", {"state": "ready"}, {"service": ["s1"], "zone": {}}]
+
+
+def ids(parts):
+    return sorted(each.id for each in parts.registry.of_service("s1"))
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_delayed_report_does_not_undo_a_drain(whole):
+    parts = Parts([entry("t1", sequence=4), entry("t2", sequence=4)])
+    parts.registry.update([entry("t1", sequence=21, draining=True)], [])
+    late = entry("t1", sequence=20)
+    if whole:
+        parts.registry.replace([late, entry("t2", sequence=4)])
+    else:
+        assert not parts.registry.update([late], [])
+    assert ids(parts) == ["t2"]
+
+
+def test_later_report_of_the_same_start_is_taken():
+    parts = Parts([entry("t1", sequence=21, draining=True)])
+    assert parts.registry.update([entry("t1", sequence=22)], [])
+    assert ids(parts) == ["t1"]
+
+
+def test_delayed_report_does_not_bring_back_a_target_that_left():
+    parts = Parts([entry("t1", sequence=4), entry("t2")])
+    parts.registry.update([entry("t1", sequence=21, draining=True)], [])
+    parts.registry.update([], ["t1"])
+    parts.clock.time += 6.0
+    parts.registry.update([entry("t1", sequence=20)], [])
+    assert ids(parts) == ["t2"]
+
+
+def test_target_whose_entry_was_away_is_back_with_its_next_report():
+    parts = Parts([entry("t1", sequence=4)])
+    parts.registry.update([], ["t1"])
+    parts.registry.update([entry("t1", sequence=5)], [])
+    assert ids(parts) == ["t1"]
+
+
+def test_target_that_starts_again_counts_anew():
+    parts = Parts([entry("t1", sequence=21, born=1000, draining=True)])
+    assert parts.registry.update([entry("t1", sequence=1, born=2000)], [])
+    assert ids(parts) == ["t1"]
+
+
+@pytest.mark.parametrize("born", [1000, None])
+def test_report_of_an_earlier_start_changes_nothing(born):
+    parts = Parts([entry("t1", sequence=1, born=2000, draining=True)])
+    parts.registry.update([entry("t1", sequence=99, born=born)], [])
+    assert ids(parts) == []
+
+
+def test_target_that_starts_again_is_cold_as_it_says():
+    parts = Parts([entry("t1", born=1000, cold=9.0)])
+    now = parts.clock.now()
+    parts.registry.update([entry("t1", born=2000, cold=2.0)], [])
+    assert parts.registry.cold_until("t1") == now + 2.0
+    parts.registry.update([entry("t1", born=3000)], [])
+    assert parts.registry.cold_until("t1") == 0.0
+
+
+def test_row_that_is_read_again_does_not_prolong_the_cold_time():
+    same = entry("t1", cold=2.0)
+    parts = Parts([same])
+    until = parts.registry.cold_until("t1")
+    parts.clock.time += 1.5
+    parts.registry.replace([same])
+    assert parts.registry.cold_until("t1") == until
+
+
+def test_nothing_known_of_the_life_before_is_held_against_the_next():
+    parts = Parts([entry("t1", slots=2, born=1000)])
+    former = parts.ledger.get("t1")
+    use = former.take(parts.clock.now())
+    former.health.rest(parts.clock.now())
+    parts.registry.update([entry("t1", slots=2, born=2000)], [])
+    target = parts.ledger.get("t1")
+    assert target.free(parts.clock.now()) == 2
+    parts.ledger.release(use)
+    assert target.free(parts.clock.now()) == 2
+
+
+def test_requests_under_way_count_on_while_the_target_lives():
+    parts = Parts([entry("t1", slots=2, born=1000)])
+    parts.ledger.get("t1").take(parts.clock.now())
+    parts.registry.update([entry("t1", slots=2, born=1000, cold=1.0)], [])
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 1
+
+
+def test_target_that_moved_matters():
+    parts = Parts([entry("t1")])
+    assert parts.registry.update([entry("t1", domain="north-b")], [])
+
+
+def test_target_with_a_foreign_entry_is_used_no_longer_until_a_good_one_returns():
+    parts = Parts([entry("t1", sequence=4), entry("t2")])
+    assert parts.registry.reject(["t1", "t9"])
+    assert ids(parts) == ["t2"]
+    parts.registry.update([entry("t1", sequence=5)], [])
+    assert ids(parts) == ["t1", "t2"]
+
+
+@pytest.fixture
+def fleet():
+    with SteeringFleet(
+        config(), DOMAINS, dict.fromkeys(DOMAINS, 1), TARGETS, subnet=41
+    ) as started:
+        yield started
+
+
+def uses(fleet, target_id, count=12):
+    """Send requests through all VMs; return whether a target ran any of them."""
+    before = len(fleet.record(target_id)["runs"])
+    for number in range(count):
+        for vm in fleet.vms.values():
+            status, _, _ = fleet.send(vm, "GET", "/one/two/x", f"{vm.name}-{number}")
+            assert status == 200
+    return len(fleet.record(target_id)["runs"]) > before
+
+
+def test_vms_hold_on_while_another_writer_fills_the_table(fleet):
+    for number, document in enumerate(FOREIGN):
+        fleet.put("servers", f"foreign-{number}", document)
+    fleet.put("servers", "i-1", {"service": "s1", "slots": "many"})
+    wait_for(lambda: not uses(fleet, "i-1"))
+    fleet.announce("i-1", sequence=5)
+    wait_for(lambda: uses(fleet, "i-1"))
+    rejected = {
+        line["key"]
+        for vm in fleet.vms.values()
+        for line in fleet.log(vm)
+        if line.get("name") == "row_rejected"
+    }
+    assert rejected >= {"i-1", "foreign-0"}
+
+
+def test_target_that_starts_again_under_its_id_is_used_again(fleet):
+    fleet.announce("i-1", state="draining", sequence=9, born=1000)
+    wait_for(lambda: not uses(fleet, "i-1"))
+    fleet.announce("i-1", sequence=8, born=1000)
+    time.sleep(2.0)
+    assert not uses(fleet, "i-1")
+    fleet.announce("i-1", sequence=1, born=2000)
+    wait_for(lambda: uses(fleet, "i-1"))
