--- a/src/heathercleat/platform/targets.py
+++ b/src/heathercleat/platform/targets.py
@@ -116,4 +116,4 @@
 
 
 def _show(value):
-    return repr(value)[:_SHOWN]
+    return "missing or null" if value is None else repr(value)[:_SHOWN]
