--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -45,9 +45,12 @@
     async def read(self, table):
         """Return a :class:`Snapshot` of all rows of a table.
 
+        It is current as of its first page: a row of that page may have been removed
+        when the last one was read, and the changes after the first tell so.
+
         :raises PlatformError: when the store does not answer.
         """
-        rows, start = [], None
+        rows, start, version = [], None, None
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start is not None:
@@ -55,8 +58,9 @@
             answer = await self._call("GET", f"{READ_PATH}?{urlencode(query)}")
             page = [_row(each) for each in answer["rows"]]
             rows.extend(page)
+            version = answer["ver"] if version is None else version
             if not answer.get("truncated") or not page:
-                return Snapshot(answer["ver"], rows)
+                return Snapshot(version, rows)
             start = page[-1].key + "\0"
 
     async def follow(self, table, after, wait):
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -1,13 +1,14 @@
 """Registry of the targets that exist now, and of those that may be used."""
 
 from heathercleat.events import Event
+from heathercleat.steering.process.capacity.target_log import TargetLog
 
 #: Seconds after the store's return in which entries that lapsed meanwhile come back:
 #: two by the platform's word, and up to 0.45 between two tries of a VM that reads the
 #: store, the first of which is taken for the earliest instant of the return.
 LAPSE_GRACE = 2.45
-#: Seconds for which the last entry of a target that is gone is remembered: an estimate,
-#: ten times the longest delay of a write that the platform's pages name.
+#: Seconds for which the last entry of a target that is gone is remembered: ten times
+#: the longest time by which the store may do a write late.
 DEPARTED_LIFE = 60.0
 
 
@@ -31,10 +32,13 @@
     be alive and about to come back, and is used until :data:`LAPSE_GRACE` is over. One
     that vanishes at any other time has left. A lapse has a deadline, which is kept even
     if nothing else changes, and which nothing that is told later extends.
+
+    :param journal: where changes are logged.
     """
 
     def __init__(self, journal, clock):
         self._journal = journal
+        self._log = TargetLog(journal)
         self._clock = clock
         self._targets = {}
         self._lapsing = {}
@@ -179,12 +183,12 @@
             self._cold_until.pop(entry.id, None)
         turned_cold = self._note_cold(entry)
         if before is None:
-            self._log_found(entry)
+            self._log.found(entry)
             return True
         if restarted:
-            self._log_restart(before, entry)
+            self._log.restarted(before, entry)
         elif entry.draining != before.draining:
-            self._log_drain(before, entry)
+            self._log.turned(before, entry)
         return turned_cold or not entry.steers_like(before)
 
     def _is_old_news(self, entry, before):
@@ -200,15 +204,7 @@
                 return True
         if before is None or not entry.is_older_than(before):
             return False
-        self._journal.write(
-            Event.ENTRY_OUTDATED,
-            target=entry.id,
-            sequence=entry.sequence,
-            sequence_before=before.sequence,
-            born=entry.born,
-            born_before=before.born,
-            version=entry.version,
-        )
+        self._log.outdated(before, entry)
         return True
 
     def _note_cold(self, entry):
@@ -238,9 +234,7 @@
             return True
         self._lapsing[target_id] = until
         if known_until is None:
-            self._journal.write(
-                Event.TARGET_LAPSING, target=target_id, seconds=round(until - now, 3)
-            )
+            self._log.lapsing(target_id, until - now)
         return known_until is None
 
     def _drop(self, target_id, reason):
@@ -250,7 +244,7 @@
         self._departed[target_id] = Departed(entry, now + DEPARTED_LIFE)
         self._lapsing.pop(target_id, None)
         self._cold_until.pop(target_id, None)
-        self._journal.write(Event.TARGET_GONE, target=target_id, reason=reason)
+        self._log.gone(target_id, reason)
 
     def _forget_departed(self, now):
         """Forget the targets that are gone for long; they stand in that order."""
@@ -259,41 +253,6 @@
                 return
             del self._departed[target_id]
 
-    def _log_found(self, entry):
-        self._journal.write(
-            Event.TARGET_FOUND,
-            target=entry.id,
-            service=entry.service,
-            domain=entry.failure_domain,
-            slots=entry.slots,
-            cold_for=entry.cold_for,
-            draining=entry.draining,
-            sequence=entry.sequence,
-            version=entry.version,
-        )
-
-    def _log_restart(self, before, entry):
-        self._journal.write(
-            Event.TARGET_RESTARTED,
-            target=entry.id,
-            born=entry.born,
-            born_before=before.born,
-            cold_for=entry.cold_for,
-            draining=entry.draining,
-        )
-
-    def _log_drain(self, before, entry):
-        """Log that a target's entry turned from one state to the other."""
-        event = Event.TARGET_DRAINING if entry.draining else Event.TARGET_REOPENED
-        self._journal.write(
-            event,
-            target=entry.id,
-            reason="entry",
-            sequence=entry.sequence,
-            sequence_before=before.sequence,
-            version=entry.version,
-        )
-
     def _usable(self, entry):
         return not entry.draining and entry.failure_domain not in self._evacuated
 
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -1,6 +1,7 @@
 import json
 import os
 import sys
+from threading import Timer
 
 import pytest
 from curio import run
@@ -77,6 +78,20 @@
     assert keys(play(store.client.read, "servers")) == wanted
 
 
+def test_row_that_is_removed_between_two_pages_is_told_as_a_change(store):
+    for number in range(PAGE_ROWS + 1):
+        store.put("servers", f"k{number:04}", {})
+    store.switch(slow_s=0.5)
+    client = TableStore(store.address, SystemClock(), 10.0)
+    removal = Timer(0.75, store.put, ("servers", "k0000", None))
+    removal.start()
+    snapshot = play(client.read, "servers")
+    removal.join()
+    changes = play(client.follow, "servers", snapshot.version, 0.0)
+    assert "k0000" in keys(snapshot), "removed too early to tell anything"
+    assert [(row.key, row.value) for row in changes.rows] == [("k0000", None)]
+
+
 def test_changes_since_a_version_are_told(store):
     store.put("op", "a", {})
     version = play(store.client.read, "op").version
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -219,6 +219,15 @@
         "call.on_leave = call.route.kind.idempotent and StreamCut(stream) or None",
         "tests/test_callers_that_leave.py",
     ),
+    Mutation(
+        "DRAIN-removed-between-pages",
+        "src/heathercleat/platform/store.py",
+        'version = answer["ver"] if version is None else version',
+        'version = answer["ver"]',
+        "tests/test_table_store.py",
+        "-k",
+        "between_two_pages",
+    ),
     Mutation(
         "DRAIN-delayed-report",
         f"{STEERING}/process/capacity/target.py",
