--- a/standins/soak.py
+++ b/standins/soak.py
@@ -11,6 +11,8 @@
 - a request that is not idempotent runs at most once;
 - a refusal with 503 is true: the request has not run and does not run later;
 - a success is signed, whole, and the answer to its own request;
+- a target that leaves just after the last fault gets no requests once the VMs are bound
+  by its drain and that is over, and is used again when it starts again under its id;
 - after the last fault, requests are served again.
 """
 
@@ -49,6 +51,12 @@
 #: Seconds by which a proxy delays data, from little to longer than a request waits.
 LINK_DELAYS = (0.005, 1.5)
 RECOVERY_SECONDS = 12.0
+#: Seconds after the last fault from which every VM is bound by the drain of a target,
+#: and that drain, as on the shortest deployment; a run begins to be told of 0.3 s later
+#: at the latest on a busy machine (an estimate).
+STABLE_SECONDS = 3.0
+DRAIN_SECONDS = 2.0
+REACH_SECONDS = 0.3
 #: Seconds after which a request that was given up can no longer begin to run.
 SETTLE_SECONDS = 1.0
 
@@ -274,6 +282,33 @@
         self._fleet.put("op", "config", self._fleet.config)
 
 
+def check_leaving(fleet, seed):
+    """Yield a line if requests reach a target whose drain is over.
+
+    Clients send all the while. The target announces that it leaves, or its entry just
+    vanishes; afterwards it starts again under its id.
+    """
+    rng = random.Random(f"{seed}-leaving")
+    target = rng.choice(list(TARGETS))
+    leaves_after = rng.uniform(0.0, STABLE_SECONDS)
+    time.sleep(leaves_after)
+    if rng.random() < 0.5:
+        fleet.announce(target, state="draining", sequence=9)
+    else:
+        fleet.put("servers", target, None)
+    time.sleep(STABLE_SECONDS - leaves_after + DRAIN_SECONDS + REACH_SECONDS)
+    count = len(fleet.record(target)["runs"])
+    time.sleep(DRAIN_SECONDS)
+    late = [run[0] for run in fleet.record(target)["runs"][count:]]
+    if late:
+        yield f"{target} left and got requests: {late}"
+    fleet.announce(target, sequence=1, born=1)
+    try:
+        wait_for(lambda: len(fleet.record(target)["runs"]) > count, RECOVERY_SECONDS)
+    except TimeoutError as error:
+        yield f"{target} started again and gets no requests: {error!r}"
+
+
 def check(sent, runs):
     """Yield a line for each broken promise.
 
@@ -311,9 +346,10 @@
         clients.start()
         try:
             faults.run(seconds)
+            broken = list(check_leaving(fleet, seed))
         finally:
             clients.stop()
-        broken = list(_check_recovery(fleet, seed))
+        broken.extend(_check_recovery(fleet, seed))
         time.sleep(SETTLE_SECONDS)
         broken.extend(check(clients.sent, fleet.runs()))
         ends = Counter(request.status for request in clients.sent)
