A target's start and incarnation go by their usual names outside the platform folder

The product had taken over a field's name of the platform's pages, and said life where the field says incarnation.

--- a/src/heathercleat/platform/targets.py
+++ b/src/heathercleat/platform/targets.py
@@ -44,7 +44,7 @@
         draining=_draining(document),
         cold_for=_cold_for(document),
         sequence=_whole(document, "sequence"),
-        born=_whole(document, "born") if "born" in document else None,
+        started_ms=_whole(document, "born") if "born" in document else None,
         version=row.version,
     )
 
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -178,7 +178,7 @@
             return False
         self._departed.pop(entry.id, None)
         self._targets[entry.id] = entry
-        restarted = before is not None and not entry.is_same_life(before)
+        restarted = before is not None and not entry.is_same_incarnation(before)
         if restarted:
             self._cold_until.pop(entry.id, None)
         turned_cold = self._note_cold(entry)
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -218,7 +218,7 @@
     def _keep(self, entry):
         cold_until = self._registry.cold_until(entry.id)
         target = self._owned.get(entry.id) or self._former.get(entry.id)
-        if target is None or not target.entry.is_same_life(entry):
+        if target is None or not target.entry.is_same_incarnation(entry):
             return OwnedTarget(entry, self._cold_limit(entry), cold_until)
         target.entry = entry
         target.cold_until = max(target.cold_until, cold_until)
--- a/src/heathercleat/steering/process/capacity/target.py
+++ b/src/heathercleat/steering/process/capacity/target.py
@@ -8,14 +8,14 @@
     "failure_domain",
     "slots",
     "draining",
-    "born",
+    "started_ms",
 )
 
 
 class TargetEntry:
     """What one report of a target says.
 
-    A target that starts again is another life of it, with the same id or another one:
+    A target that starts again is another incarnation, with the same id or another one:
     nothing that was known of the one before holds.
 
     :param slots: requests that it works on at once.
@@ -23,7 +23,7 @@
     :param cold_for: seconds for which it was still cold when the entry was written.
     :param sequence: the target's own count of its reports since its start, ``None`` if
         it tells none.
-    :param born: Unix milliseconds of its start, ``None`` if it tells none.
+    :param started_ms: Unix milliseconds of its start, ``None`` if it tells none.
     :param version: the store's version of the row that the entry was read from.
     """
 
@@ -37,7 +37,7 @@
         "draining",
         "cold_for",
         "sequence",
-        "born",
+        "started_ms",
         "version",
     )
 
@@ -52,7 +52,7 @@
         draining,
         cold_for,
         sequence=None,
-        born=None,
+        started_ms=None,
         version=0,
     ):
         self.id = id
@@ -64,12 +64,12 @@
         self.draining = draining
         self.cold_for = cold_for
         self.sequence = sequence
-        self.born = born
+        self.started_ms = started_ms
         self.version = version
 
-    def is_same_life(self, other):
+    def is_same_incarnation(self, other):
         """Return whether both are of the same start of the target."""
-        return self.born == other.born
+        return self.started_ms == other.started_ms
 
     def is_older_than(self, other):
         """Return whether the target reported this before another entry of its own.
@@ -77,10 +77,10 @@
         The store may write a delayed report after a later one: the order of rows is not
         that of reports.
         """
-        if not self.is_same_life(other):
-            if self.born is None or other.born is None:
-                return self.born is None
-            return self.born < other.born
+        if not self.is_same_incarnation(other):
+            if self.started_ms is None or other.started_ms is None:
+                return self.started_ms is None
+            return self.started_ms < other.started_ms
         if self.sequence is None or other.sequence is None:
             return False
         return self.sequence < other.sequence
--- a/src/heathercleat/steering/process/capacity/target_log.py
+++ b/src/heathercleat/steering/process/capacity/target_log.py
@@ -32,8 +32,8 @@
         self._journal.write(
             Event.TARGET_RESTARTED,
             target=entry.id,
-            born=entry.born,
-            born_before=before.born,
+            started_ms=entry.started_ms,
+            started_ms_before=before.started_ms,
             cold_for=entry.cold_for,
             draining=entry.draining,
         )
@@ -57,8 +57,8 @@
             target=entry.id,
             sequence=entry.sequence,
             sequence_before=before.sequence,
-            born=entry.born,
-            born_before=before.born,
+            started_ms=entry.started_ms,
+            started_ms_before=before.started_ms,
             version=entry.version,
         )
 
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -28,7 +28,7 @@
     draining=False,
     cold=0.0,
     sequence=None,
-    born=None,
+    started_ms=None,
     version=None,
 ):
     """Return an entry, of a newer row than the ones before if no version is given."""
@@ -42,7 +42,7 @@
         draining,
         cold,
         sequence,
-        born,
+        started_ms,
         next(_versions) if version is None else version,
     )
 
--- a/tests/test_target_lives.py
+++ b/tests/test_target_incarnations.py
@@ -58,24 +58,24 @@
 
 
 def test_target_that_starts_again_counts_anew():
-    parts = Parts([entry("t1", sequence=21, born=1000, draining=True)])
-    assert parts.registry.update([entry("t1", sequence=1, born=2000)], [])
+    parts = Parts([entry("t1", sequence=21, started_ms=1000, draining=True)])
+    assert parts.registry.update([entry("t1", sequence=1, started_ms=2000)], [])
     assert ids(parts) == ["t1"]
 
 
-@pytest.mark.parametrize("born", [1000, None])
-def test_report_of_an_earlier_start_changes_nothing(born):
-    parts = Parts([entry("t1", sequence=1, born=2000, draining=True)])
-    parts.registry.update([entry("t1", sequence=99, born=born)], [])
+@pytest.mark.parametrize("started_ms", [1000, None])
+def test_report_of_an_earlier_start_changes_nothing(started_ms):
+    parts = Parts([entry("t1", sequence=1, started_ms=2000, draining=True)])
+    parts.registry.update([entry("t1", sequence=99, started_ms=started_ms)], [])
     assert ids(parts) == []
 
 
 def test_target_that_starts_again_is_cold_as_it_says():
-    parts = Parts([entry("t1", born=1000, cold=9.0)])
+    parts = Parts([entry("t1", started_ms=1000, cold=9.0)])
     now = parts.clock.now()
-    parts.registry.update([entry("t1", born=2000, cold=2.0)], [])
+    parts.registry.update([entry("t1", started_ms=2000, cold=2.0)], [])
     assert parts.registry.cold_until("t1") == now + 2.0
-    parts.registry.update([entry("t1", born=3000)], [])
+    parts.registry.update([entry("t1", started_ms=3000)], [])
     assert parts.registry.cold_until("t1") == 0.0
 
 
@@ -88,12 +88,12 @@
     assert parts.registry.cold_until("t1") == until
 
 
-def test_nothing_known_of_the_life_before_is_held_against_the_next():
-    parts = Parts([entry("t1", slots=2, born=1000)])
+def test_nothing_known_of_the_incarnation_before_is_held_against_the_next():
+    parts = Parts([entry("t1", slots=2, started_ms=1000)])
     former = parts.ledger.get("t1")
     use = former.take(parts.clock.now())
     former.health.rest(parts.clock.now())
-    parts.registry.update([entry("t1", slots=2, born=2000)], [])
+    parts.registry.update([entry("t1", slots=2, started_ms=2000)], [])
     target = parts.ledger.get("t1")
     assert target.free(parts.clock.now()) == 2
     parts.ledger.release(use)
@@ -101,9 +101,9 @@
 
 
 def test_requests_under_way_count_on_while_the_target_lives():
-    parts = Parts([entry("t1", slots=2, born=1000)])
+    parts = Parts([entry("t1", slots=2, started_ms=1000)])
     parts.ledger.get("t1").take(parts.clock.now())
-    parts.registry.update([entry("t1", slots=2, born=1000, cold=1.0)], [])
+    parts.registry.update([entry("t1", slots=2, started_ms=1000, cold=1.0)], [])
     assert parts.ledger.get("t1").free(parts.clock.now()) == 1
 
 
--- a/tests/test_target_rows.py
+++ b/tests/test_target_rows.py
@@ -92,12 +92,12 @@
     assert (entry.id, entry.host, entry.port) == ("i-1", "127.0.0.9", 8080)
     assert (entry.service, entry.failure_domain, entry.slots) == ("s1", "north-a", 4)
     assert entry.draining
-    assert (entry.cold_for, entry.sequence, entry.born) == (1.5, 4, None)
+    assert (entry.cold_for, entry.sequence, entry.started_ms) == (1.5, 4, None)
     assert entry.version == 7
 
 
 def test_start_of_a_target_is_decoded():
-    assert decode_target(row(target(born=1796260349795))).born == 1796260349795
+    assert decode_target(row(target(born=1796260349795))).started_ms == 1796260349795
 
 
 @pytest.mark.parametrize("field", FIELDS)
