VMs pass on what changed in a table, and do not tell of what they read at their start

Cause: each VM's first read of the store was newer than what all others knew, so each start had every other VM fetch the whole table of 451 targets and decode it row by row. Change: a copy remembers in which version a row changed so that it matters, and what was removed; another VM asks for what changed since the version it knows. A first read is used, not told. Rows of a known version are not decoded again. Tests: test_follower, test_state; the machine of test_lapses passes tables on whole and as changes.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -73,7 +73,8 @@
         query = {"table": table, "after": after, "waitMs": int(wait * 1000)}
         path = f"{FEED_PATH}?{urlencode(query)}"
         answer = await self._call("GET", path, wait=wait)
-        return Snapshot(answer["ver"], [_row(each) for each in answer["rows"]])
+        rows = [_row(each) for each in answer["rows"]]
+        return Snapshot(answer["ver"], rows, is_whole=False)
 
     async def write(self, table, key, value):
         """Put ``value`` (bytes) at ``key``, or remove the row for ``None``.
--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -16,7 +16,8 @@
     result_header,
 )
 
-#: Path of a call for a whole table; the name of the table follows.
+#: Path of a call for a table; its name and the version after which changes are wanted
+#: follow.
 STATE_PATH = b"/state/"
 MAX_BODY_BYTES = 256 << 20
 #: Level of compression of tables: 423 entries of targets shrink from 79 to 10 KB in
@@ -32,7 +33,8 @@
     :param sock: the accepted curio socket.
     :param local: tries requests at own targets.
     :param leavers: watches for callers that leave.
-    :param snapshot: returns the :class:`Snapshot` of a table, or ``None``.
+    :param snapshot: returns the :class:`Snapshot` of what changed in a table since a
+        version.
     """
 
     def __init__(self, sock, local, leavers, snapshot, clock):
@@ -56,13 +58,13 @@
             return False
         body = await read_body(self._stream, MAX_BODY_BYTES)
         if head.target.startswith(STATE_PATH):
-            await self._send_state(head.target.removeprefix(STATE_PATH).decode())
+            await self._send_state(*read_state_path(head.target))
         else:
             await self._serve_request(head, body)
         return self._stream.next_cycle()
 
-    async def _send_state(self, table):
-        await self._send(_NO_ANSWER, [], pack_state(self._snapshot(table)))
+    async def _send_state(self, table, after):
+        await self._send(_NO_ANSWER, [], pack_state(self._snapshot(table, after)))
 
     async def _serve_request(self, head, body):
         headers = list(head.headers)
@@ -92,10 +94,30 @@
         await self._stream.send(*events, h11.EndOfMessage())
 
 
+def state_path(table, after):
+    """Return the path of a call for what changed in a table since a version."""
+    return f"{STATE_PATH.decode()}{table}/{after}"
+
+
+def read_state_path(path):
+    """Return the name of the table and the version in the path of a call.
+
+    :raises ValueError: when it names none.
+    """
+    table, _, after = path.removeprefix(STATE_PATH).decode().rpartition("/")
+    return table, int(after)
+
+
 def pack_state(snapshot):
     """Return the bytes of a :class:`Snapshot` on the wire."""
     rows = [[row.key, row.value, row.version] for row in snapshot.rows]
-    fields = [snapshot.version, snapshot.changed, rows, snapshot.lapsing]
+    fields = [
+        snapshot.version,
+        snapshot.changed,
+        rows,
+        snapshot.lapsing,
+        snapshot.is_whole,
+    ]
     return zlib.compress(msgpack.packb(fields), FAST)
 
 
@@ -108,6 +130,6 @@
         packed = zlib.decompress(body)
     except zlib.error as fault:
         raise ValueError(f"not compressed: {fault}") from None
-    version, changed, rows, lapsing = msgpack.unpackb(packed)
+    version, changed, rows, lapsing, is_whole = msgpack.unpackb(packed)
     rows = [StoreRow(*fields) for fields in rows]
-    return Snapshot(version, rows, changed, lapsing)
+    return Snapshot(version, rows, changed, lapsing, is_whole)
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -48,6 +48,7 @@
         self._evacuated = frozenset()
         self._lapse_until = 0.0
         self._known = False
+        self._rebuilt = False
         self._on_change = []
 
     @property
@@ -73,6 +74,10 @@
         entry = self._targets.get(target_id)
         return entry if entry is not None and self._usable(entry) else None
 
+    def entry(self, target_id):
+        """Return the known entry of that id, usable or not, or ``None``."""
+        return self._targets.get(target_id)
+
     def knows(self, target_id):
         """Return whether a target is known, usable or not."""
         return target_id in self._targets
@@ -99,35 +104,42 @@
         return {each: until - now for each, until in self._lapsing.items()}
 
     def replace(self, entries, lapsing=None):
-        """Take the whole list of entries.
+        """Take the whole list of entries; return the ids of those that matter.
 
         :param lapsing: what :meth:`lapsing` returned at the VM that told the list;
             ``None`` when the store told it.
         """
         self._known = True
         present = {entry.id for entry in entries}
-        for entry in entries:
-            self._put(entry)
-        now = self._clock.now()
-        for target_id in [each for each in self._targets if each not in present]:
-            until = self._lapse_until
-            if lapsing is not None:
-                until = now + lapsing.get(target_id, 0.0)
-            self._remove(target_id, until)
-        self._rebuild()
+        removed = [each for each in self._targets if each not in present]
+        return self._take(entries, removed, lapsing)
 
-    def update(self, entries, removed):
+    def update(self, entries, removed, lapsing=None):
         """Take changed entries and the ids of removed ones.
 
-        Return whether anything changed that matters for steering.
+        Return the ids of those that changed in a way that matters for steering.
+
+        :param lapsing: as in :meth:`replace`.
         """
-        changed = [self._put(entry) for entry in entries]
+        if lapsing is not None:
+            # That VM may have given up a target since that lapses here.
+            present = {entry.id for entry in entries}
+            lapsed = [each for each in self._lapsing if each not in present]
+            removed = {*removed, *lapsed}
+        return self._take(entries, removed, lapsing)
+
+    def _take(self, entries, removed, lapsing):
+        changed = [entry.id for entry in entries if self._put(entry)]
+        now = self._clock.now()
         for target_id in removed:
-            changed.append(self._remove(target_id, self._lapse_until))
-        matters = any(changed)
-        if matters:
+            until = self._lapse_until
+            if lapsing is not None:
+                until = now + lapsing.get(target_id, 0.0)
+            if self._remove(target_id, until):
+                changed.append(target_id)
+        if changed or not self._rebuilt:
             self._rebuild()
-        return matters
+        return changed
 
     def expire(self):
         """Drop the targets whose entries did not come back in time."""
@@ -160,13 +172,13 @@
             self._rebuild()
 
     def reject(self, target_ids):
-        """Drop targets whose entries cannot be used; return whether any was known."""
+        """Drop targets whose entries cannot be used; return those that were known."""
         known = [each for each in target_ids if each in self._targets]
         for target_id in known:
             self._drop(target_id, "entry rejected")
         if known:
             self._rebuild()
-        return bool(known)
+        return known
 
     def _put(self, entry):
         """Keep an entry; return whether what matters for steering has changed."""
@@ -257,6 +269,7 @@
         return not entry.draining and entry.failure_domain not in self._evacuated
 
     def _rebuild(self):
+        self._rebuilt = True
         self._by_service = {}
         for entry in self._targets.values():
             if self._usable(entry):
--- a/src/heathercleat/steering/process/membership/composer.py
+++ b/src/heathercleat/steering/process/membership/composer.py
@@ -34,8 +34,8 @@
         return Beat(
             news_of(members.own),
             interval,
-            tables.operator.changed,
-            tables.targets.changed,
+            tables.operator.told,
+            tables.targets.told,
             tables.store_answers,
             members.digest,
             members.news(),
--- a/src/heathercleat/steering/process/store/copy.py
+++ b/src/heathercleat/steering/process/store/copy.py
@@ -1,6 +1,10 @@
 """A VM's copy of one table of the store."""
 
-from heathercleat.steering.process.store.protocol import Snapshot
+from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
+
+#: Removals that are remembered, to tell other VMs what changed: a fleet whose targets
+#: are all replaced within minutes. A VM that missed more is told the whole table.
+MOST_REMOVALS = 1024
 
 
 class TableCopy:
@@ -13,12 +17,17 @@
     with an outage of the store for all).
     """
 
-    __slots__ = ("_rows", "_version", "_changed")
+    __slots__ = ("_rows", "_version", "_changed", "_changed_at", "_removals", "_floor")
 
     def __init__(self):
         self._rows = {}
         self._version = 0
         self._changed = 0
+        # Version of the last change of each row that mattered, and of its removal.
+        self._changed_at = {}
+        self._removals = {}
+        # Version since which every removal is remembered.
+        self._floor = 0
 
     @property
     def version(self):
@@ -40,11 +49,17 @@
 
         Another VM may have been ahead of an answer of the store that was on its way.
         """
-        self._changed = max(self._changed, snapshot.changed)
         if snapshot.version < self._version:
+            self._changed = max(self._changed, snapshot.changed)
             return False
+        if not self._version:
+            self._floor = snapshot.version
         self._version = snapshot.version
-        self._rows = {row.key: row for row in snapshot.rows}
+        before, self._rows = self._rows, {row.key: row for row in snapshot.rows}
+        for key in before.keys() - self._rows.keys():
+            self._forget(key, snapshot.version)
+        for key in self._rows.keys() - before.keys():
+            self._removals.pop(key, None)
         return True
 
     def take_changes(self, snapshot):
@@ -53,23 +68,68 @@
         A table that is read in pages may hold rows that are newer than its version: an
         earlier change of such a row must not undo the later one.
         """
-        if snapshot.version < self._version:
-            return Snapshot(self._version, [])
-        self._version = snapshot.version
+        news = [each for each in snapshot.rows if self._take(each)]
+        self._version = max(self._version, snapshot.version)
         return Snapshot(
-            snapshot.version, [each for each in snapshot.rows if self._take(each)]
+            self._version, news, snapshot.changed, snapshot.lapsing, is_whole=False
         )
 
-    def note_change(self):
-        """Note that the last change mattered."""
-        self._changed = self._version
+    def note_changes(self, keys, version):
+        """Note that the rows of some keys changed in a way that mattered.
+
+        :param version: the version of the last change of the table that mattered.
+        """
+        self._changed = max(self._changed, version)
+        for key in keys:
+            row = self._rows.get(key)
+            if row is not None:
+                self._changed_at[key] = min(row.version, self._changed)
+
+    def since(self, version, lapsing):
+        """Return a :class:`Snapshot` of what changed since a version, and mattered.
+
+        It is whole for a VM that knows nothing (0), or that missed removals that are
+        not remembered here. Passed on whole at each change, a table of 451 targets is
+        decoded row by row by every VM: 451 rows in place of the few that changed.
+
+        :param lapsing: see :class:`Snapshot`.
+        """
+        if version < self._floor or not version:
+            return Snapshot(self._version, self.rows, self._changed, lapsing)
+        rows = [
+            row
+            for key, row in self._rows.items()
+            if self._changed_at.get(key, row.version) > version
+        ]
+        rows.extend(
+            StoreRow(key, None, removed)
+            for key, removed in self._removals.items()
+            if removed > version
+        )
+        return Snapshot(self._version, rows, self._changed, lapsing, is_whole=False)
 
     def _take(self, row):
         """Take one changed row; return whether it was news."""
         known = self._rows.get(row.key)
-        if known is not None and row.version <= known.version:
+        if row.version <= (known.version if known else self._gone_at(row.key)):
             return False
-        if row.value is not None:
-            self._rows[row.key] = row
-            return True
-        return self._rows.pop(row.key, None) is not None
+        if row.value is None:
+            self._rows.pop(row.key, None)
+            self._forget(row.key, row.version)
+            return known is not None
+        self._removals.pop(row.key, None)
+        self._rows[row.key] = row
+        return True
+
+    def _gone_at(self, key):
+        """Return the version as of which there was no row of a key."""
+        return max(self._floor, self._removals.get(key, 0))
+
+    def _forget(self, key, version):
+        """Note the removal of a row."""
+        self._changed_at.pop(key, None)
+        self._removals.pop(key, None)
+        self._removals[key] = version
+        if len(self._removals) > MOST_REMOVALS:
+            oldest = next(iter(self._removals))
+            self._floor = max(self._floor, self._removals.pop(oldest))
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -8,7 +8,7 @@
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
 from heathercleat.steering.process.store.copy import TableCopy
-from heathercleat.steering.process.store.protocol import HistoryLostError, Snapshot
+from heathercleat.steering.process.store.protocol import HistoryLostError
 
 #: Seconds between two tries of a reader while the store does not answer: short enough
 #: for a configuration to be in force within its bound after the store's return.
@@ -53,11 +53,11 @@
     :param store: a :class:`Store` of its own.
     :param wait: seconds for which a call waits for a change.
     :param pause: seconds between two calls, to bound their number.
-    :param apply: called with a :class:`Snapshot` and whether it is whole; returns
-        whether anything mattered.
-    :param relay: fetches a whole :class:`Snapshot` with a newer change from another
-        VM, or returns ``None``; a coroutine function of the last change known here and
-        the instant since which others know a newer one.
+    :param apply: called with a :class:`Snapshot`; returns the keys of the rows that
+        mattered.
+    :param relay: fetches a :class:`Snapshot` with a newer change from another VM, or
+        returns ``None``; a coroutine function of the last change known here and the
+        instant since which others know a newer one.
     :param newest: returns the newest change of which another VM has told.
     :param is_reader: returns whether this VM reads the store.
     :param is_answered_elsewhere: returns whether the store answers another VM.
@@ -99,6 +99,7 @@
         self._copy = TableCopy()
         self._told = Signal()
         self._behind_since = None
+        self._told_changed = 0
         self._loaded = False
         self._outage = None
         self._read_at = None
@@ -109,6 +110,16 @@
         """Return the store's version of the last change that mattered."""
         return self._copy.changed
 
+    @property
+    def told(self):
+        """Return the last change of which this VM tells others.
+
+        What it read as a whole at its start is newer than what they know, but hardly
+        ever tells them of a change: each start would have every other VM fetch the
+        table.
+        """
+        return self._told_changed
+
     @property
     def lost(self):
         """Return whether the store did not answer the last call."""
@@ -126,10 +137,9 @@
         """Return the instant of the last answer of the store, or ``None``."""
         return self._read_at
 
-    def snapshot(self):
-        """Return all rows known here, for other VMs."""
-        copy = self._copy
-        return Snapshot(copy.version, copy.rows, copy.changed, self._lapsing())
+    def snapshot(self, after=0):
+        """Return what changed since a version, for another VM; all rows by default."""
+        return self._copy.since(after, self._lapsing())
 
     async def notice(self):
         """Look at once at what others know, if one of them knows a newer change."""
@@ -209,13 +219,13 @@
             snapshot = await self._store.read(self._table)
             self._note_answer()
             self._take_whole(snapshot)
-            self._loaded = True
             return
         # To wait for a change would tell of the store's return a second later.
         wait = 0.0 if self.lost else self._wait
         changes = await self._store.follow(self._table, self._copy.version, wait)
         self._note_answer()
         self._take_changes(changes)
+        self._told_changed = self.changed
 
     async def _ask_peer(self):
         if not self._is_behind():
@@ -231,16 +241,33 @@
             self._journal.write(
                 Event.STATE_FROM_PEER, table=self._table, version=snapshot.changed
             )
-            self._take_whole(snapshot)
-            self._loaded = True
+            self._take_relayed(snapshot)
 
     def _take_whole(self, snapshot):
-        if self._copy.take_whole(snapshot):
-            self._apply(snapshot, True)
+        """Take all rows, as the store told them."""
+        first, self._loaded = not self._copy.version, True
+        if not self._copy.take_whole(snapshot):
+            return
+        keys = self._apply(snapshot)
+        if keys or first:
+            self._copy.note_changes(keys, snapshot.version)
 
     def _take_changes(self, snapshot):
-        if self._apply(self._copy.take_changes(snapshot), False):
-            self._copy.note_change()
+        """Take changed rows, as the store told them."""
+        keys = self._apply(self._copy.take_changes(snapshot))
+        if keys:
+            self._copy.note_changes(keys, self._copy.version)
+
+    def _take_relayed(self, snapshot):
+        """Take what another VM told, all rows or the changed ones."""
+        if not snapshot.is_whole:
+            self._apply(self._copy.take_changes(snapshot))
+        elif self._copy.take_whole(snapshot):
+            self._apply(snapshot)
+        self._loaded = True
+        keys = [row.key for row in snapshot.rows]
+        self._copy.note_changes(keys, snapshot.changed)
+        self._told_changed = self.changed
 
     def _note_lost(self, error, began_at, is_total):
         if self._outage is None:
--- a/src/heathercleat/steering/process/store/protocol.py
+++ b/src/heathercleat/steering/process/store/protocol.py
@@ -19,21 +19,23 @@
 
 
 class Snapshot:
-    """Rows of a table.
+    """Rows of a table: all of them, or those that changed since some version.
 
     :param version: the store's version that they are current as of.
     :param changed: the version of the last change that mattered.
     :param lapsing: seconds for which the VM that told this goes on using what removed
         rows stood for, by key; ``None`` when the store told it.
+    :param is_whole: whether a row that it does not hold does not exist.
     """
 
-    __slots__ = ("version", "rows", "changed", "lapsing")
+    __slots__ = ("version", "rows", "changed", "lapsing", "is_whole")
 
-    def __init__(self, version, rows, changed=None, lapsing=None):
+    def __init__(self, version, rows, changed=None, lapsing=None, is_whole=True):
         self.version = version
         self.rows = rows
         self.changed = version if changed is None else changed
         self.lapsing = lapsing
+        self.is_whole = is_whole
 
     def age(self, seconds):
         """Shorten what is told in seconds by the time that the answer took."""
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -11,7 +11,7 @@
 from heathercleat.platform.names import OPERATOR_TABLE, TARGET_TABLE
 from heathercleat.platform.store import TableStore
 from heathercleat.platform.targets import decode_target
-from heathercleat.steering.connection.forwarded import STATE_PATH, read_state
+from heathercleat.steering.connection.forwarded import read_state, state_path
 from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.steering.process.store.member_rows import decode_member, encode_member
 from heathercleat.steering.process.store.rejections import Rejections
@@ -100,10 +100,10 @@
         """Return whether the store does not answer this VM."""
         return self.operator.lost or self.targets.lost
 
-    def snapshot(self, table):
-        """Return the copy of a followed table."""
+    def snapshot(self, table, after):
+        """Return what changed in a followed table since a version; all of it for 0."""
         followers = {OPERATOR_TABLE: self.operator, TARGET_TABLE: self.targets}
-        return followers[table].snapshot()
+        return followers[table].snapshot(after)
 
     async def notice(self):
         """Take it that heartbeats may have told of newer tables."""
@@ -194,10 +194,11 @@
     def _is_answered_elsewhere(self):
         return any(each.store_answers for each in self._members.live_others())
 
-    def _take_operator(self, snapshot, whole):
+    def _take_operator(self, snapshot):
         """Take the whole table again: it is small and a removed row matters."""
-        if not whole and not snapshot.rows:
-            return False
+        changed = [row.key for row in snapshot.rows]
+        if not snapshot.is_whole and not changed:
+            return changed
         try:
             rows = self.operator.snapshot().rows
             table, evacuated = decode_operator_rows(rows)
@@ -207,39 +208,43 @@
                 version=snapshot.version,
                 reason=str(error),
             )
-            return False
+            return []
         self._registry.evacuate(evacuated)
         if table is not None:
             self._adopt(table)
-        return True
+        return changed
 
-    def _take_targets(self, snapshot, whole):
+    def _take_targets(self, snapshot):
         rows = [row for row in snapshot.rows if row.value is not None]
         entries = list(self._decode(rows, self._decode_target))
         decoded = {entry.id for entry in entries}
-        matters = self._registry.reject(
+        rejected = self._registry.reject(
             row.key for row in rows if row.key not in decoded
         )
-        if whole:
-            self._registry.replace(entries, snapshot.lapsing)
-            return True
-        removed = [row.key for row in snapshot.rows if row.value is None]
-        return self._registry.update(entries, removed) or matters
+        if snapshot.is_whole:
+            changed = self._registry.replace(entries, snapshot.lapsing)
+        else:
+            removed = [row.key for row in snapshot.rows if row.value is None]
+            changed = self._registry.update(entries, removed, snapshot.lapsing)
+        return [*rejected, *changed]
 
     def _decode_target(self, row):
+        known = self._registry.entry(row.key)
+        if known is not None and known.version == row.version:
+            return known
         entry = decode_target(row)
         if entry.failure_domain not in self._settings.regions:
             raise ValueError(f"no failure domain has the name {entry.failure_domain!r}")
         return entry
 
-    def _take_members(self, snapshot, whole):
+    def _take_members(self, snapshot):
         rows = [row for row in snapshot.rows if row.value is not None]
         for member in self._decode(rows, decode_member):
             if member.vm != self._settings.vm:
                 self._members.introduce(
                     member.vm, member.ip, member.failure_domain, member.region
                 )
-        return True
+        return [row.key for row in snapshot.rows]
 
     def _decode(self, rows, decode):
         """Yield what the rows stand for; log those that cannot be used."""
@@ -263,7 +268,7 @@
         if waited < self._relay_delay(nearest):
             return None
         asked_at = self._clock.now()
-        fetching = self._fetch(nearest.ip, table)
+        fetching = self._fetch(nearest.ip, table, version)
         try:
             snapshot = await before(asked_at + RELAY_TIMEOUT, self._clock, fetching)
         except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
@@ -278,10 +283,10 @@
             return 0.0
         return REGION_DELAY if member.region == own.region else FAR_DELAY
 
-    async def _fetch(self, ip, table):
+    async def _fetch(self, ip, table, after):
         port = self._settings.forward_port
         stream = await self._pool.checkout(ip, port)
-        message = Message(path=STATE_PATH.decode() + table)
+        message = Message(path=state_path(table, after))
         whole = False
         try:
             answer = await exchange(stream, message, MAX_STATE_BYTES)
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -4,7 +4,7 @@
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.logs import Journal
-from heathercleat.steering.process.store.copy import TableCopy
+from heathercleat.steering.process.store.copy import MOST_REMOVALS, TableCopy
 from heathercleat.steering.process.store.follower import (
     IDLE_PEER_INTERVAL,
     RETRY_INTERVAL,
@@ -58,7 +58,7 @@
             self.forget = False
             raise HistoryLostError("gone")
         changes = [row for row in self.changes if row.version > after]
-        return Snapshot(self.version, changes)
+        return Snapshot(self.version, changes, is_whole=False)
 
     def _call(self):
         self.calls += 1
@@ -95,9 +95,10 @@
             self.clock,
         )
 
-    def _apply(self, snapshot, whole):
-        self.applied.append((whole, sorted(row.key for row in snapshot.rows)))
-        return self.matters
+    def _apply(self, snapshot):
+        keys = sorted(row.key for row in snapshot.rows)
+        self.applied.append((snapshot.is_whole, keys))
+        return keys if self.matters else []
 
     async def _relay(self, version, since):
         if self.peer is None:
@@ -313,3 +314,74 @@
     made.play(lambda: None)
     # 0.8 s: with a look each 0.1 s there are seven and more.
     assert len(looks) <= 3
+
+
+def test_whole_table_read_at_the_start_is_not_told_to_others():
+    made = Follower(Snapshot(0, []), reader=False)
+    made.store.put("a", b"1")
+    made.play()
+    assert (made.follower.changed, made.follower.told) == (1, 0)
+
+
+@pytest.mark.parametrize("reader", [True, False])
+def test_change_is_told_to_others_by_who_read_it_and_who_was_told(reader):
+    made = Follower(Snapshot(0, []), reader=reader)
+
+    def change():
+        made.store.put("a", b"1")
+        made.peer = Snapshot(1, [StoreRow("a", b"1", 1)], is_whole=False)
+
+    made.play(change)
+    assert made.follower.told == 1
+
+
+def test_only_what_changed_is_passed_on():
+    made = Follower()
+    for number in range(400):
+        made.store.put(f"old-{number}", b"1")
+
+    def change():
+        made.store.put("new", b"1")
+        made.store.put("old-7", None)
+
+    known = []
+    made.play(lambda: known.append(made.follower.changed), change)
+    passed = made.follower.snapshot(known[0])
+    assert not passed.is_whole
+    assert [(row.key, row.value) for row in passed.rows] == [
+        ("new", b"1"),
+        ("old-7", None),
+    ]
+    assert len(made.follower.snapshot().rows) == 400
+
+
+def test_vm_that_missed_removals_is_told_the_whole_table():
+    copy = TableCopy()
+    copy.take_whole(Snapshot(10, [StoreRow("a", b"1", 3)]))
+    copy.note_changes(["a"], 10)
+    assert copy.since(9, {}).is_whole
+    assert not copy.since(10, {}).is_whole
+    removals = [StoreRow(f"gone-{n}", None, 11 + n) for n in range(MOST_REMOVALS + 1)]
+    copy.take_changes(Snapshot(20 + MOST_REMOVALS, removals, is_whole=False))
+    assert copy.since(10, {}).is_whole
+    assert not copy.since(11, {}).is_whole
+
+
+def test_table_that_is_read_again_tells_what_went_meanwhile():
+    copy = TableCopy()
+    rows = [StoreRow("a", b"1", 3), StoreRow("b", b"1", 4)]
+    copy.take_whole(Snapshot(10, rows))
+    copy.note_changes(["a", "b"], 10)
+    copy.take_whole(Snapshot(20, rows[1:]))
+    passed = copy.since(10, {})
+    assert [(row.key, row.value, row.version) for row in passed.rows] == [
+        ("a", None, 20)
+    ]
+
+
+def test_row_from_before_the_whole_table_is_no_news():
+    copy = TableCopy()
+    copy.take_whole(Snapshot(10, []))
+    late = Snapshot(9, [StoreRow("a", b"1", 9)], is_whole=False)
+    assert copy.take_changes(late).rows == []
+    assert copy.version == 10
--- a/tests/test_lapses.py
+++ b/tests/test_lapses.py
@@ -33,17 +33,29 @@
 
     def take_whole(self, snapshot):
         if self.copy.take_whole(snapshot):
-            self.registry.replace(_entries(snapshot.rows), snapshot.lapsing)
+            changed = self.registry.replace(_entries(snapshot.rows), snapshot.lapsing)
+            self.copy.note_changes(changed, snapshot.changed)
 
     def take_changes(self, snapshot):
-        rows = self.copy.take_changes(snapshot).rows
-        removed = [row.key for row in rows if row.value is None]
-        if self.registry.update(_entries(rows), removed):
-            self.copy.note_change()
+        changed = self._update(self.copy.take_changes(snapshot))
+        if changed:
+            self.copy.note_changes(changed, self.copy.version)
 
-    def snapshot(self):
-        copy, lapsing = self.copy, self.registry.lapsing()
-        return Snapshot(copy.version, copy.rows, copy.changed, lapsing)
+    def take_relayed(self, snapshot):
+        if snapshot.is_whole:
+            self.take_whole(snapshot)
+        else:
+            self._update(self.copy.take_changes(snapshot))
+        keys = [row.key for row in snapshot.rows]
+        self.copy.note_changes(keys, snapshot.changed)
+
+    def _update(self, snapshot):
+        removed = [row.key for row in snapshot.rows if row.value is None]
+        entries = _entries(snapshot.rows)
+        return self.registry.update(entries, removed, snapshot.lapsing)
+
+    def snapshot(self, after):
+        return self.copy.since(after, self.registry.lapsing())
 
 
 def _entries(rows):
@@ -95,13 +107,18 @@
             return
         after = made.copy.version
         news = [row for row in self.changes if row.version > after]
-        made.take_changes(Snapshot(self.version, news))
-
-    @rule(source=st.integers(0, VMS - 1), receiver=st.integers(0, VMS - 1))
-    def pass_on(self, source, receiver):
+        made.take_changes(Snapshot(self.version, news, is_whole=False))
+
+    @rule(
+        source=st.integers(0, VMS - 1),
+        receiver=st.integers(0, VMS - 1),
+        whole=st.booleans(),
+    )
+    def pass_on(self, source, receiver, whole):
         source, receiver = self.vms[source], self.vms[receiver]
         if source.copy.changed > receiver.copy.changed:
-            receiver.take_whole(source.snapshot())
+            after = 0 if whole else receiver.copy.changed
+            receiver.take_relayed(source.snapshot(after))
 
     @rule()
     def go_away(self):
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,6 +1,11 @@
 import pytest
 
-from heathercleat.steering.connection.forwarded import pack_state, read_state
+from heathercleat.steering.connection.forwarded import (
+    pack_state,
+    read_state,
+    read_state_path,
+    state_path,
+)
 from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
 
 
@@ -15,6 +20,22 @@
     ]
 
 
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_table_tells_whether_it_is_whole(is_whole):
+    state = read_state(pack_state(Snapshot(9, [], is_whole=is_whole)))
+    assert state.is_whole is is_whole
+
+
+def test_call_for_a_table_names_it_and_a_version():
+    assert read_state_path(state_path("servers", 17).encode()) == ("servers", 17)
+
+
+@pytest.mark.parametrize("path", [b"/state/servers", b"/state/servers/x", b"/state/"])
+def test_call_for_a_table_without_a_version_is_an_error(path):
+    with pytest.raises(ValueError):
+        read_state_path(path)
+
+
 def test_many_entries_are_sent_in_few_bytes():
     value = '{"service": "s1", "zone": "north-a", "slots": 6, "state": "ready"}'
     rows = [StoreRow(f"i-{number}", value, number) for number in range(400)]
