--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -120,6 +120,11 @@
         """
         return self._told_changed
 
+    @property
+    def loaded(self):
+        """Return whether the table is known."""
+        return self._loaded
+
     @property
     def lost(self):
         """Return whether the store did not answer the last call."""
