Only partners are told news; news is compressed

Change: greetings and tries carry no news; probes of silent VMs go mostly to their own region; news is compressed.

--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -1,10 +1,19 @@
 """The heartbeat on the wire."""
 
+import zlib
+
 import msgpack
 
 from heathercleat.steering.process.membership.member import News
 
 
+#: Level of compression of news, most of which are names: 48 pieces shrink from 4.0 to
+#: 1.9 KB.
+_FAST = 1
+#: Bytes of news at most; far more than a datagram holds, and little memory.
+_MOST_NEWS_BYTES = 1 << 16
+
+
 class Beat:
     """A heartbeat.
 
@@ -43,6 +52,11 @@
         self.rooms = self.waits = self.losses = None
         return self
 
+    def without_news(self):
+        """Drop the news, which only partners are told; return the beat."""
+        self.news = []
+        return self
+
     @property
     def has_reports(self):
         """Return whether it tells of rooms, waits and losses."""
@@ -50,8 +64,9 @@
 
     def pack(self):
         """Return the bytes on the wire."""
-        fields = [getattr(self, name) for name in self.__slots__[1:]]
-        return msgpack.packb([self.own.fields(), *fields])
+        fields = {name: getattr(self, name) for name in self.__slots__[1:]}
+        fields["news"] = _pack_news(self.news)
+        return msgpack.packb([self.own.fields(), *fields.values()])
 
     @classmethod
     def of(cls, fields):
@@ -60,9 +75,30 @@
         :raises TypeError: when they are not those of a heartbeat, as ValueError.
         """
         own, *rest = fields
-        return cls(News(*own), *rest)
+        beat = cls(News(*own), *rest)
+        beat.news = _unpack_news(beat.news)
+        return beat
 
     def told(self):
         """Yield each :class:`News` that is passed on."""
         for fields in self.news:
             yield News(*fields)
+
+
+def _pack_news(news):
+    """Return the fields of news as bytes, ``None`` for none."""
+    return zlib.compress(msgpack.packb(news), _FAST) if news else None
+
+
+def _unpack_news(packed):
+    """Return the fields of news.
+
+    :raises ValueError: when they do not decode.
+    """
+    if packed is None:
+        return []
+    try:
+        news = zlib.decompressobj().decompress(packed, _MOST_NEWS_BYTES)
+    except zlib.error as fault:
+        raise ValueError(f"news that are not compressed: {fault}") from None
+    return msgpack.unpackb(news)
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -26,11 +26,16 @@
 #: Seconds for which a VM that sends heartbeats here is answered.
 ANSWER_SECONDS = 2.0
 #: VMs that are not known to live which get a heartbeat with each round to all, and as
-#: many that only others hear: after a cut that has ended, each of 100 VMs tries eight.
-TRIED_AT_ONCE = 8
+#: many that only others hear, in this region and outside of it: after a cut that has
+#: ended, each of 100 VMs tries eight. Bytes between regions are dear, and one VM that
+#: hears of another region tells its own.
+NEAR_TRIED = 6
+FAR_TRIED = 2
 #: Seconds after the start in which a VM sends heartbeats to all at the usual rate:
 #: without it, VMs that were started together found each other after 0.9 s.
 START_SECONDS = 2.0
+#: Seconds between two of these in a large fleet, where each tells much that is new.
+START_INTERVAL = 0.45
 MAX_DATAGRAM = 8192
 #: VMs of which is told again at once where partners believe otherwise, and looks (0.9 s
 #: apart) that find so before that while news still comes.
@@ -154,26 +159,39 @@
         """
         await self._send_all(self._receivers(to_all))
         for seed in self._unknown_seeds() if to_all else ():
-            await self._send_to(seed, self._short_beat(), None)
+            await self._send_to(seed, self._pack(False, False, False), None)
 
     async def _send_all(self, members):
-        """Send a heartbeat to some members, with reports where both are active."""
+        """Send a heartbeat to some members, composed once for all that get the same.
+
+        It has reports where both VMs are active. Only partners are told news: told to
+        all, what 195 VMs that start together tell each other took 155 MB between
+        regions within 8 s, and filled the links of the weaker ones.
+        """
         active = self._members.active()
-        full, short = {}, None
+        packed = {}
         for member in members:
-            if self._members.own in active and member in active:
-                is_far = self._is_far(member)
-                if is_far not in full:
-                    full[is_far] = self._full_beat(is_far)
-                await self._send_to(member.ip, full[is_far], member.vm)
-            else:
-                short = short or self._short_beat()
-                await self._send_to(member.ip, short, member.vm)
-
-    def _full_beat(self, is_far):
-        """Return the bytes of a heartbeat with reports, for near or far VMs."""
-        rounds = FAR_ROUNDS if is_far else 1
-        return self._compose(rounds * self._interval()).pack()
+            full = self._members.own in active and member in active
+            kind = full, full and self._is_far(member), self._is_partner(member)
+            if kind not in packed:
+                packed[kind] = self._pack(*kind)
+            await self._send_to(member.ip, packed[kind], member.vm)
+
+    def _pack(self, full, is_far, is_partner):
+        """Return the bytes of a heartbeat.
+
+        :param full: whether it has reports.
+        :param is_far: whether it is for VMs that get fewer of those.
+        :param is_partner: whether it is for partners.
+        """
+        if full:
+            rounds = FAR_ROUNDS if is_far else 1
+            beat = self._compose(rounds * self._interval())
+        else:
+            beat = self._compose(IDLE_INTERVAL).without_reports()
+        if not is_partner:
+            beat = beat.without_news()
+        return beat.pack()
 
     def _is_far(self, member):
         """Return whether a VM of another region gets fewer heartbeats.
@@ -185,9 +203,6 @@
             return False
         return member.region != self._settings.region
 
-    def _short_beat(self):
-        return self._compose(IDLE_INTERVAL).without_reports().pack()
-
     async def _send_to(self, ip, body, vm):
         echo = [self._clock.now(), *self._echo(vm), self._asks(vm)]
         address = ip, self._settings.gossip_port
@@ -226,7 +241,8 @@
         active = self._members.active()
         if self._is_starting():
             unheard = sum(each.heard_at is None for each in self._members.others())
-            return max(INTERVAL, unheard / MOST_PER_SECOND)
+            least = INTERVAL if self._members.topology.is_mesh else START_INTERVAL
+            return max(least, unheard / MOST_PER_SECOND)
         if self._members.own not in active:
             return IDLE_INTERVAL
         return max(INTERVAL, len(self._regular(active)) / MOST_PER_SECOND)
@@ -284,7 +300,14 @@
         partners = [each for each in rest if self._is_partner(each)]
         silent = [each for each in rest if members.live(each.vm) is None]
         told_live = [each for each in silent if each.told_live]
-        return [*partners, *_some(told_live), *_some(silent)]
+        return [*partners, *self._some(told_live), *self._some(silent)]
+
+    def _some(self, members):
+        """Return a few members, others each time."""
+        near = [each for each in members if each.region == self._settings.region]
+        far = [each for each in members if each.region != self._settings.region]
+        yield from sample(near, min(NEAR_TRIED, len(near)))
+        yield from sample(far, min(FAR_TRIED, len(far)))
 
     def _echo(self, vm):
         """Return the peer's last sending instant and how long ago it arrived."""
@@ -303,8 +326,3 @@
         self._journal.write(
             Event.PEER_REJECTED, peer=address[0], reason=repr(error), count=self._bad
         )
-
-
-def _some(members):
-    """Return a few members, others each time."""
-    return sample(members, min(TRIED_AT_ONCE, len(members)))
