--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -6,7 +6,6 @@
 
 from heathercleat.steering.process.membership.member import News
 
-
 #: Level of compression of news, most of which are names: 48 pieces shrink from 4.0 to
 #: 1.9 KB.
 _FAST = 1
