An outage that proves to be for all counts as such; the reading rule for starts is back

Change: in an outage a VM looks each 0.1 s, as it did; one that finds between two calls that nobody is answered takes the outage for one for all.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -120,11 +120,6 @@
         """
         return self._told_changed
 
-    @property
-    def loaded(self):
-        """Return whether the table is known."""
-        return self._loaded
-
     @property
     def lost(self):
         """Return whether the store did not answer the last call."""
@@ -157,6 +152,7 @@
             if self._may_read():
                 await sleep(await self._read_beside_peers())
             else:
+                self._reconsider_outage()
                 await self._ask_peer()
                 await self._pause_for_peers()
 
@@ -166,7 +162,7 @@
         Two tables that looked each 0.1 s were a quarter of the wake-ups of a process
         without requests (20 of 85 a second, counted over 30 s).
         """
-        if self._is_behind():
+        if self.lost or self._is_behind():
             await sleep(PEER_INTERVAL)
             return
         self._told.clear()
@@ -286,6 +282,16 @@
         self._outage.tried_at = began_at
         self._outage.is_total = is_total
 
+    def _reconsider_outage(self):
+        """Note that the store answers nobody, between two calls of this VM.
+
+        Others are taken for answered for some time after their last answer. A VM whose
+        calls all fell into that time took an outage of 3 s for its own, and dropped a
+        target whose entry had lapsed.
+        """
+        if self.lost and not self._is_answered_elsewhere():
+            self._outage.is_total = True
+
     def _note_answer(self):
         self._read_at = self._clock.now()
         outage, self._outage = self._outage, None
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -31,10 +31,6 @@
 MEMBER_PAUSE = 60.0
 #: VMs that read the store, over all regions: any of them tells all others.
 READERS = 3
-#: Seconds after its start in which a VM leaves the reading to VMs that it has not heard
-#: yet, but knows from their rows: hundreds that start together need up to 1.6 s to hear
-#: each other, and all of them read the tables a second time in that time.
-SETTLE_SECONDS = 2.0
 #: Seconds in which another VM has to answer for a table.
 RELAY_TIMEOUT = 0.5
 #: Seconds for which a VM waits for one of its failure domain or region to know a newer
@@ -65,7 +61,6 @@
         self._journal = journal
         self._clock = clock
         self._rejections = Rejections(journal, clock)
-        self._settles_at = clock.now() + SETTLE_SECONDS
         self._own_store = self._new_store()
         self.operator = self._follow(
             OPERATOR_TABLE,
@@ -183,19 +178,14 @@
         VMs that the store does not answer leave it to others, while there are any.
         """
         own = self._members.own
-        if self._clock.now() < self._settles_at:
-            if not self.member_rows.loaded:
-                return False
-            rivals = [own, *self._members.others()]
-        else:
-            rivals = self._members.active() or [own, *self._members.live_others()]
+        active = self._members.active() or [own, *self._members.live_others()]
         near = [
             member
-            for member in rivals
+            for member in active
             if member.region == own.region and member is not own
         ]
         answered = [member.vm for member in near if not member.store_lost]
-        if not self.store_lost and (own in rivals or not near):
+        if not self.store_lost and (own in active or not near):
             answered.append(own.vm)
         names = answered or [own.vm, *(member.vm for member in near)]
         regions = len(set(self._settings.regions.values()))
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -385,3 +385,18 @@
     late = Snapshot(9, [StoreRow("a", b"1", 9)], is_whole=False)
     assert copy.take_changes(late).rows == []
     assert copy.version == 10
+
+
+def test_outage_that_proves_to_be_for_all_between_two_calls_is_one_for_all():
+    made = Follower(Snapshot(0, []), reader=True, answered_elsewhere=True)
+
+    made.play(
+        lambda: setattr(made.store, "down", True),
+        lambda: setattr(made, "reader", False),
+        lambda: setattr(made, "answered_elsewhere", False),
+        *[lambda: None] * 6,
+        lambda: setattr(made, "answered_elsewhere", True),
+        lambda: setattr(made.store, "down", False),
+        *[lambda: None] * 20,
+    )
+    assert len(made.returned) == 1
