--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -68,6 +68,7 @@
 
     def send(self, sender, ip, data):
         self.sent[sender.name] += 1
+        self.datagram = data
         for news in Beat.of(first_object(data)).told():
             self.told[news.vm] += 1
         receiver = self.vms.get(ip)
@@ -357,9 +358,29 @@
     weak = network.running()[-1]
     changes = []
     observer.members.on_change(lambda: changes.append(observer.members.active()))
-    weak.running = False
+    weak.members.set_serving(False)
     network.run(AGREE_SECONDS)
+    assert weak.name not in observer.known
     assert changes == []
     dead.running = False
     network.run(AGREE_SECONDS)
     assert len(changes) == 1
+
+
+def test_only_partners_are_told_news():
+    network = Network()
+    strangers = []
+
+    def is_cut(sender, receiver):
+        if Beat.of(first_object(network.datagram)).news:
+            known = sender.members.told_of(receiver.name)
+            if not sender.gossip._is_partner(known):
+                strangers.append(receiver.name)
+        return False
+
+    network.is_cut = is_cut
+    for number in range(STRONG + WEAK):
+        SimulatedVm(network, number, strength=1.0 if number < STRONG else 0.1)
+    network.run(START_SECONDS)
+    assert sum(network.told.values()) > 0
+    assert strangers == []
