--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -10,8 +10,8 @@
 VM_FIELD = News.__slots__.index("vm")
 STAMP_FIELD = News.__slots__.index("stamp")
 
-#: Level of compression of news, most of which are names: 48 pieces shrink from 4.0 to
-#: 1.9 KB.
+#: Level of compression of news, most of which are names: 48 pieces shrink from 3.2 to
+#: 1.1 KB in 0.09 ms (with made-up names).
 _FAST = 1
 #: Bytes of news at most; far more than a datagram holds, and little memory.
 _MOST_NEWS_BYTES = 1 << 16
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -34,7 +34,9 @@
 #: Seconds after the start in which a VM sends heartbeats to all at the usual rate:
 #: without it, VMs that were started together found each other after 0.9 s.
 START_SECONDS = 2.0
-#: Seconds between two of these in a large fleet, where each tells much that is new.
+#: Seconds between two of these in a large fleet, where each tells much that is new: 195
+#: VMs that start together agree as soon as with 0.15 s, after 4.5 s, with a fifth fewer
+#: bytes between regions (simulated, one run each).
 START_INTERVAL = 0.45
 MAX_DATAGRAM = 8192
 #: VMs of which is told again at once where partners believe otherwise, and looks (0.9 s
--- a/src/heathercleat/steering/process/membership/rumours.py
+++ b/src/heathercleat/steering/process/membership/rumours.py
@@ -1,8 +1,8 @@
 """Which news this VM still has to pass on."""
 
 #: Heartbeats to one VM that tell a piece of news: two at least. A VM hears it from some
-#: 18 others, so that what is lost on the way does not matter; told for 1.6 s, as ten
-#: heartbeats to each of them, a restart among 195 VMs cost about 1.6 MB.
+#: 18 others, so that what is lost on the way does not matter. Told for 1.6 s, in ten
+#: heartbeats to each, one piece went out 4,860 times among 27 VMs (worked out).
 TELL_HEARTBEATS = 2.5
 #: Seconds between two heartbeats at most.
 LONGEST_INTERVAL = 2.0
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -192,9 +192,9 @@
         """Return the instant until which the request may wait for a slot there.
 
         At the home of its object it waits at once, though the home seemed to have room:
-        it would only come back to wait there. Of the tries at such homes in other
-        regions one in six came back unsent after 110 ms, and of those with large
-        bodies one in three, which are sent again (8 s of traffic at 195 VMs).
+        it would only come back to wait there. Of the sends to other regions one in six
+        came back unsent after 110 ms, and of those of large bodies in the own region
+        one in three, which are sent again (14 s of traffic at 195 VMs).
         """
         if place.target is not None and not self._waits(place, now):
             if place.remote:
