A name for the signal that is not taken for the version told

Last reading of the change: TableFollower had a signal `_told` beside the property `told`, which is a version.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -100,7 +100,7 @@
         self._journal = journal
         self._clock = clock
         self._copy = TableCopy()
-        self._told = Signal()
+        self._newer_heard = Signal()
         self._behind_since = None
         self._told_changed = 0
         self._first_read_at = None
@@ -150,8 +150,8 @@
 
     async def notice(self):
         """Look at once at what others know, if one of them knows a newer change."""
-        if self._is_behind() and not self._told.is_set():
-            await self._told.set()
+        if self._is_behind() and not self._newer_heard.is_set():
+            await self._newer_heard.set()
 
     async def run(self):
         """Follow the table until cancelled."""
@@ -172,9 +172,9 @@
         if self.lost or self._is_behind():
             await sleep(PEER_INTERVAL)
             return
-        self._told.clear()
+        self._newer_heard.clear()
         async with ignore_after(IDLE_PEER_INTERVAL):
-            await self._told.wait()
+            await self._newer_heard.wait()
 
     def _may_read(self):
         if not self._loaded or self._is_reader():
