Logs tell under which request a target ended

Callers saw most reads of a service fail, while logs told only which object each failed read was about. Whether one request or several ended the targets could not be told.

A fingerprint of what a caller sends (method, path, host, cookie, authorization, body) is logged with each request that was late, refused or cut. Where a connection breaks with a request on it, its owner opens another one: refused, the target has ended, and an event names the target, the request and the fingerprint. Accepted, the connection is kept in place of the broken one.

--- a/src/heathercleat/steering/connection/reading.py
+++ b/src/heathercleat/steering/connection/reading.py
@@ -11,6 +11,7 @@
 from heathercleat.platform.headers import read_client_head
 from heathercleat.request.headers import check_framing, end_to_end, find
 from heathercleat.steering.request.call import Call
+from heathercleat.steering.request.fingerprint import fingerprint
 
 ID_BYTES = 8
 #: Seconds after which a refused client is welcome, where nothing else is known.
@@ -67,6 +68,7 @@
         call.returned = elapsed > 0.0
         call.affinity = client.affinity
         call.client_wait = client.wait
+        call.fingerprint = fingerprint(head.method, head.target, passed, turn.body)
         return call
 
     async def _wait_for_start(self, until):
--- a/src/heathercleat/steering/process/capacity/target.py
+++ b/src/heathercleat/steering/process/capacity/target.py
@@ -67,6 +67,11 @@
         self.started_ms = started_ms
         self.version = version
 
+    @property
+    def life(self):
+        """Return what tells this start of the target from every other one."""
+        return self.id if self.started_ms is None else f"{self.id}@{self.started_ms}"
+
     def is_same_incarnation(self, other):
         """Return whether both are of the same start of the target."""
         return self.started_ms == other.started_ms
--- a/src/heathercleat/steering/process/record.py
+++ b/src/heathercleat/steering/process/record.py
@@ -42,6 +42,7 @@
                 returned=call.returned,
                 client_wait=call.client_wait,
                 object=call.affinity,
+                fingerprint=call.fingerprint,
                 tries=call.tries,
             )
 
@@ -63,6 +64,7 @@
             returned=call.returned if call else None,
             client_wait=call.client_wait if call else None,
             object=call.affinity if call else None,
+            fingerprint=call.fingerprint if call else None,
             tries=call.tries if call else [],
             retry_in=retry_in,
         )
--- a/src/heathercleat/steering/request/answer.py
+++ b/src/heathercleat/steering/request/answer.py
@@ -86,9 +86,11 @@
     :param work: seconds that the target took, or ``None``.
     :param wait: seconds that another request would wait for a slot, or ``None``.
     :param reason: what went wrong, for the log.
+    :param ended: the life of the target that ended under the request, or ``None``; see
+        :attr:`TargetEntry.life`.
     """
 
-    __slots__ = ("end", "answer", "target", "work", "wait", "reason")
+    __slots__ = ("end", "answer", "target", "work", "wait", "reason", "ended")
 
     def __init__(
         self, end, answer=None, target=None, work=None, wait=None, reason=None
@@ -99,3 +101,4 @@
         self.work = work
         self.wait = wait
         self.reason = reason
+        self.ended = None
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -56,6 +56,8 @@
     :param returned: whether it came back after a refusal.
     :param affinity: key of the object that it is about, or ``None``.
     :param client_wait: seconds for which its client waits, as the client says.
+    :param fingerprint: the same for each attempt of a request; see
+        :mod:`heathercleat.steering.request.fingerprint`.
     :param tries: a line of text for each try so far, for the log.
     """
 
@@ -75,6 +77,7 @@
         "returned",
         "affinity",
         "client_wait",
+        "fingerprint",
         "left",
         "on_leave",
         "stream",
@@ -98,6 +101,7 @@
         self.returned = False
         self.affinity = None
         self.client_wait = None
+        self.fingerprint = ""
         self.tries = []
         self.left = False
         #: The :class:`Interruptible` to tell when the client leaves, or ``None``.
--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -33,6 +33,12 @@
         self._events = []
         self._head = None
         self._sent = False
+        self._cut = False
+
+    @property
+    def cut(self):
+        """Return whether the connection ended or broke after the request was sent."""
+        return self._cut
 
     @property
     def head(self):
@@ -50,6 +56,7 @@
             return TryResult(end, target=target, reason="deadline")
         except (RequestError, ValueError, *CONNECTION_ERRORS) as error:
             end = End.UNKNOWN if self._sent else End.NOT_SENT
+            self._cut = self._sent and isinstance(error, CONNECTION_ERRORS)
             return TryResult(end, target=target, reason=repr(error))
 
     async def _exchange(self):
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -24,6 +24,7 @@
 
     __slots__ = (
         "id",
+        "fingerprint",
         "service",
         "route",
         "kind",
@@ -52,6 +53,7 @@
         """
         return cls(
             call.id,
+            call.fingerprint,
             call.service,
             call.route.name,
             call.route.kind.value,
@@ -112,12 +114,20 @@
     call.home_until = now + order.home_for
     call.returned = order.returned
     call.affinity = order.affinity
+    call.fingerprint = order.fingerprint
     return call
 
 
 def result_header(result):
     """Return the header that tells the result of a try to the forwarding VM."""
-    fields = [result.end.value, result.target, result.work, result.wait, result.reason]
+    fields = [
+        result.end.value,
+        result.target,
+        result.work,
+        result.wait,
+        result.reason,
+        result.ended,
+    ]
     return RESULT, msgpack.packb(fields).hex().encode()
 
 
@@ -201,9 +211,11 @@
     if packed is None:
         raise ValueError(f"status {head.status_code} without a result")
     fields = msgpack.unpackb(bytes.fromhex(packed.decode()))
-    end, target, work, wait, reason = fields
+    end, target, work, wait, reason, ended = fields
     kept = [each for each in headers if each[0] != RESULT]
     answer = None
     if End(end) is End.ANSWERED:
         answer = Answer(head.status_code, kept, body)
-    return TryResult(End(end), answer, target, work, wait, reason)
+    result = TryResult(End(end), answer, target, work, wait, reason)
+    result.ended = ended
+    return result
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -2,6 +2,7 @@
 
 from heathercleat.connection.http import before
 from heathercleat.events import Event
+from heathercleat.steering.process.capacity.ends import TargetEnds
 from heathercleat.steering.process.departure import LEAVING
 from heathercleat.steering.request.answer import (
     CLIENT_LEFT,
@@ -54,6 +55,7 @@
         self._work_times = work_times
         self._departure = departure
         self._rests = rests
+        self._ends = TargetEnds(pool, clock)
         self._journal = journal
         self._clock = clock
 
@@ -109,10 +111,26 @@
             call.on_leave = None
         result.work = self._clock.now() - began_at
         await self._put_back(entry, stream, exchange.head)
+        if exchange.cut and not call.left:
+            await self._note_end(call, entry, result)
         home = entry.id in preferred
         self._learn(call, use, exchange.head, result, home)
         return result
 
+    async def _note_end(self, call, entry, result):
+        """Find out whether the target itself ended under a request, and note it."""
+        if not await self._ends.has_ended(entry):
+            return
+        result.ended = entry.life
+        self._journal.write(
+            Event.TARGET_ENDED,
+            target=entry.life,
+            service=entry.service,
+            request=call.id,
+            fingerprint=call.fingerprint,
+            route=call.route.name,
+        )
+
     async def _connect(self, call, entry, now):
         max_age = None if call.route.kind.idempotent else UNSAFE_IDLE_AGE
         checkout = self._pool.checkout(entry.host, entry.port, max_age=max_age)
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -7,17 +7,31 @@
 (run the request and reset), ``learning_x`` (times longer that it takes for an object
 that it does not remember) and ``remembers`` (how many it does). ``GET /record`` tells
 the runs and the most requests at once.
+
+``fatal`` (paths) are requests under which the target ends: all its connections break
+and new ones are refused. It is back ``down_s`` seconds later as another incarnation,
+and announces that one at ``store`` (host and port) with ``entry``.
 """
 
 import json
+import time
 from argparse import ArgumentParser
 from collections import OrderedDict
 from hashlib import sha256
+from itertools import count
 
 import h11
-from curio import TaskGroup, run, sleep, tcp_server
-
-from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
+from curio import Event as Signal
+from curio import TaskGroup, run, sleep, spawn, tcp_server
+
+from heathercleat.connection.http import (
+    CONNECTION_ERRORS,
+    HttpStream,
+    Message,
+    connect,
+    exchange,
+    read_body,
+)
 from heathercleat.platform.names import (
     DEADLINE_MS,
     EXPECTED_INSTANCE,
@@ -25,9 +39,13 @@
     REQUEST_ID,
     SIGNATURE,
     TARGET_LOAD,
+    TARGET_TABLE,
 )
+from heathercleat.process.clock import SystemClock
 
 MAX_BODY_BYTES = 16 << 20
+#: Seconds in which the store has to take an entry.
+STORE_TIMEOUT = 5.0
 
 
 class SlottedTarget:
@@ -51,8 +69,43 @@
             "lose": False,
             "learning_x": 1.0,
             "remembers": 24,
+            "fatal": [],
+            "down_s": 2.0,
+            "store": None,
+            "entry": None,
         }
         self._remembered = OrderedDict()
+        self._instances = (f"{instance}.{start}" for start in count(2))
+        self._ended = Signal()
+        #: ``[instant, path]`` of every request under which it ended.
+        self._ends = []
+
+    async def live(self, host, port):
+        """Serve at an address, and again after each end."""
+        while True:
+            server = await spawn(tcp_server, host, port, self.serve)
+            await self._ended.wait()
+            self._ended.clear()
+            await server.cancel()
+            await sleep(self._switches["down_s"])
+            await self._start_again()
+
+    async def _start_again(self):
+        """Become another incarnation that remembers nothing."""
+        self._running = 0
+        self._remembered.clear()
+        former, self._switches["id"] = self._switches["id"], next(self._instances)
+        await self._announce(former, None)
+        await self._announce(self._switches["id"], self._switches["entry"])
+
+    async def _announce(self, instance, entry):
+        clock = SystemClock()
+        deadline = clock.now() + STORE_TIMEOUT
+        stream = await connect(*self._switches["store"], deadline, clock)
+        body = json.dumps([TARGET_TABLE, instance, entry]).encode()
+        message = Message(method="POST", path="/put", body=body)
+        await exchange(stream, message, MAX_BODY_BYTES)
+        await stream.close()
 
     async def serve(self, sock, address):
         """Answer requests on one connection."""
@@ -72,7 +125,12 @@
             self._switches.update(json.loads(body))
             await self._send(stream, 200, [], b"")
         elif head.target == b"/record":
-            record = {"runs": self._runs, "most": self._most, "shed": self._shed}
+            record = {
+                "runs": self._runs,
+                "most": self._most,
+                "shed": self._shed,
+                "ends": self._ends,
+            }
             await self._send(stream, 200, [], json.dumps(record).encode())
         else:
             await self._serve_request(stream, head, body)
@@ -99,6 +157,10 @@
                 sha256(body).hexdigest(),
             ]
         )
+        path = head.target.decode()
+        if path in self._switches["fatal"]:
+            self._ends.append([time.monotonic(), path])
+            await self._ended.set()
         try:
             await sleep(self._work(headers.get(b"cookie")))
         finally:
@@ -165,7 +227,7 @@
             instance, _, place = spec.partition("=")
             host, port, slots = place.split(":")
             target = SlottedTarget(instance, int(slots))
-            await group.spawn(tcp_server, host, int(port), target.serve)
+            await group.spawn(target.live, host, int(port))
 
 
 def main():
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -163,19 +163,7 @@
 
     def announce(self, target_id, **changes):
         """Write the entry of a target."""
-        service, domain, slots = self.targets[target_id]
-        entry = {
-            "service": service,
-            "address": f"{self._target_place(target_id)}:{TARGET_PORT}",
-            "zone": domain,
-            "version": "v1",
-            "slots": slots,
-            "state": "ready",
-            "coldRemaining": "0ms",
-            "sequence": 1,
-            **changes,
-        }
-        self.put("servers", target_id, entry)
+        self.put("servers", target_id, {**self._entry(target_id), **changes})
 
     def switch_store(self, **switches):
         """Set faults of the store."""
@@ -195,6 +183,27 @@
         host = self.target_host(target_id)
         call(host, TARGET_PORT, "POST", "/switch", json.dumps(switches))
 
+    def set_fatal(self, paths, down_s):
+        """Have every target end under requests for some paths, and come back later."""
+        for each in self.targets:
+            self.switch_target(
+                each,
+                fatal=list(paths),
+                down_s=down_s,
+                store=list(self.store),
+                entry=self._entry(each),
+            )
+
+    def ends(self):
+        """Return ``[instant, path]`` of each request under which a target ended.
+
+        Waits for the targets that are down; instants are of ``time.monotonic()``.
+        """
+        for each in self.targets:
+            wait_for(lambda each=each: self._answers(each))
+        ends = (end for each in self.targets for end in self.record(each)["ends"])
+        return sorted(ends)
+
     def record(self, target_id):
         """Return what a target ran."""
         host = self.target_host(target_id)
@@ -251,6 +260,19 @@
     def _front_host(self, vm):
         return f"127.{self._subnet}.204.{vm.number}" if self._proxied else vm.host
 
+    def _entry(self, target_id):
+        service, domain, slots = self.targets[target_id]
+        return {
+            "service": service,
+            "address": f"{self._target_place(target_id)}:{TARGET_PORT}",
+            "zone": domain,
+            "version": "v1",
+            "slots": slots,
+            "state": "ready",
+            "coldRemaining": "0ms",
+            "sequence": 1,
+        }
+
     def _links(self):
         """Yield the links of the proxy as its command line takes them."""
         store_host, store_port = self.store
