A request under which three targets ended is refused by every VM

Callers of a service saw most of their requests fail or come late while one caller's request came back: each VM sent it to two more targets, which ended with all else that ran there. Nothing was remembered of a request beyond one attempt.

Cause, of the class 'query of death': the unit of every guard was the attempt (tries), the service (repeats) or the target (rests), never the request itself.

VMs now remember, by fingerprint, the targets that ended under a request, as a set of their lives, and tell each other in heartbeats until both know the same. A whole answer clears it, and for 10 s no end is laid to it: a popular request outlives a wave of ends. The system itself does not repeat a request under which two targets ended. Quarantines are rows of the store as well, for a fleet that lost its memory.

It holds since sets of ends are united, not added: news that comes twice, late or in any order leads to the same set (state machine over three VMs in test_suspects), and since the owner of a target looks again after a request's wait for its slot.

Steering takes one part in place of four (Tries), and the quarantine in its place.

--- a/src/heathercleat/codes.py
+++ b/src/heathercleat/codes.py
@@ -36,6 +36,7 @@
     TARGETS_UNREACHABLE = (2005, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     TARGET_REFUSED = (2006, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     NOT_HOME = (2007, 503, Run.NOT_RUN, 3, "Between VMs: ask the home of the target.")
+    QUARANTINED = (2008, 503, Run.NOT_RUN, 3, "Do not repeat it: targets end under it.")
     DEADLINE_IN_RUN = (3001, 504, Run.UNKNOWN, 4, "Repeat only if idempotent.")
     ANSWER_LOST = (3002, 502, Run.UNKNOWN, 4, "Repeat only if idempotent.")
     BAD_ANSWER = (3003, 502, Run.UNKNOWN, 4, "Repeat only if idempotent.")
--- a/src/heathercleat/steering/process/capacity/ends.py
+++ b/src/heathercleat/steering/process/capacity/ends.py
@@ -1,9 +1,14 @@
 """Tells targets that have ended from connections that broke."""
 
+from curio import sleep
+
 from heathercleat.connection.http import before
 
 #: Seconds in which a target that runs accepts or refuses a connection.
 CONNECT_TIMEOUT = 0.4
+#: Seconds in which a process that ends has closed all its sockets, one after another:
+#: until then it may still accept a connection.
+CLOSE_SECONDS = 0.03
 #: Ended targets that are remembered, the latest ones: all of a large service.
 MOST_REMEMBERED = 1024
 
@@ -34,18 +39,32 @@
         """
         if entry.life in self._ended:
             return True
-        deadline = self._clock.now() + CONNECT_TIMEOUT
-        opening = self._pool.checkout(entry.host, entry.port, fresh=True)
         try:
-            stream = await before(deadline, self._clock, opening)
+            # One that was closing when it accepted the first refuses the second.
+            if not await self._accepts(entry):
+                await self._accepts(entry)
         except ConnectionRefusedError:
             self._remember(entry.life)
             return True
         except (OSError, TimeoutError):
             return False
-        await self._pool.keep_new(entry.host, entry.port, stream)
         return False
 
+    async def _accepts(self, entry):
+        """Return whether a target takes a new connection and keeps it.
+
+        :raises OSError: when it does not take one.
+        """
+        deadline = self._clock.now() + CONNECT_TIMEOUT
+        opening = self._pool.checkout(entry.host, entry.port, fresh=True)
+        stream = await before(deadline, self._clock, opening)
+        await sleep(CLOSE_SECONDS)
+        if not stream.is_clean():
+            await self._pool.discard(entry.host, entry.port, stream)
+            return False
+        await self._pool.keep_new(entry.host, entry.port, stream)
+        return True
+
     def _remember(self, life):
         self._ended[life] = None
         if len(self._ended) > MOST_REMEMBERED:
--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -31,6 +31,8 @@
     :param rooms: see :meth:`RoomView.report`; ``None`` in a beat without reports.
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
+    :param suspects_digest: see :attr:`Suspects.digest`.
+    :param suspects: the fields of each :class:`SuspectNews` that is told.
     """
 
     __slots__ = (
@@ -44,6 +46,8 @@
         "rooms",
         "waits",
         "losses",
+        "suspects_digest",
+        "suspects",
     )
 
     def __init__(self, *fields):
@@ -60,6 +64,11 @@
         self.news = []
         return self
 
+    def without_suspects(self):
+        """Drop the suspects, for VMs that know the same; return the beat."""
+        self.suspects = []
+        return self
+
     @property
     def has_reports(self):
         """Return whether it tells of rooms, waits and losses."""
--- a/src/heathercleat/steering/process/membership/composer.py
+++ b/src/heathercleat/steering/process/membership/composer.py
@@ -12,15 +12,27 @@
     :param ledger: the owned targets.
     :param admission: the waits at their slots.
     :param pressure: what this VM's clients lose.
+    :param suspects: the :class:`Suspects`.
     :param services: returns the names of all services.
     """
 
-    def __init__(self, members, tables, ledger, admission, pressure, services, clock):
+    def __init__(
+        self,
+        members,
+        tables,
+        ledger,
+        admission,
+        pressure,
+        suspects,
+        services,
+        clock,
+    ):
         self._members = members
         self._tables = tables
         self._ledger = ledger
         self._admission = admission
         self._pressure = pressure
+        self._suspects = suspects
         self._services = services
         self._clock = clock
 
@@ -42,6 +54,8 @@
             list(self._rooms()),
             list(self._waits()),
             list(self._losses()),
+            self._suspects.digest,
+            [each.fields() for each in self._suspects.news()],
         )
 
     def _rooms(self):
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -1,6 +1,7 @@
 """Heartbeats between VMs over UDP: who lives, with what versions and what room."""
 
 from random import sample
+from typing import NamedTuple
 
 import msgpack
 from curio import sleep
@@ -10,6 +11,7 @@
 from heathercleat.events import Event
 from heathercleat.steering.process.means import move_mean
 from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.quarantine.suspect import SuspectNews
 
 #: Seconds between two heartbeats: room reports are stale for half of it on average,
 #: a third of a request of 0.25 s at a target; packing one takes 4 us, taking it 6 us.
@@ -48,19 +50,42 @@
 FIRST_TRIP = 0.01
 
 
+class BeatKind(NamedTuple):
+    """What VMs get the same heartbeat.
+
+    :param full: whether it has reports.
+    :param is_far: whether it is for VMs that get fewer of those.
+    :param is_partner: whether it is for partners.
+    :param tells_suspects: whether it is for partners that know other suspects: what was
+        lost on its way is told again until both know the same.
+    """
+
+    full: bool
+    is_far: bool
+    is_partner: bool
+    tells_suspects: bool
+
+
+_KIND_FOR_SEEDS = BeatKind(False, False, False, False)
+
+
 class Gossip:
     """Sends and takes heartbeats.
 
     :param settings: the :class:`NodeSettings`.
     :param compose: returns a new :class:`Beat` to send, for an interval.
     :param rooms: the :class:`RoomView` that takes reports.
+    :param suspects: the :class:`Suspects`.
     :param on_beat: a coroutine function that is called after each heartbeat.
     """
 
-    def __init__(self, settings, members, rooms, compose, on_beat, journal, clock):
+    def __init__(
+        self, settings, members, rooms, suspects, compose, on_beat, journal, clock
+    ):
         self._settings = settings
         self._members = members
         self._rooms = rooms
+        self._suspects = suspects
         self._compose = compose
         self._on_beat = on_beat
         self._journal = journal
@@ -135,6 +160,8 @@
             self._observe_trip(member, now - echoed - held)
         if beat.has_reports:
             self._rooms.report(beat.own.vm, beat.rooms, beat.waits, beat.losses)
+        for fields in beat.suspects:
+            self._suspects.told(SuspectNews.of(fields))
         return member if is_new else None
 
     async def beat(self):
@@ -161,7 +188,7 @@
         """
         await self._send_all(self._receivers(to_all))
         for seed in self._unknown_seeds() if to_all else ():
-            await self._send_to(seed, self._pack(False, False, False), None)
+            await self._send_to(seed, self._pack(_KIND_FOR_SEEDS), None)
 
     async def _send_all(self, members):
         """Send a heartbeat to some members, composed once for all that get the same.
@@ -173,26 +200,30 @@
         active = self._members.active()
         packed = {}
         for member in members:
-            full = self._members.own in active and member in active
-            kind = full, full and self._is_far(member), self._is_partner(member)
+            kind = self._kind(member, active)
             if kind not in packed:
-                packed[kind] = self._pack(*kind)
+                packed[kind] = self._pack(kind)
             await self._send_to(member.ip, packed[kind], member.vm)
 
-    def _pack(self, full, is_far, is_partner):
-        """Return the bytes of a heartbeat.
-
-        :param full: whether it has reports.
-        :param is_far: whether it is for VMs that get fewer of those.
-        :param is_partner: whether it is for partners.
-        """
-        if full:
-            rounds = FAR_ROUNDS if is_far else 1
+    def _kind(self, member, active):
+        """Return the :class:`BeatKind` of the heartbeat to a VM."""
+        full = self._members.own in active and member in active
+        is_partner = self._is_partner(member)
+        differs = member.suspects_digest != self._suspects.digest
+        is_far = full and self._is_far(member)
+        return BeatKind(full, is_far, is_partner, is_partner and differs)
+
+    def _pack(self, kind):
+        """Return the bytes of a heartbeat of a :class:`BeatKind`."""
+        if kind.full:
+            rounds = FAR_ROUNDS if kind.is_far else 1
             beat = self._compose(rounds * self._interval())
         else:
             beat = self._compose(IDLE_INTERVAL).without_reports()
-        if not is_partner:
+        if not kind.is_partner:
             beat = beat.without_news()
+        if not kind.tells_suspects:
+            beat = beat.without_suspects()
         return beat.pack()
 
     def _is_far(self, member):
--- a/src/heathercleat/steering/process/membership/member.py
+++ b/src/heathercleat/steering/process/membership/member.py
@@ -22,6 +22,7 @@
     :param store_answers: whether the store answers its calls.
     :param digest: what its last heartbeat told of its view; see
         :attr:`Members.digest`.
+    :param suspects_digest: the same of :attr:`Suspects.digest`.
     """
 
     __slots__ = (
@@ -44,6 +45,7 @@
         "store_lost",
         "strength",
         "digest",
+        "suspects_digest",
     )
 
     def __init__(self, vm, ip, failure_domain, region):
@@ -66,6 +68,7 @@
         self.store_lost = False
         self.strength = 1.0
         self.digest = None
+        self.suspects_digest = 0
 
     @property
     def patience(self):
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -169,6 +169,7 @@
         self._note_versions(member, beat)
         member.store_answers = beat.store_answers
         member.digest = beat.digest
+        member.suspects_digest = beat.suspects_digest
         member.heard_at = self._clock.now()
         member.unreachable_until = None
         member.dead_at = None
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -36,6 +36,8 @@
 from heathercleat.steering.process.membership.gossip import Gossip
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
+from heathercleat.steering.process.quarantine.suspects import Suspects
+from heathercleat.steering.process.quarantine.table import QuarantineTable
 from heathercleat.steering.process.record import RequestRecord
 from heathercleat.steering.process.repeats import RepeatDetector
 from heathercleat.steering.process.store.tables import Tables
@@ -45,6 +47,7 @@
 from heathercleat.steering.request.local import LocalTry
 from heathercleat.steering.request.places import Places
 from heathercleat.steering.request.steer import Steering
+from heathercleat.steering.request.tries import Tries
 from heathercleat.steering.version.routing import Limits
 from heathercleat.steering.version.split import Splitter
 
@@ -113,6 +116,7 @@
         self._work_times = WorkTimes()
         self.departure = Departure(self._work_times)
         self._pressure = Pressure()
+        self._suspects = Suspects(journal, clock)
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
         self._target_pool = Pool(
             clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
@@ -129,12 +133,22 @@
             journal,
             clock,
         )
+        self._quarantines = QuarantineTable(
+            self._suspects,
+            self._tables.new_store(),
+            self._tables.new_store(),
+            self._tables.is_reader,
+            journal,
+            clock,
+        )
+        self._suspects.on_quarantine(self._quarantines.keep)
         composer = BeatComposer(
             self._members,
             self._tables,
             self._ledger,
             self._admission,
             self._pressure,
+            self._suspects,
             lambda: self._table.services if self._table else (),
             clock,
         )
@@ -142,6 +156,7 @@
             settings,
             self._members,
             self._rooms,
+            self._suspects,
             composer.compose,
             self._tables.notice,
             journal,
@@ -158,6 +173,7 @@
             self._work_times,
             self.departure,
             RestLimit(view, clock),
+            self._suspects,
             journal,
             clock,
         )
@@ -173,18 +189,23 @@
             clock,
         )
         places = Places(view, self._members, estimates, losses, self._shift, clock)
-        self._steering = Steering(
-            places,
+        tries = Tries(
             self._local,
             ForwardTry(self._peer_pool, settings.forward_port, clock),
             self._members,
             self._rooms,
-            self._shift,
             self._gossip.trip,
+            self._suspects,
+        )
+        self._steering = Steering(
+            places,
+            tries,
+            self._shift,
             self._budget,
             self._work_times,
             self._pressure,
             self.departure,
+            self._suspects,
             journal,
             clock,
         )
@@ -267,6 +288,8 @@
             self._tables.operator.run,
             self._tables.targets.run,
             self._tables.follow_members,
+            self._quarantines.follow,
+            self._quarantines.write,
             self.leavers.run,
             self._keep_up,
             self._summarise,
@@ -281,6 +304,7 @@
             if now >= judge_at:
                 judge_at = now + JUDGE_INTERVAL
                 self._ledger.judge_speeds()
+                self._suspects.expire()
                 await self._target_pool.sweep()
                 await self._peer_pool.sweep()
             self._registry.expire()
@@ -370,6 +394,8 @@
             "configuration": self._table.version if self._table else 0,
             "configuration_age": _age(self._tables.operator.read_at, now),
             "targets_age": _age(self._tables.targets.read_at, now),
+            "suspects": self._suspects.count,
+            "quarantined": self._suspects.quarantined,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
         }
--- /dev/null
+++ b/src/heathercleat/steering/process/quarantine/suspect.py
@@ -0,0 +1,108 @@
+"""A request under which targets ended, and what VMs tell each other of it."""
+
+from zlib import crc32
+
+#: Ends of targets that are remembered of one request: five times what decides on it.
+MOST_ENDS = 16
+
+
+class SuspectNews:
+    """What a VM tells of a suspect.
+
+    :param fingerprint: the request; see
+        :mod:`heathercleat.steering.request.fingerprint`.
+    :param remaining: seconds for which it is remembered.
+    :param ends: the lives of the targets that ended under it.
+    :param cleared: those of them that are not laid to it.
+    """
+
+    __slots__ = ("fingerprint", "remaining", "ends", "cleared")
+
+    def __init__(self, fingerprint, remaining, ends, cleared):
+        self.fingerprint = fingerprint
+        self.remaining = remaining
+        self.ends = ends
+        self.cleared = cleared
+
+    def fields(self):
+        """Return the values in the order of the slots, for the wire."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    @classmethod
+    def of(cls, fields):
+        """Return the news of the fields on the wire.
+
+        :raises ValueError: when they are not those of a suspect.
+        """
+        if not isinstance(fields, list) or len(fields) != len(cls.__slots__):
+            raise ValueError(f"{fields!r} is no news of a suspect")
+        news = cls(*fields)
+        if not isinstance(news.fingerprint, str):
+            raise ValueError(f"{news.fingerprint!r} is no fingerprint")
+        if not isinstance(news.remaining, int | float) or news.remaining < 0:
+            raise ValueError(f"{news.remaining!r} is no number of seconds")
+        if not (_are_lives(news.ends) and _are_lives(news.cleared)):
+            raise ValueError(f"{fields!r} does not list lives of targets")
+        return news
+
+
+class Suspect:
+    """A request under which targets ended.
+
+    Both sets only grow until the suspect is forgotten, so that VMs agree once they have
+    told each other, in whatever order and however often.
+
+    :param ends: the lives of these targets, the earliest known one first.
+    :param cleared: the lives that are not laid to it.
+    :param until: instant from which it is forgotten.
+    """
+
+    __slots__ = ("fingerprint", "ends", "cleared", "until")
+
+    def __init__(self, fingerprint):
+        self.fingerprint = fingerprint
+        self.ends = []
+        self.cleared = []
+        self.until = 0.0
+
+    @property
+    def count(self):
+        """Return the number of ends that are laid to it."""
+        return len(self.ends) - len(self.cleared)
+
+    @property
+    def digest(self):
+        """Return a checksum over what is known of it."""
+        digest = 0
+        for life in self.ends:
+            digest ^= crc32(f"{self.fingerprint} {life}".encode())
+        for life in self.cleared:
+            digest ^= crc32(f"{self.fingerprint} {life} cleared".encode())
+        return digest
+
+    def add(self, lives, cleared=()):
+        """Add ends, some of which are not laid to it; return whether any is new."""
+        before = len(self.ends) + len(self.cleared)
+        for life in lives:
+            if life not in self.ends and len(self.ends) < MOST_ENDS:
+                self.ends.append(life)
+        for life in cleared:
+            if life in self.ends and life not in self.cleared:
+                self.cleared.append(life)
+        return len(self.ends) + len(self.cleared) > before
+
+    def clear(self):
+        """Lay none of the known ends to it; return whether that is new."""
+        return self.add((), list(self.ends))
+
+    def news(self, now):
+        """Return what to tell of it."""
+        return SuspectNews(
+            self.fingerprint, round(self.until - now), self.ends, self.cleared
+        )
+
+
+def _are_lives(value):
+    if not isinstance(value, list) or len(value) > MOST_ENDS:
+        return False
+    return all(isinstance(each, str) for each in value)
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -61,7 +61,7 @@
         self._journal = journal
         self._clock = clock
         self._rejections = Rejections(journal, clock)
-        self._own_store = self._new_store()
+        self._own_store = self.new_store()
         self.operator = self._follow(
             OPERATOR_TABLE,
             OPERATOR_WAIT,
@@ -137,7 +137,8 @@
         except PlatformError as error:
             self._journal.write(Event.PLATFORM_FAILED, reason=str(error))
 
-    def _new_store(self):
+    def new_store(self):
+        """Return a new client of the store."""
         settings = self._settings
         return TableStore(settings.store, self._clock, STORE_TIMEOUT, settings.ip)
 
@@ -158,13 +159,13 @@
 
         return TableFollower(
             table,
-            self._new_store(),
+            self.new_store(),
             wait,
             pause,
             apply,
             relay,
             newest,
-            is_reader or self._is_reader,
+            is_reader or self.is_reader,
             self._is_answered_elsewhere,
             lapsing,
             on_return,
@@ -172,7 +173,7 @@
             self._clock,
         )
 
-    def _is_reader(self):
+    def is_reader(self):
         """Return whether this VM is one of those of its region that read the store.
 
         VMs that the store does not answer leave it to others, while there are any.
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -7,6 +7,7 @@
 from heathercleat.steering.request.answer import (
     CLIENT_LEFT,
     NO_SLOT_IN_TIME,
+    QUARANTINED,
     End,
     TryResult,
 )
@@ -34,6 +35,7 @@
     :param work_times: the :class:`WorkTimes`.
     :param departure: the :class:`Departure` of this VM.
     :param rests: tells whether a target may rest, a :class:`RestLimit`.
+    :param suspects: the :class:`Suspects`.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         work_times,
         departure,
         rests,
+        suspects,
         journal,
         clock,
     ):
@@ -56,6 +59,7 @@
         self._departure = departure
         self._rests = rests
         self._ends = TargetEnds(pool, clock)
+        self._suspects = suspects
         self._journal = journal
         self._clock = clock
 
@@ -75,6 +79,9 @@
                 return TryResult(End.NOT_SENT, reason=CLIENT_LEFT)
             if self._departure.is_too_late(call.route.name, self._clock.now()):
                 return TryResult(End.NOT_SENT, reason=LEAVING)
+            # It may have waited while targets ended under the same request elsewhere.
+            if self._suspects.quarantined_until(call.fingerprint) is not None:
+                return TryResult(End.NOT_SENT, reason=QUARANTINED)
             result = await self._send(call, use, preferred)
             return result
         finally:
@@ -122,6 +129,7 @@
         if not await self._ends.has_ended(entry):
             return
         result.ended = entry.life
+        self._suspects.ended(call.fingerprint, entry.life)
         self._journal.write(
             Event.TARGET_ENDED,
             target=entry.life,
@@ -150,6 +158,8 @@
             target.reported(head.running, head.waiting, now)
         if call.left:
             return
+        if result.end is End.ANSWERED:
+            self._suspects.answered(call.fingerprint)
         if result.reason == "replaced":
             self._registry.forget(target.entry.id, "another incarnation answered")
             return
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -5,7 +5,8 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, End
+from heathercleat.steering.process.quarantine.suspects import QUARANTINE_SECONDS
+from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, QUARANTINED, End
 from heathercleat.steering.request.patience import Patience
 from heathercleat.steering.request.places import LARGE_BODY
 
@@ -36,45 +37,36 @@
     """Steers requests of clients.
 
     :param places: finds where to try next.
-    :param local: tries at own targets, a :class:`LocalTry`.
-    :param forward: tries at targets of other VMs, a :class:`ForwardTry`.
-    :param members: the live VMs.
-    :param rooms: the :class:`RoomView`.
+    :param tries: makes the tries, a :class:`Tries`.
     :param shift: the :class:`ShiftLimit`.
-    :param trip: returns the round trip to a VM in seconds.
     :param budget: returns the :class:`RetryBudget` of a service.
     :param work_times: the :class:`WorkTimes`.
     :param pressure: the :class:`Pressure`.
     :param departure: the :class:`Departure` of this VM.
+    :param suspects: the :class:`Suspects`.
     """
 
     def __init__(
         self,
         places,
-        local,
-        forward,
-        members,
-        rooms,
+        tries,
         shift,
-        trip,
         budget,
         work_times,
         pressure,
         departure,
+        suspects,
         journal,
         clock,
     ):
         self._places = places
-        self._local = local
-        self._forward = forward
-        self._members = members
-        self._rooms = rooms
+        self._tries = tries
         self._shift = shift
-        self._trip = trip
         self._budget = budget
         self._work_times = work_times
         self._pressure = pressure
         self._departure = departure
+        self._suspects = suspects
         self._patience = Patience(work_times)
         self._journal = journal
         self._clock = clock
@@ -114,13 +106,14 @@
             now = clock.now()
             if not self._runs:
                 self._steering._departure.check(call.route.name, now)
+                self._check_quarantine()
             place = self._next_place(now)
             if place is None:
                 return self._give_up()
             if self._sends and not self._spend_repeat(now):
                 return self._give_up()
             until = min(self._until(place, now), call.deadline)
-            result = await self._try(place, until)
+            result = await self._steering._tries.run(call, place, self._avoid, until)
             if call.left:
                 raise CallerLeftError
             final = self._take(place, result, until)
@@ -170,24 +163,6 @@
         )
         return spent
 
-    async def _try(self, place, until):
-        steering, call = self._steering, self._call
-        own = steering._members.own.vm
-        if place.vm == own:
-            return await steering._local.run(call, place.preferred, self._avoid, until)
-        member = steering._members.live(place.vm)
-        trip = steering._trip(place.vm)
-        room = None
-        if place.target is not None:
-            room = steering._rooms.room(place.target, place.vm)
-            room.take()
-        result = await steering._forward.run(
-            call, member.ip, place.preferred, self._avoid, until, trip
-        )
-        if room is not None and result.end is not End.NOT_SENT:
-            room.give_back()
-        return result
-
     def _until(self, place, now):
         """Return the instant until which the request may wait for a slot there.
 
@@ -201,7 +176,7 @@
                 return self._until_far(place, now)
             least = max(self._call.patient_until, now + LEAST_PATIENCE)
             return min(now + STALE_PATIENCE, least)
-        trip = self._steering._trip(place.vm) if place.remote else 0.0
+        trip = self._steering._tries.trip(place)
         home_until = self._call.home_until - trip
         end = home_until if now < home_until else self._call.patient_until - trip
         return min(end, now + self._slice(place, now))
@@ -212,7 +187,7 @@
 
     def _slice(self, place, now):
         """Return the seconds after which a request looks for a place again."""
-        if place.vm == self._steering._members.own.vm:
+        if self._steering._tries.is_own(place):
             return WAIT_SLICE
         is_large = len(self._call.body) >= LARGE_BODY
         late = now > self._call.aim_at
@@ -222,7 +197,7 @@
         """Return how long to wait in another region and still be answered in time."""
         call, steering = self._call, self._steering
         work = steering._work_times.of(call.route.name)
-        latest = call.aim_at - steering._trip(place.vm) - work
+        latest = call.aim_at - steering._tries.trip(place) - work
         return min(max(now + STALE_PATIENCE, latest), now + FAR_PATIENCE)
 
     def _take(self, place, result, until):
@@ -232,6 +207,8 @@
         if result.target is not None:
             self._avoid.add(result.target)
         if result.end is End.NOT_SENT:
+            if result.reason == QUARANTINED and not self._runs:
+                raise self._quarantined()
             self._take_unsent(place, result, until)
             return None
         self._sends += 1
@@ -277,17 +254,15 @@
         if hopeless:
             self._avoid_vms.add(place.vm)
             self._call.home_until = min(self._call.home_until, now)
-        own = self._steering._members.own.vm
-        if place.vm == own or result.target is not None:
+        tries = self._steering._tries
+        if tries.is_own(place) or result.target is not None:
             return
         if result.wait is None and result.reason != "no free slot":
             self._avoid_vms.add(place.vm)
-        self._steering._rooms.full(
-            place.target, place.vm, self._call.service, result.wait
-        )
+        tries.note_full(self._call, place, result.wait)
 
     def _observe(self, place, result):
-        if result.work is not None and place.vm != self._steering._members.own.vm:
+        if result.work is not None and not self._steering._tries.is_own(place):
             home = result.target in place.preferred
             times = self._steering._work_times
             times.observe(self._call.route.name, result.work, home)
@@ -296,9 +271,26 @@
         call = self._call
         if not call.route.kind.idempotent or self._runs >= call.route.max_attempts:
             return False
+        if not self._steering._suspects.may_go_on(call.fingerprint):
+            return False
         work = self._steering._work_times.of(call.route.name)
         return self._steering._clock.now() + work < call.deadline
 
+    def _check_quarantine(self):
+        """Raise the refusal of a request under which targets end."""
+        suspects = self._steering._suspects
+        if suspects.quarantined_until(self._call.fingerprint) is not None:
+            raise self._quarantined()
+
+    def _quarantined(self):
+        suspects = self._steering._suspects
+        until = suspects.quarantined_until(self._call.fingerprint)
+        if until is None:
+            # The owner of the target knows more than this VM.
+            until = self._steering._clock.now() + QUARANTINE_SECONDS
+        message = f"targets ended under the request {self._call.fingerprint}"
+        return RequestError(ResultCode.QUARANTINED, message, retry_at=until)
+
     def _unknown(self, result):
         timed_out = result.end is End.TIMED_OUT
         code = ResultCode.DEADLINE_IN_RUN if timed_out else ResultCode.ANSWER_LOST
--- /dev/null
+++ b/src/heathercleat/steering/request/tries.py
@@ -0,0 +1,64 @@
+"""One try at a request, at a target of this VM or through the VM that owns it."""
+
+from heathercleat.steering.request.answer import End
+
+
+class Tries:
+    """Makes tries at the places that were found.
+
+    :param local: tries at own targets, a :class:`LocalTry`.
+    :param forward: tries at targets of other VMs, a :class:`ForwardTry`.
+    :param members: the live VMs.
+    :param rooms: the :class:`RoomView`.
+    :param trip: returns the round trip to a VM in seconds.
+    :param suspects: the :class:`Suspects`.
+    """
+
+    def __init__(self, local, forward, members, rooms, trip, suspects):
+        self._local = local
+        self._forward = forward
+        self._members = members
+        self._rooms = rooms
+        self._trip = trip
+        self._suspects = suspects
+
+    def is_own(self, place):
+        """Return whether a place is at this VM."""
+        return place.vm == self._members.own.vm
+
+    def trip(self, place):
+        """Return the round trip to a place in another region in seconds; else 0."""
+        return self._trip(place.vm) if place.remote else 0.0
+
+    async def run(self, call, place, avoid, until):
+        """Return the :class:`TryResult` of one try.
+
+        :param avoid: ids of targets not to use.
+        :param until: instant at which to give up waiting for a slot.
+        """
+        if self.is_own(place):
+            return await self._local.run(call, place.preferred, avoid, until)
+        member = self._members.live(place.vm)
+        trip = self._trip(place.vm)
+        room = None
+        if place.target is not None:
+            room = self._rooms.room(place.target, place.vm)
+            room.take()
+        result = await self._forward.run(
+            call, member.ip, place.preferred, avoid, until, trip
+        )
+        if room is not None and result.end is not End.NOT_SENT:
+            room.give_back()
+        self._note(call, result)
+        return result
+
+    def note_full(self, call, place, wait):
+        """Note that another VM had no slot for a request."""
+        self._rooms.full(place.target, place.vm, call.service, wait)
+
+    def _note(self, call, result):
+        """Note what the owner saw; its own news of it takes a heartbeat or more."""
+        if result.ended is not None:
+            self._suspects.ended(call.fingerprint, result.ended)
+        elif result.end is End.ANSWERED:
+            self._suspects.answered(call.fingerprint)
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -94,7 +94,7 @@
         False,
         strength,
     )
-    return Beat(own, 0.15, 0, 0, store_answers, 0, [], [], [], [])
+    return Beat(own, 0.15, 0, 0, store_answers, 0, [], [], [], [], 0, [])
 
 
 class Parts:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -16,6 +16,7 @@
 """
 
 import random
+import signal
 import threading
 import time
 
@@ -127,3 +128,19 @@
     assert [line["request"] for line in ended] == ["q0", "q1"]
     assert len({line["target"] for line in ended}) == 2
     assert len({line["fingerprint"] for line in ended}) == 1
+
+
+def test_quarantine_outlives_all_vms(fleet):
+    """Its row is in the store; all VMs are killed and start again."""
+    fleet.set_fatal(["/one/fatal"], DOWN_SECONDS)
+    send_again_and_again(fleet, "POST", "/one/fatal", attempts=12)
+    before = len(fleet.ends())
+    for vm in fleet.vms.values():
+        fleet.stop_vm(vm, signal.SIGKILL)
+    for vm in fleet.vms.values():
+        fleet.restart_vm(vm)
+    fleet.wait_ready()
+    time.sleep(STABLE_SECONDS)
+    statuses = send_again_and_again(fleet, "POST", "/one/fatal", attempts=12)
+    assert set(statuses) == {503}
+    assert len(fleet.ends()) == before
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -8,6 +8,7 @@
 from heathercleat.steering.process.capacity.admission import Admission
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import LEAVING, Departure
+from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.request.answer import End
 from heathercleat.steering.request.local import LocalTry
 from tests.steering_parts import Parts, call, entry
@@ -87,6 +88,7 @@
         times,
         made,
         None,
+        Suspects(parts.journal, parts.clock),
         parts.journal,
         parts.clock,
     )
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -24,6 +24,7 @@
     MOST_IN_MESH,
     NEAR_PICKS,
 )
+from heathercleat.steering.process.quarantine.suspects import Suspects
 from tests.fakes import ManualClock
 from tests.platform_samples import SETTINGS
 
@@ -108,10 +109,12 @@
         self.members = Members(settings, journal, network.clock, incarnation)
         self.members.own.strength = strength
         self.rooms = RoomView(network.clock)
+        self.suspects = Suspects(journal, network.clock)
         self.gossip = Gossip(
             settings,
             self.members,
             self.rooms,
+            self.suspects,
             self.compose,
             nothing_to_do,
             journal,
@@ -155,6 +158,8 @@
             [],
             [],
             [],
+            self.suspects.digest,
+            [each.fields() for each in self.suspects.news()],
         )
 
 
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -12,6 +12,7 @@
 from heathercleat.steering.process.capacity.view import SUMMARY_LIFE, TargetView
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
+from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, Answer, End, TryResult
 from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.places import LARGE_BODY, Places
@@ -20,6 +21,7 @@
     STALE_PATIENCE,
     Steering,
 )
+from heathercleat.steering.request.tries import Tries
 from heathercleat.steering.version.routing import Kind
 from tests.steering_parts import Parts, beat, call, entry, route
 
@@ -91,18 +93,24 @@
         self.places = places = Places(
             view, members, estimates, losses, self.shift, clock
         )
-        self.steering = Steering(
-            places,
+        self.suspects = Suspects(parts.journal, clock)
+        tries = Tries(
             self.local,
             self.forward,
             members,
             self.rooms,
-            self.shift,
             lambda vm: 0.11,
+            self.suspects,
+        )
+        self.steering = Steering(
+            places,
+            tries,
+            self.shift,
             lambda service: self.budget,
             self.work_times,
             pressure,
             self.departure,
+            self.suspects,
             self.parts.journal,
             clock,
         )
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,266 @@
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.quarantine.suspect import MOST_ENDS, SuspectNews
+from heathercleat.steering.process.quarantine.suspects import (
+    ANSWERED_SECONDS,
+    ENDS_TO_QUARANTINE,
+    LEAST_TOLD_SECONDS,
+    MOST_ENDS_TOLD,
+    MOST_SUSPECTS,
+    QUARANTINE_SECONDS,
+    SUSPICION_SECONDS,
+    Suspects,
+)
+from tests.fakes import ManualClock
+
+LIVES = [f"i-{number}" for number in range(5)]
+
+
+def made(clock=None):
+    return Suspects(Journal("vm-1", "north-a"), clock or ManualClock())
+
+
+def end(suspects, count, fingerprint="f"):
+    for life in LIVES[:count]:
+        suspects.ended(fingerprint, life)
+
+
+def tell(sender, receiver):
+    for news in list(sender.news()):
+        receiver.told(SuspectNews.of(news.fields()))
+
+
+@pytest.mark.parametrize(("ends", "refused"), [(0, False), (2, False), (3, True)])
+def test_third_end_quarantines_a_request(ends, refused):
+    suspects = made()
+    end(suspects, ends)
+    assert (suspects.quarantined_until("f") is not None) is refused
+    assert suspects.quarantined_until("another") is None
+
+
+def test_one_end_counts_once_however_often_it_is_told():
+    suspects, other = made(), made()
+    for _ in range(5):
+        suspects.ended("f", "i-1")
+        tell(suspects, other)
+        tell(other, suspects)
+    assert suspects.quarantined_until("f") is None
+    assert other.quarantined_until("f") is None
+
+
+def test_ends_seen_by_three_vms_are_united():
+    vms = [made() for _ in range(3)]
+    for vm, life in zip(vms, LIVES, strict=False):
+        vm.ended("f", life)
+    for vm in vms[1:]:
+        tell(vm, vms[0])
+    assert vms[0].quarantined_until("f") is not None
+
+
+def test_whole_answer_clears_a_request_everywhere():
+    one, other = made(), made()
+    end(one, 3)
+    tell(one, other)
+    other.answered("f")
+    tell(other, one)
+    assert one.quarantined_until("f") is None
+    assert one.digest == other.digest
+
+
+@pytest.mark.parametrize("told", [False, True])
+def test_ends_soon_after_a_whole_answer_are_not_laid_to_the_request(told):
+    """As with a popular request, under way at many targets that end by a fault."""
+    clock = ManualClock()
+    suspects, other = made(clock), made(clock)
+    suspects.answered("f")
+    clock.time += ANSWERED_SECONDS / 2
+    end(other if told else suspects, ENDS_TO_QUARANTINE)
+    tell(other, suspects)
+    assert suspects.quarantined_until("f") is None
+    tell(suspects, other)
+    assert other.quarantined_until("f") is None
+
+
+def test_old_answer_does_not_speak_for_a_request():
+    clock = ManualClock()
+    suspects = made(clock)
+    suspects.answered("f")
+    clock.time += ANSWERED_SECONDS + 0.1
+    end(suspects, ENDS_TO_QUARANTINE)
+    assert suspects.quarantined_until("f") is not None
+
+
+@pytest.mark.parametrize(
+    ("ends", "seconds"), [(2, SUSPICION_SECONDS), (3, QUARANTINE_SECONDS)]
+)
+def test_suspicion_and_quarantine_have_an_end(ends, seconds):
+    clock = ManualClock()
+    suspects = made(clock)
+    end(suspects, ends)
+    clock.time += seconds - 0.1
+    suspects.expire()
+    assert suspects.count == 1
+    clock.time += 0.2
+    suspects.expire()
+    assert suspects.count == 0
+    assert suspects.digest == 0
+    assert suspects.quarantined_until("f") is None
+
+
+def test_vms_do_not_keep_a_suspect_alive_by_telling_each_other():
+    clock = ManualClock()
+    one, other = made(clock), made(clock)
+    end(one, 2)
+    over = clock.time + SUSPICION_SECONDS + 2 * LEAST_TOLD_SECONDS
+    while clock.time < over:
+        clock.time += 0.9
+        tell(one, other)
+        clock.time += 0.1
+        tell(other, one)
+        one.expire()
+        other.expire()
+    assert (one.count, other.count) == (0, 0)
+
+
+def test_request_under_which_two_targets_ended_is_left_to_its_caller():
+    suspects = made()
+    end(suspects, 1)
+    assert suspects.may_go_on("f")
+    end(suspects, 2)
+    assert not suspects.may_go_on("f")
+
+
+def test_memory_is_bounded_and_the_oldest_goes_first():
+    suspects = made()
+    for number in range(MOST_SUSPECTS + 5):
+        suspects.ended(f"f{number}", "i-1")
+    assert suspects.count == MOST_SUSPECTS
+    assert "f0" not in {each.fingerprint for each in suspects.all()}
+
+
+def test_heartbeat_tells_a_bounded_number_of_ends():
+    suspects = made()
+    for number in range(200):
+        end(suspects, 5, f"f{number}")
+    told = list(suspects.news())
+    assert 0 < sum(len(news.ends) for news in told) <= MOST_ENDS_TOLD
+
+
+def test_own_third_end_is_reported_once_and_a_told_one_is_not():
+    caught = []
+    one, other = made(), made()
+    one.on_quarantine(caught.append)
+    other.on_quarantine(caught.append)
+    end(one, 5)
+    tell(one, other)
+    assert [each.fingerprint for each in caught] == ["f"]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        None,
+        [],
+        ["f", 1.0, ["i-1"]],
+        [1, 1.0, ["i-1"], []],
+        ["f", "soon", ["i-1"], []],
+        ["f", -1.0, ["i-1"], []],
+        ["f", 1.0, "i-1", []],
+        ["f", 1.0, [1], []],
+        ["f", 1.0, ["i-1"] * (MOST_ENDS + 1), []],
+    ],
+)
+def test_news_of_another_form_is_an_error(fields):
+    with pytest.raises(ValueError):
+        SuspectNews.of(fields)
+
+
+class SpreadMachine(RuleBasedStateMachine):
+    """Several VMs that see ends and answers and tell each other, in any order."""
+
+    @initialize()
+    def start(self):
+        self.clock = ManualClock()
+        self.vms = [made(self.clock) for _ in range(3)]
+        self.seen = set()
+        self.answered = False
+
+    @rule(vm=st.integers(0, 2), life=st.sampled_from(LIVES))
+    def see_end(self, vm, life):
+        self.vms[vm].ended("f", life)
+        self.seen.add(life)
+
+    @rule(vm=st.integers(0, 2))
+    def answer(self, vm):
+        self.vms[vm].answered("f")
+        self.answered = True
+
+    @rule(sender=st.integers(0, 2), receiver=st.integers(0, 2))
+    def tell(self, sender, receiver):
+        tell(self.vms[sender], self.vms[receiver])
+
+    @rule(vm=st.integers(0, 2))
+    def restart(self, vm):
+        """What only this VM knew is lost; the others tell the rest."""
+        others = [each for each in self.vms if each is not self.vms[vm]]
+        known = {life for each in others for life in _lives(each)}
+        self.seen &= known
+        self.vms[vm] = made(self.clock)
+
+    @rule(seconds=st.floats(0.1, 2 * ANSWERED_SECONDS))
+    def wait(self, seconds):
+        self.clock.time += seconds
+
+    @invariant()
+    def no_end_is_counted_twice(self):
+        for vm in self.vms:
+            assert len(_lives(vm)) == len(set(_lives(vm)))
+            assert set(_lives(vm)) <= self.seen
+
+    def teardown(self):
+        """The cut heals: all tell all, and agree."""
+        if not hasattr(self, "vms"):
+            return
+        for _ in range(3):
+            for sender in self.vms:
+                for receiver in self.vms:
+                    tell(sender, receiver)
+        assert len({vm.digest for vm in self.vms}) == 1
+        verdicts = {vm.quarantined_until("f") is None for vm in self.vms}
+        assert len(verdicts) == 1
+        if len(self.seen) >= ENDS_TO_QUARANTINE and not self.answered:
+            assert verdicts == {False}
+
+
+def _lives(suspects):
+    return [life for suspect in suspects.all() for life in suspect.ends]
+
+
+SpreadMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=25, deadline=None
+)
+TestSpreadMachine = SpreadMachine.TestCase
+
+
+def test_random_order_of_news_comes_to_the_same_digest():
+    rng = random.Random(5)
+    vms = [made() for _ in range(4)]
+    for number in range(40):
+        rng.choice(vms).ended(f"f{number % 7}", rng.choice(LIVES))
+    for _ in range(60):
+        tell(*rng.sample(vms, 2))
+    for sender in vms:
+        for receiver in vms:
+            tell(sender, receiver)
+    assert len({vm.digest for vm in vms}) == 1
