--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -64,13 +64,16 @@
         self.loss = loss
         self.sent = Counter()
         self.told = Counter()
+        self.suspects_told = 0
         self.is_cut = lambda sender, receiver: False
         self._rng = random.Random(seed)
 
     def send(self, sender, ip, data):
         self.sent[sender.name] += 1
         self.datagram = data
-        for news in Beat.of(first_object(data)).told():
+        beat = Beat.of(first_object(data))
+        self.suspects_told += len(beat.suspects)
+        for news in beat.told():
             self.told[news.vm] += 1
         receiver = self.vms.get(ip)
         if receiver is None or not receiver.running or self.is_cut(sender, receiver):
