--- a/src/heathercleat/steering/process/capacity/ends.py
+++ b/src/heathercleat/steering/process/capacity/ends.py
@@ -45,10 +45,9 @@
                 await self._accepts(entry)
         except ConnectionRefusedError:
             self._remember(entry.life)
-            return True
         except (OSError, TimeoutError):
             return False
-        return False
+        return entry.life in self._ended
 
     async def _accepts(self, entry):
         """Return whether a target takes a new connection and keeps it.
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,9 +21,22 @@
 import time
 
 import pytest
+from curio import run, sleep, spawn
 
+from heathercleat import ResultCode
+from heathercleat.errors import RequestError
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.work import WorkTimes
+from heathercleat.steering.process.departure import Departure
+from heathercleat.steering.process.quarantine.suspects import Suspects
+from heathercleat.steering.request.answer import QUARANTINED, End, TryResult
+from heathercleat.steering.request.fingerprint import fingerprint
+from heathercleat.steering.request.local import LocalTry
+from heathercleat.steering.request.places import Place
 from standins.steering_fleet import SteeringFleet
 from tests.platform_samples import config
+from tests.steering_parts import Parts, beat, call, entry
+from tests.test_steer import Scene, answered
 
 DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 TARGETS = {
@@ -144,3 +157,100 @@
     statuses = send_again_and_again(fleet, "POST", "/one/fatal", attempts=12)
     assert set(statuses) == {503}
     assert len(fleet.ends()) == before
+
+
+def test_lost_answers_of_targets_that_run_on_quarantine_nothing(fleet):
+    for each in TARGETS:
+        fleet.switch_target(each, lose=True)
+    statuses = send_again_and_again(fleet, "POST", "/one/x", attempts=12)
+    assert set(statuses) == {502}
+    lines = [line for vm in fleet.vms.values() for line in fleet.log(vm)]
+    assert "target_ended" not in {line["name"] for line in lines}
+
+
+def test_request_whose_targets_ended_while_it_waited_is_not_sent():
+    parts = Parts([entry("t1", slots=1)])
+    suspects = Suspects(parts.journal, parts.clock)
+    local = LocalTry(
+        Admission(parts.ledger, parts.members.region_of, parts.clock),
+        parts.ledger,
+        parts.registry,
+        None,
+        WorkTimes(),
+        Departure(WorkTimes()),
+        None,
+        suspects,
+        parts.journal,
+        parts.clock,
+    )
+    (target,) = parts.ledger.all()
+    request = call(parts.clock)
+    request.fingerprint = "f"
+    request.patient_until = parts.clock.now() + 5.0
+
+    async def main():
+        use = target.take(parts.clock.now())
+        until = parts.clock.now() + 5.0
+        task = await spawn(local.run, request, (), (), until)
+        await sleep(0)
+        for life in ("t2", "t3", "t4"):
+            suspects.ended("f", life)
+        await local._admission.release(use, False)
+        return await task.join()
+
+    result = run(main)
+    assert (result.end, result.reason) == (End.NOT_SENT, QUARANTINED)
+
+
+def test_refusal_of_the_owner_is_final():
+    """It may know of an end before the news of it has come here."""
+    refused = TryResult(End.NOT_SENT, reason=QUARANTINED)
+    scene = Scene([refused, answered()])
+    with pytest.raises(RequestError) as caught:
+        scene.run(scene.call())
+    assert caught.value.code is ResultCode.QUARANTINED
+    assert caught.value.retry_at > scene.parts.clock.now()
+    assert len(scene.local.tried) == 1
+
+
+def test_end_that_another_vm_saw_counts_at_once():
+    ended = TryResult(End.UNKNOWN, target="t1", reason="why")
+    ended.ended = "t1"
+    far = [entry("t1", domain="south-a")]
+    scene = Scene([], entries=far, forwarded=[ended])
+    scene.suspects.ended("", "t2")
+    scene.suspects.ended("", "t3")
+    tries = scene.steering._tries
+    place = Place("vm-2", None, (), remote=False)
+    scene.parts.members.heard(beat("vm-2"))
+    run(tries.run, scene.call(), place, (), scene.parts.clock.now() + 1.0)
+    assert scene.suspects.quarantined_until("") is not None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"method": b"POST"},
+        {"path": b"/one/y"},
+        {"body": b"x"},
+        {"headers": [(b"host", b"a"), (b"cookie", b"k=2")]},
+        {"headers": [(b"host", b"b"), (b"cookie", b"k=1")]},
+        {"headers": [(b"host", b"a"), (b"authorization", b"k=1")]},
+        {"headers": [(b"host", b"a")]},
+    ],
+)
+def test_another_request_has_another_fingerprint(change):
+    sent = {
+        "method": b"GET",
+        "path": b"/one/x",
+        "headers": [(b"host", b"a"), (b"cookie", b"k=1")],
+        "body": b"",
+    }
+    assert fingerprint(**sent) != fingerprint(**{**sent, **change})
+
+
+def test_attempts_of_one_request_have_one_fingerprint():
+    headers = [(b"host", b"a"), (b"cookie", b"k=1")]
+    first = fingerprint(b"GET", b"/x", [*headers, (b"request-id", b"1")], b"")
+    again = fingerprint(b"GET", b"/x", [*headers, (b"request-id", b"2")], b"")
+    assert first == again
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -124,10 +124,12 @@
     end(one, 2)
     over = clock.time + SUSPICION_SECONDS + 2 * LEAST_TOLD_SECONDS
     while clock.time < over:
-        clock.time += 0.9
-        tell(one, other)
-        clock.time += 0.1
-        tell(other, one)
+        # News is on its way for a while.
+        told = list(one.news()), list(other.news())
+        clock.time += 0.4
+        for receiver, news in zip((other, one), told, strict=True):
+            for each in news:
+                receiver.told(each)
         one.expire()
         other.expire()
     assert (one.count, other.count) == (0, 0)
