--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -414,6 +414,29 @@
     ]
 
 
+def test_row_that_came_and_went_between_two_whole_readings_is_told_as_gone():
+    """A target that had left stayed in use at VMs that had seen it come.
+
+    The order of events: a VM reads the table whole; a target comes, and another VM
+    learns of it; the target goes; the first VM reads the table whole again, since the
+    history is gone. It never saw the target, and tells the other one what changed:
+    nothing. That one is as new as the first then, and asks nobody.
+
+    The evidence: the two copies played by hand, and the machine in test_lapses, which
+    found it in one run of four.
+    """
+    reader, other = TableCopy(), TableCopy()
+    reader.take_whole(Snapshot(2, [], 2))
+    other.take_whole(Snapshot(3, [StoreRow("t1", b"ready", 3)], 3))
+    other.note_changes(["t1"], 3)
+    reader.take_whole(Snapshot(4, [], 4))
+    reader.note_changes(["t1"], 4)
+    told = reader.since(other.changed, {})
+    assert told.is_whole
+    other.take_whole(told)
+    assert other.rows == []
+
+
 def test_row_from_before_the_whole_table_is_no_news():
     copy = TableCopy()
     copy.take_whole(Snapshot(10, []))
