A row that came and went between two whole readings is not missed by other VMs

Callers' requests could reach a target that had left, for good, at a VM that had seen it come: another VM read the table whole again (its history was gone), never saw the target, and passed on what changed: nothing. Cause: a removal is known only to who saw the row.

A VM remembers the spans of versions that it did not follow, and passes the whole table on to one whose knowledge lies inside of one. Others are told changes as before.

The same question elsewhere: the operators' table is the same copy; news of VMs is repaired by digests; quarantines are told until equal.

--- a/src/heathercleat/steering/process/store/copy.py
+++ b/src/heathercleat/steering/process/store/copy.py
@@ -5,6 +5,28 @@
 #: Removals that are remembered, to tell other VMs what changed: a fleet whose targets
 #: are all replaced within minutes. A VM that missed more is told the whole table.
 MOST_REMOVALS = 1024
+#: Spans of versions that are remembered of which this VM saw the end only.
+MOST_GAPS = 16
+
+
+class Gap:
+    """Versions of which a VM saw the end only, since it read the table again.
+
+    A row that came and went between them left no trace here.
+
+    :param since: the version that was known before.
+    :param until: the version that was read.
+    """
+
+    __slots__ = ("since", "until")
+
+    def __init__(self, since, until):
+        self.since = since
+        self.until = until
+
+    def holds(self, version):
+        """Return whether rows as of a version may have come and gone unseen."""
+        return self.since < version < self.until
 
 
 class TableCopy:
@@ -17,7 +39,15 @@
     with an outage of the store for all).
     """
 
-    __slots__ = ("_rows", "_version", "_changed", "_changed_at", "_removals", "_floor")
+    __slots__ = (
+        "_rows",
+        "_version",
+        "_changed",
+        "_changed_at",
+        "_removals",
+        "_floor",
+        "_gaps",
+    )
 
     def __init__(self):
         self._rows = {}
@@ -28,6 +58,7 @@
         self._removals = {}
         # Version since which every removal is remembered.
         self._floor = 0
+        self._gaps = []
 
     @property
     def version(self):
@@ -52,7 +83,9 @@
         if snapshot.version < self._version:
             self._changed = max(self._changed, snapshot.changed)
             return False
-        if not self._version:
+        if self._version:
+            self._note_gap(Gap(self._version, snapshot.version))
+        else:
             self._floor = snapshot.version
         self._version = snapshot.version
         before, self._rows = self._rows, {row.key: row for row in snapshot.rows}
@@ -89,12 +122,12 @@
         """Return a :class:`Snapshot` of what changed since a version, and mattered.
 
         It is whole for a VM that knows nothing (0), or that missed removals that are
-        not remembered here. Passed on whole at each change, a table of 451 targets is
+        not remembered or were not seen here. Passed on whole at each change, a table of 451 targets is
         decoded row by row by every VM: 451 rows in place of the few that changed.
 
         :param lapsing: see :class:`Snapshot`.
         """
-        if version < self._floor or not version:
+        if version < self._floor or not version or self._is_in_gap(version):
             return Snapshot(self._version, self.rows, self._changed, lapsing)
         rows = [
             row
@@ -108,6 +141,14 @@
         )
         return Snapshot(self._version, rows, self._changed, lapsing, is_whole=False)
 
+    def _is_in_gap(self, version):
+        return any(gap.holds(version) for gap in self._gaps)
+
+    def _note_gap(self, gap):
+        self._gaps.append(gap)
+        if len(self._gaps) > MOST_GAPS:
+            self._floor = max(self._floor, self._gaps.pop(0).until)
+
     def _take(self, row):
         """Take one changed row; return whether it was news."""
         known = self._rows.get(row.key)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -385,6 +385,15 @@
         "-k",
         "looks_are_few",
     ),
+    Mutation(
+        "LOST-removal-in-a-gap",
+        f"{STEERING}/process/store/copy.py",
+        "return self.since < version < self.until",
+        "return False",
+        "tests/test_follower.py",
+        "-k",
+        "came_and_went",
+    ),
     Mutation(
         "QUARANTINE-third-end",
         f"{STEERING}/process/quarantine/suspects.py",
