--- a/src/heathercleat/steering/process/store/copy.py
+++ b/src/heathercleat/steering/process/store/copy.py
@@ -122,8 +122,8 @@
         """Return a :class:`Snapshot` of what changed since a version, and mattered.
 
         It is whole for a VM that knows nothing (0), or that missed removals that are
-        not remembered or were not seen here. Passed on whole at each change, a table of 451 targets is
-        decoded row by row by every VM: 451 rows in place of the few that changed.
+        not remembered or were not seen here. Otherwise only the few changed rows are
+        told, since every VM decodes what it is told row by row.
 
         :param lapsing: see :class:`Snapshot`.
         """
