Tests of VMs that are suspended and of waves of ends; trace tells the ends under other attempts

A stand-in clock does what a suspended VM sees: the steady clock does not count the time in which the process was stopped.

--- a/src/heathercleat/cli/_trace.py
+++ b/src/heathercleat/cli/_trace.py
@@ -28,6 +28,15 @@
         Event.VM_STARTED,
     )
 )
+#: Events on a request and all that are the same by fingerprint.
+_SAME_REQUEST = frozenset(
+    event.name.lower()
+    for event in (
+        Event.QUARANTINE_ENDED,
+        Event.REQUEST_QUARANTINED,
+        Event.TARGET_ENDED,
+    )
+)
 _LEFT_OUT = Event.LINES_LEFT_OUT.name.lower()
 
 
@@ -36,8 +45,9 @@
     parser = commands.add_parser(
         "trace",
         help="tell from logs what became of a request",
-        description="Print every log line on a request, over all VMs, and the changes "
-        "of belief shortly before its end.",
+        description="Print every log line on a request, over all VMs, the targets that "
+        "ended under it or another attempt of it, and the changes of belief shortly "
+        "before its end.",
     )
     parser.add_argument("request", help="the request's id")
     parser.add_argument(
@@ -59,7 +69,7 @@
             f"of {left_out} lines left out under load, or its VM's log is missing"
         )
         raise HeathercleatError(ResultCode.UNKNOWN_NAME, message)
-    for line in [*_beliefs(lines, own), *own]:
+    for line in [*_ends(lines, own), *_beliefs(lines, own), *own]:
         print(json.dumps(line) if args.json else _render(line))
 
 
@@ -88,6 +98,15 @@
             yield line
 
 
+def _ends(lines, own):
+    """Yield what is told of a request by its fingerprint, until its end."""
+    fingerprints = {line.get("fingerprint") for line in own} - {None, ""}
+    for line in lines:
+        is_same = line.get("fingerprint") in fingerprints and line not in own
+        if is_same and line["name"] in _SAME_REQUEST and line["at"] <= own[-1]["at"]:
+            yield line
+
+
 def _beliefs(lines, own):
     """Return the last changes of belief of the VMs that a request met."""
     end = own[-1]["at"]
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -10,7 +10,8 @@
 
 ``fatal`` (paths) are requests under which the target ends: all its connections break
 and new ones are refused. It is back ``down_s`` seconds later as another incarnation,
-and announces that one at ``store`` (host and port) with ``entry``.
+and announces that one at ``store`` (host and port) with ``entry``. ``end`` makes it end
+at once, by no request's fault.
 """
 
 import json
@@ -122,8 +123,12 @@
             return False
         body = await read_body(stream, MAX_BODY_BYTES)
         if head.target == b"/switch":
-            self._switches.update(json.loads(body))
+            changes = json.loads(body)
+            ends = changes.pop("end", False)
+            self._switches.update(changes)
             await self._send(stream, 200, [], b"")
+            if ends:
+                await self._ended.set()
         elif head.target == b"/record":
             record = {
                 "runs": self._runs,
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -1,12 +1,12 @@
 """Randomized fault soak: real processes, faults from outside, promises checked.
 
 One seed starts a store, targets and VMs, sends requests all the while and injects
-faults in series and overlapping: VMs killed, paused, stopped and started again; a store
-that is busy, silent, slow, refuses a VM, loses replies or its history; targets that
-lose, cut, refuse or slow their answers; evacuations and new configurations; connections
-between clients, VMs, targets and the store that a proxy delays, resets, refuses, cuts
-one way or silences; VMs that start with another time of day. It checks, from what
-clients and targets see:
+faults in series and overlapping: VMs killed, paused or suspended, stopped and started
+again; a store that is busy, silent, slow, refuses a VM, loses replies or its history;
+targets that lose, cut, refuse or slow their answers; evacuations and new
+configurations; connections between clients, VMs, targets and the store that a proxy
+delays, resets, refuses, cuts one way or silences; VMs that start with another time of
+day. It checks, from what clients and targets see:
 
 - a request that is not idempotent runs at most once;
 - a refusal with 503 is true: the request has not run and does not run later;
@@ -338,8 +338,16 @@
     """Run one seed and return the broken promises, and how requests ended."""
     rng = random.Random(seed)
     vms = dict.fromkeys(DOMAINS, 1)
+    # A paused VM sees a suspension with one seed of two.
+    suspends = seed % 2 == 1
     with SteeringFleet(
-        config, DOMAINS, vms, TARGETS, subnet=SUBNET, proxied=True
+        config,
+        DOMAINS,
+        vms,
+        TARGETS,
+        subnet=SUBNET,
+        proxied=True,
+        suspends=suspends,
     ) as fleet:
         faults = Faults(fleet, rng, iter(range(100, 10_000)))
         clients = Clients(fleet, seed)
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -14,7 +14,7 @@
     call,
     wait_for,
 )
-from standins.skewed import SKEW_VARIABLE
+from standins.skewed import SKEW_VARIABLE, SUSPENDS_VARIABLE
 
 STORE_PORT = 7000
 TARGET_PORT = 9000
@@ -67,6 +67,8 @@
     :param bounds: texts as in the settings file.
     :param proxied: put a proxy that can harm connections between clients, VMs, targets
         and the store; see :mod:`standins.fault_proxy`.
+    :param suspends: have a VM that is stopped and continued see what a suspended one
+        sees; see :mod:`standins.skewed`.
     """
 
     def __init__(
@@ -78,12 +80,14 @@
         subnet,
         bounds=("grace=6s", "budgetSlack=60"),
         proxied=False,
+        suspends=False,
     ):
         super().__init__()
         self._subnet = subnet = subnet + int(os.environ.get(SUBNET_VARIABLE, 0))
         self._domains = domains
         self._bounds = list(bounds)
         self._proxied = proxied
+        self._suspends = suspends
         self.config = config
         self.store = (f"127.{subnet}.200.1", STORE_PORT)
         self.targets = targets
@@ -140,6 +144,7 @@
         variables = {
             "HEATHERCLEAT_SETTINGS": vm.settings,
             SKEW_VARIABLE: str(clock_skew),
+            SUSPENDS_VARIABLE: "1" if self._suspends else "",
         }
         vm.process = self._processes.start(vm.name, command, **variables)
 
@@ -194,6 +199,14 @@
                 entry=self._entry(each),
             )
 
+    def end_target(self, target_id):
+        """End a target by no request's fault; it comes back as after a fatal one."""
+        try:
+            self.switch_target(target_id, end=True)
+        except (OSError, HTTPException):
+            # It is down already.
+            return
+
     def ends(self):
         """Return ``[instant, path]`` of each request under which a target ended.
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,6 +15,7 @@
 the read stopped coming.
 """
 
+import itertools
 import random
 import signal
 import threading
@@ -98,10 +99,14 @@
             each.join()
 
     def _run(self, number):
+        """Send a popular request and one of its own in turn."""
         rng = random.Random(number)
         vms = list(self._fleet.vms.values())
-        while not self._stopping.is_set():
-            answer = self._fleet.send(rng.choice(vms), "GET", "/one/two/x", "other")
+        for count in itertools.count():
+            if self._stopping.is_set():
+                return
+            path = f"/one/two/{number}-{count}" if count % 2 else "/one/two/x"
+            answer = self._fleet.send(rng.choice(vms), "GET", path, f"o{number}")
             self.statuses.append(answer[0])
 
 
@@ -159,6 +164,30 @@
     assert len(fleet.ends()) == before
 
 
+@pytest.mark.parametrize(
+    ("at_once", "waves", "gap"),
+    [(1, 10, 0.6), (4, 4, 1.5)],
+    ids=["one after the other", "a third of the service at once"],
+)
+def test_wave_of_ends_by_no_requests_fault_quarantines_nothing(
+    fleet, at_once, waves, gap
+):
+    fleet.set_fatal([], DOWN_SECONDS)
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=0.2)
+    rng = random.Random(at_once)
+    with Others(fleet) as others:
+        for _ in range(waves):
+            for each in rng.sample(list(TARGETS), at_once):
+                fleet.end_target(each)
+            time.sleep(gap)
+    lines = [line for vm in fleet.vms.values() for line in fleet.log(vm)]
+    names = {line["name"] for line in lines}
+    assert "target_ended" in names
+    assert "request_quarantined" not in names
+    assert others.statuses.count(200) > 0
+
+
 def test_lost_answers_of_targets_that_run_on_quarantine_nothing(fleet):
     for each in TARGETS:
         fleet.switch_target(each, lose=True)
--- /dev/null
+++ b/tests/test_suspended_vm.py
@@ -0,0 +1,105 @@
+"""VMs that are suspended for seconds: their steady clock does not count that time."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from standins.skewed import LONGEST_STEP, HeldClock
+from standins.steering_fleet import SteeringFleet
+from tests.test_crashing_requests import (
+    DOMAINS,
+    DOWN_SECONDS,
+    STABLE_SECONDS,
+    TARGETS,
+    plain_config,
+)
+
+SUSPENDED_SECONDS = [0.5, 2.0, 5.0]
+#: Seconds that a request may take beyond its deadline at a VM that has just woken: what
+#: its timer had left, and a way through two VMs.
+WAIT_MS = 1000
+LATE_SECONDS = 1.3
+
+
+@pytest.fixture
+def fleet():
+    with SteeringFleet(
+        plain_config(),
+        DOMAINS,
+        dict.fromkeys(DOMAINS, 2),
+        TARGETS,
+        subnet=66,
+        suspends=True,
+    ) as started:
+        yield started
+
+
+def suspend(vm, seconds):
+    vm.process.send_signal(signal.SIGSTOP)
+    time.sleep(seconds)
+    vm.process.send_signal(signal.SIGCONT)
+
+
+def names(fleet, vm, since):
+    return [line["name"] for line in fleet.log(vm) if line["at"] >= since]
+
+
+@pytest.mark.parametrize("seconds", SUSPENDED_SECONDS)
+def test_woken_vm_takes_nobody_for_dead_and_serves(fleet, seconds):
+    vm = fleet.vms["north-a-1"]
+    suspend(vm, seconds)
+    woken_at = time.time()
+    statuses = [
+        fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] for number in range(20)
+    ]
+    time.sleep(1.0)
+    assert set(statuses) == {200}
+    assert "member_dead" not in names(fleet, vm, woken_at)
+    assert len(fleet.resolve(vm, "", "")) == len(fleet.vms)
+
+
+def test_woken_vm_refuses_what_was_quarantined_meanwhile(fleet):
+    vm = fleet.vms["north-a-1"]
+    fleet.set_fatal(["/one/fatal"], DOWN_SECONDS)
+    vm.process.send_signal(signal.SIGSTOP)
+    others = [each for each in fleet.vms.values() if each is not vm]
+    for number in range(3):
+        fleet.send(others[number], "POST", "/one/fatal", f"q{number}")
+        time.sleep(1.5 * DOWN_SECONDS)
+    assert len(fleet.ends()) == 3
+    vm.process.send_signal(signal.SIGCONT)
+    time.sleep(STABLE_SECONDS)
+    assert fleet.send(vm, "POST", "/one/fatal", "q4")[0] == 503
+    assert len(fleet.ends()) == 3
+
+
+def test_request_whose_deadline_passed_in_the_sleep_ends_soon_after(fleet):
+    vm = fleet.vms["north-a-1"]
+    for each in TARGETS:
+        fleet.switch_target(each, work_s=30.0)
+    ended_at = []
+
+    def send():
+        try:
+            fleet.send(vm, "POST", "/one/x", "slow", wait_ms=WAIT_MS)
+        finally:
+            ended_at.append(time.monotonic())
+
+    client = threading.Thread(target=send)
+    client.start()
+    time.sleep(0.3)
+    suspend(vm, 3.0)
+    woken_at = time.monotonic()
+    client.join()
+    assert ended_at[0] - woken_at <= LATE_SECONDS
+
+
+def test_held_clock_leaves_out_the_time_of_a_stop():
+    now = [100.0]
+    clock = HeldClock(lambda: now[0])
+    now[0] += LONGEST_STEP / 2
+    assert clock.monotonic() == pytest.approx(100.0 + LONGEST_STEP / 2)
+    now[0] += 5.0
+    assert clock.monotonic() == pytest.approx(100.0 + LONGEST_STEP / 2)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -37,6 +37,21 @@
     assert names == ["target_ejected", "route_retried", "request_refused"]
 
 
+def test_story_has_the_targets_that_ended_under_other_attempts(tmp_path, capsys):
+    path = tmp_path / "vm.log"
+    lines = [
+        line(50.0, "target_ended", request="q1", target="i-1", fingerprint="f"),
+        line(51.0, "target_ended", request="q2", target="i-2", fingerprint="g"),
+        line(52.0, "request_quarantined", vm="vm-2", fingerprint="f"),
+        line(90.0, "request_refused", request="q3", tries=[], fingerprint="f"),
+        line(95.0, "quarantine_ended", fingerprint="f"),
+    ]
+    path.write_text("\n".join(lines))
+    main(["trace", "q3", str(path)])
+    names = [text.split()[3] for text in capsys.readouterr().out.splitlines()]
+    assert names == ["target_ended", "request_quarantined", "request_refused"]
+
+
 def test_story_as_json(log, capsys):
     main(["trace", "q1", log, "--json"])
     told = [json.loads(text) for text in capsys.readouterr().out.splitlines()]
