--- a/src/heathercleat/steering/process/quarantine/suspect.py
+++ b/src/heathercleat/steering/process/quarantine/suspect.py
@@ -91,10 +91,6 @@
                 self.cleared.append(life)
         return len(self.ends) + len(self.cleared) > before
 
-    def clear(self):
-        """Lay none of the known ends to it; return whether that is new."""
-        return self.add((), list(self.ends))
-
     def news(self, now):
         """Return what to tell of it."""
         return SuspectNews(
--- a/src/heathercleat/steering/process/quarantine/suspects.py
+++ b/src/heathercleat/steering/process/quarantine/suspects.py
@@ -108,6 +108,10 @@
         self._answered[fingerprint] = self._clock.now()
         if len(self._answered) > MOST_ANSWERED:
             del self._answered[next(iter(self._answered))]
+        self.lift(fingerprint)
+
+    def lift(self, fingerprint):
+        """Lay no end that is known now to a request."""
         suspect = self._get(fingerprint)
         if suspect is not None and suspect.count:
             self._take(suspect, [], list(suspect.ends), 0.0)
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -97,8 +97,7 @@
             return
         self._version = snapshot.version
         for row in snapshot.rows:
-            if row.value is not None:
-                await self._take(row)
+            await self._take(row)
 
     async def _next_snapshot(self):
         if self._version is None:
@@ -106,6 +105,10 @@
         return await self._reading.follow(QUARANTINE_TABLE, self._version, WAIT)
 
     async def _take(self, row):
+        """Take a row; one that an operator removed lifts its quarantine."""
+        if row.value is None:
+            self._suspects.lift(row.key)
+            return
         try:
             news = decode_quarantine(row, self._clock)
         except ValueError as error:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -30,6 +30,7 @@
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
 from heathercleat.steering.process.quarantine.suspects import Suspects
+from heathercleat.steering.process.quarantine.table import QUARANTINE_TABLE
 from heathercleat.steering.request.answer import QUARANTINED, End, TryResult
 from heathercleat.steering.request.fingerprint import fingerprint
 from heathercleat.steering.request.local import LocalTry
@@ -197,6 +198,19 @@
     assert "target_ended" not in {line["name"] for line in lines}
 
 
+def test_operators_lift_a_quarantine_by_its_row(fleet):
+    fleet.set_fatal(["/one/fatal"], DOWN_SECONDS)
+    send_again_and_again(fleet, "POST", "/one/fatal", attempts=8)
+    time.sleep(2.0)
+    fleet.set_fatal([], DOWN_SECONDS)
+    lines = [line for vm in fleet.vms.values() for line in fleet.log(vm)]
+    caught = next(line for line in lines if line["name"] == "request_quarantined")
+    fleet.put(QUARANTINE_TABLE, caught["fingerprint"], None)
+    time.sleep(STABLE_SECONDS)
+    statuses = send_again_and_again(fleet, "POST", "/one/fatal", attempts=6)
+    assert set(statuses) == {200}
+
+
 def test_request_whose_targets_ended_while_it_waited_is_not_sent():
     parts = Parts([entry("t1", slots=1)])
     suspects = Suspects(parts.journal, parts.clock)
