--- a/bench/run.py
+++ b/bench/run.py
@@ -14,6 +14,7 @@
     bench_text,
 )
 from bench.places import bench_places
+from bench.quarantine import bench_quarantine
 from bench.report import Report
 from bench.routing import (
     bench_drain,
@@ -37,6 +38,7 @@
     "drain": bench_drain,
     "takeover": bench_takeover,
     "places": bench_places,
+    "quarantine": bench_quarantine,
     "log": bench_log,
     "text": bench_text,
 }
