--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -93,13 +93,18 @@
         self.repeats = RepeatDetector()
         self.leavers = Leavers()
         self.bodies = BodyMemory(settings.memory)
-        self._build()
-
-    def _build(self):
+        # Each part takes those above it.
+        self._build_beliefs()
+        self._build_store()
+        self._build_gossip()
+        self._build_steering()
+        self._build_edges()
+
+    def _build_beliefs(self):
+        """Build what this VM believes of VMs, targets and requests."""
         settings, journal, clock = self._settings, self._journal, self.clock
         # Wall-clock time only tells incarnations of this VM apart.
         incarnation = time_ns()
-        fence = Fence()
         self._registry = TargetRegistry(journal, clock)
         self._members = Members(settings, journal, clock, incarnation)
         self._owners = Owners(self._registry, self._members)
@@ -118,12 +123,11 @@
         self._pressure = Pressure()
         self._suspects = Suspects(journal, clock)
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
-        self._target_pool = Pool(
-            clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
-        )
-        self._peer_pool = Pool(
-            clock, settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
-        )
+
+    def _build_store(self):
+        """Build what follows and writes the tables of the store."""
+        settings, journal, clock = self._settings, self._journal, self.clock
+        self._peer_pool = self._new_pool()
         self._tables = Tables(
             settings,
             self._registry,
@@ -142,6 +146,10 @@
             clock,
         )
         self._suspects.on_quarantine(self._quarantines.keep)
+
+    def _build_gossip(self):
+        """Build the heartbeats."""
+        settings, journal, clock = self._settings, self._journal, self.clock
         composer = BeatComposer(
             self._members,
             self._tables,
@@ -162,9 +170,14 @@
             journal,
             clock,
         )
+
+    def _build_steering(self):
+        """Build what finds places for requests and tries them."""
+        settings, journal, clock = self._settings, self._journal, self.clock
         view = TargetView(
             self._members, self._registry, self._owners, self._ledger, self._rooms
         )
+        self._target_pool = self._new_pool()
         self._local = LocalTry(
             self._admission,
             self._ledger,
@@ -209,6 +222,10 @@
             journal,
             clock,
         )
+
+    def _build_edges(self):
+        """Build what meets clients, the platform and other VMs' requests."""
+        settings, journal, clock = self._settings, self._journal, self.clock
         self._warm = WarmConnections(
             self._peer_pool,
             self._gossip.partners,
@@ -233,6 +250,12 @@
             clock,
         )
 
+    def _new_pool(self):
+        fence = Fence()
+        return Pool(
+            self.clock, self._settings.ip, lambda: fence, watch_silence, IDLE_SECONDS
+        )
+
     @property
     def table(self):
         """Return the :class:`RoutingTable` in force, or ``None``."""
--- a/src/heathercleat/steering/process/quarantine/suspects.py
+++ b/src/heathercleat/steering/process/quarantine/suspects.py
@@ -24,8 +24,7 @@
 #: that many callers send is under way at most targets that end by another cause. Not
 #: longer, since a request may begin to end targets that answered it before.
 ANSWERED_SECONDS = 3.0
-#: Requests with whole answers, and suspects, that are remembered: 1 and 5 MB (worked
-#: out from the sizes of their fields).
+#: Requests with whole answers, and suspects, that are remembered: a few megabytes.
 MOST_ANSWERED = 8192
 MOST_SUSPECTS = 10_000
 #: Suspects in one heartbeat: the latest changed, and others that may have been missed.
@@ -43,7 +42,6 @@
     """The requests under which targets ended, as this VM knows them.
 
     A whole answer clears a request of all ends that are known then.
-
     """
 
     def __init__(self, journal, clock):
