A request whose deadline passed while it waited is not sent, and its target does not rest

Seen by reading what acts after an await, for VMs that were suspended: a request got its slot after its deadline, its connection could not be opened in the time left (none), and the target was taken for one that does not answer. It rested, and other callers waited.

After the wait for a slot the deadline is looked at again, beside the other obstacles; a target rests for a connection only if it had its time to accept one. The two tests fail without the change (SLEEP-deadline-after-wait, and by hand).

--- a/src/heathercleat/steering/request/answer.py
+++ b/src/heathercleat/steering/request/answer.py
@@ -55,6 +55,8 @@
 NO_SLOT_IN_TIME = "no slot in time"
 #: The same where the client left before.
 CLIENT_LEFT = "client left"
+#: The same where its deadline passed before.
+DEADLINE = "deadline"
 #: The same where targets end under the request; see :class:`Suspects`.
 QUARANTINED = "quarantined"
 
--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -7,7 +7,7 @@
 from heathercleat.errors import RequestError
 from heathercleat.platform.headers import read_answer_head, request_headers
 from heathercleat.request.headers import check_framing, end_to_end
-from heathercleat.steering.request.answer import Answer, End, TryResult
+from heathercleat.steering.request.answer import DEADLINE, Answer, End, TryResult
 
 #: Largest answer that is taken, in bytes; answers are held whole so that a cut one is
 #: never passed on as if it were complete.
@@ -53,7 +53,7 @@
             return self._judge()
         except TimeoutError:
             end = End.TIMED_OUT if self._sent else End.NOT_SENT
-            return TryResult(end, target=target, reason="deadline")
+            return TryResult(end, target=target, reason=DEADLINE)
         except (RequestError, ValueError, *CONNECTION_ERRORS) as error:
             end = End.UNKNOWN if self._sent else End.NOT_SENT
             self._cut = self._sent and isinstance(error, CONNECTION_ERRORS)
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -6,6 +6,7 @@
 from heathercleat.steering.process.departure import LEAVING
 from heathercleat.steering.request.answer import (
     CLIENT_LEFT,
+    DEADLINE,
     NO_SLOT_IN_TIME,
     QUARANTINED,
     End,
@@ -75,19 +76,31 @@
             return self._without_slot(call)
         result = None
         try:
-            if call.left:
-                return TryResult(End.NOT_SENT, reason=CLIENT_LEFT)
-            if self._departure.is_too_late(call.route.name, self._clock.now()):
-                return TryResult(End.NOT_SENT, reason=LEAVING)
-            # It may have waited while targets ended under the same request elsewhere.
-            if self._suspects.quarantined_until(call.fingerprint) is not None:
-                return TryResult(End.NOT_SENT, reason=QUARANTINED)
+            obstacle = self._obstacle(call)
+            if obstacle is not None:
+                return TryResult(End.NOT_SENT, reason=obstacle)
             result = await self._send(call, use, preferred)
             return result
         finally:
             answered = result is not None and result.end is End.ANSWERED
             await self._admission.release(use, answered)
 
+    def _obstacle(self, call):
+        """Return why a request that has its slot is not sent after all, or ``None``.
+
+        Much may have changed while it waited, also since this VM slept meanwhile.
+        """
+        now = self._clock.now()
+        if call.left:
+            return CLIENT_LEFT
+        if self._departure.is_too_late(call.route.name, now):
+            return LEAVING
+        if now >= call.deadline:
+            return DEADLINE
+        if self._suspects.quarantined_until(call.fingerprint) is not None:
+            return QUARANTINED
+        return None
+
     def _without_slot(self, call):
         hopeless = self._admission.is_hopeless(call)
         reason = NO_SLOT_IN_TIME if hopeless else "no free slot"
@@ -101,7 +114,9 @@
         try:
             stream = await self._connect(call, entry, began_at)
         except (OSError, TimeoutError) as error:
-            self._rest(target, began_at, f"connect: {error!r}")
+            # A request with little time left gives its target little to accept in.
+            if not isinstance(error, TimeoutError) or self._clock.now() < call.deadline:
+                self._rest(target, began_at, f"connect: {error!r}")
             return TryResult(End.NOT_SENT, target=entry.id, reason=repr(error))
         if call.left:
             await self._pool.give_back(entry.host, entry.port, stream)
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -5,9 +5,17 @@
 import time
 
 import pytest
-
+from curio import run, sleep, spawn
+
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.work import WorkTimes
+from heathercleat.steering.process.departure import Departure
+from heathercleat.steering.process.quarantine.suspects import Suspects
+from heathercleat.steering.request.answer import DEADLINE, End
+from heathercleat.steering.request.local import CONNECT_TIMEOUT, LocalTry
 from standins.skewed import LONGEST_STEP, HeldClock
 from standins.steering_fleet import SteeringFleet
+from tests.steering_parts import Parts, call, entry
 from tests.test_crashing_requests import (
     DOMAINS,
     DOWN_SECONDS,
@@ -103,3 +111,70 @@
     assert clock.monotonic() == pytest.approx(100.0 + LONGEST_STEP / 2)
     now[0] += 5.0
     assert clock.monotonic() == pytest.approx(100.0 + LONGEST_STEP / 2)
+
+
+class SlowPool:
+    """A pool in which connecting takes longer than the request's deadline."""
+
+    def __init__(self, clock, seconds):
+        self._clock = clock
+        self._seconds = seconds
+        self.asked = 0
+
+    async def checkout(self, host, port, max_age=None):
+        self.asked += 1
+        self._clock.time += self._seconds
+        raise TimeoutError("the deadline has passed")
+
+
+def local_try(parts, pool):
+    return LocalTry(
+        Admission(parts.ledger, parts.members.region_of, parts.clock),
+        parts.ledger,
+        parts.registry,
+        pool,
+        WorkTimes(),
+        Departure(WorkTimes()),
+        None,
+        Suspects(parts.journal, parts.clock),
+        parts.journal,
+        parts.clock,
+    )
+
+
+def test_request_whose_deadline_passed_while_it_waited_is_not_sent():
+    """The VM slept: its target had a rest for that, as if it did not answer."""
+    parts = Parts([entry("t1", slots=1)])
+    pool = SlowPool(parts.clock, 0.0)
+    local = local_try(parts, pool)
+    (target,) = parts.ledger.all()
+    request = call(parts.clock)
+    request.patient_until = request.deadline
+
+    async def main():
+        use = target.take(parts.clock.now())
+        task = await spawn(local.run, request, (), (), request.deadline)
+        await sleep(0)
+        parts.clock.time += 2.0
+        await local._admission.release(use, False)
+        return await task.join()
+
+    result = run(main)
+    assert (result.end, result.reason) == (End.NOT_SENT, DEADLINE)
+    assert pool.asked == 0
+    assert target.limit(parts.clock.now()) == 1
+
+
+@pytest.mark.parametrize(
+    ("left", "rests"), [(CONNECT_TIMEOUT / 2, False), (2 * CONNECT_TIMEOUT, True)]
+)
+def test_target_rests_only_if_it_had_its_time_to_accept(left, rests):
+    parts = Parts([entry("t1", slots=1)])
+    pool = SlowPool(parts.clock, CONNECT_TIMEOUT)
+    local = local_try(parts, pool)
+    (target,) = parts.ledger.all()
+    request = call(parts.clock)
+    request.deadline = parts.clock.now() + left
+    result = run(local.run, request, (), (), request.deadline)
+    assert result.end is End.NOT_SENT
+    assert (target.limit(parts.clock.now()) == 0) is rests
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -439,6 +439,15 @@
         "-k",
         "while_it_waited",
     ),
+    Mutation(
+        "SLEEP-deadline-after-wait",
+        f"{STEERING}/request/local.py",
+        "if now >= call.deadline:",
+        "if False:",
+        "tests/test_suspended_vm.py",
+        "-k",
+        "passed_while",
+    ),
     Mutation(
         "QUARANTINE-answers",
         f"{STEERING}/process/quarantine/suspects.py",
