Rows of quarantines by another writer, and a store that forgets at once, cost nothing

After the history is gone the table is read again two seconds later, in place of at once: calls to the store are bounded where it keeps none.

--- a/src/heathercleat/steering/process/quarantine/suspects.py
+++ b/src/heathercleat/steering/process/quarantine/suspects.py
@@ -121,7 +121,8 @@
         if self._is_answered(news.fingerprint):
             cleared = news.ends
         suspect = self._get(news.fingerprint) or Suspect(news.fingerprint)
-        self._take(suspect, news.ends, cleared, news.remaining)
+        seconds = min(news.remaining, QUARANTINE_SECONDS)
+        self._take(suspect, news.ends, cleared, seconds)
 
     def news(self):
         """Yield the :class:`SuspectNews` for one heartbeat."""
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -90,6 +90,7 @@
             snapshot = await self._next_snapshot()
         except HistoryLostError:
             self._version = None
+            await sleep(RETRY_INTERVAL)
             return
         except PlatformError as error:
             self._log_failed(error)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -1,7 +1,8 @@
 import random
 
+import msgpack
 import pytest
-from hypothesis import settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -11,6 +12,11 @@
 )
 
 from heathercleat.process.logs import Journal
+from heathercleat.steering.process.quarantine.rows import (
+    ROW_MARGIN,
+    decode_quarantine,
+    encode_quarantine,
+)
 from heathercleat.steering.process.quarantine.suspect import MOST_ENDS, SuspectNews
 from heathercleat.steering.process.quarantine.suspects import (
     ANSWERED_SECONDS,
@@ -22,6 +28,7 @@
     SUSPICION_SECONDS,
     Suspects,
 )
+from heathercleat.steering.process.store.protocol import StoreRow
 from tests.fakes import ManualClock
 
 LIVES = [f"i-{number}" for number in range(5)]
@@ -188,6 +195,45 @@
         SuspectNews.of(fields)
 
 
+def test_told_time_is_bounded():
+    clock = ManualClock()
+    suspects = made(clock)
+    suspects.told(SuspectNews("f", float("inf"), LIVES[:3], []))
+    assert suspects.quarantined_until("f") == clock.now() + QUARANTINE_SECONDS
+
+
+def test_quarantine_is_the_same_after_its_way_through_the_store():
+    clock = ManualClock()
+    suspects = made(clock)
+    end(suspects, 3)
+    (suspect,) = suspects.all()
+    row = StoreRow("f", encode_quarantine(suspect, clock), 1)
+    news = decode_quarantine(row, clock)
+    assert (news.fingerprint, news.ends) == ("f", LIVES[:3])
+    assert news.remaining == pytest.approx(QUARANTINE_SECONDS)
+    clock.time += QUARANTINE_SECONDS + 2 * ROW_MARGIN
+    assert decode_quarantine(row, clock) is None
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [None, 1, [], ["soon", ["i-1"]], [1.0, "i-1"], [1.0, [1]], [1.0, ["i-1"], 0]],
+)
+def test_row_of_another_writer_is_an_error(fields):
+    row = StoreRow("f", msgpack.packb(fields), 1)
+    with pytest.raises(ValueError):
+        decode_quarantine(row, ManualClock())
+
+
+@given(st.binary(max_size=40))
+def test_any_bytes_in_a_row_are_an_error_or_a_quarantine(value):
+    try:
+        news = decode_quarantine(StoreRow("f", value, 1), ManualClock())
+    except ValueError:
+        return
+    assert news is None or 0 <= news.remaining <= QUARANTINE_SECONDS
+
+
 class SpreadMachine(RuleBasedStateMachine):
     """Several VMs that see ends and answers and tell each other, in any order."""
 
