Suspects are packed for the heartbeats that tell them only; one time to accept a connection

Each heartbeat had its suspects worked out, and dropped again where the other VM knows the same, as nearly all do. The constant stood twice.

--- a/src/heathercleat/steering/process/capacity/ends.py
+++ b/src/heathercleat/steering/process/capacity/ends.py
@@ -4,7 +4,8 @@
 
 from heathercleat.connection.http import before
 
-#: Seconds in which a target that runs accepts or refuses a connection.
+#: Seconds in which a target has to accept a connection: a lost opening packet is sent
+#: again after one second, and by then another target has answered.
 CONNECT_TIMEOUT = 0.4
 #: Seconds in which a process that ends has closed all its sockets, one after another:
 #: until then it may still accept a connection.
--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -32,7 +32,8 @@
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
     :param suspects_digest: see :attr:`Suspects.digest`.
-    :param suspects: the fields of each :class:`SuspectNews` that is told.
+    :param suspects: the fields of each :class:`SuspectNews` that is told; none to VMs
+        that know the same.
     """
 
     __slots__ = (
@@ -64,11 +65,6 @@
         self.news = []
         return self
 
-    def without_suspects(self):
-        """Drop the suspects, for VMs that know the same; return the beat."""
-        self.suspects = []
-        return self
-
     @property
     def has_reports(self):
         """Return whether it tells of rooms, waits and losses."""
--- a/src/heathercleat/steering/process/membership/composer.py
+++ b/src/heathercleat/steering/process/membership/composer.py
@@ -37,7 +37,7 @@
         self._clock = clock
 
     def compose(self, interval):
-        """Return a new :class:`Beat`.
+        """Return a new :class:`Beat`, which tells of no suspects yet.
 
         :param interval: seconds until the next one.
         """
@@ -55,7 +55,7 @@
             list(self._waits()),
             list(self._losses()),
             self._suspects.digest,
-            [each.fields() for each in self._suspects.news()],
+            [],
         )
 
     def _rooms(self):
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -222,8 +222,8 @@
             beat = self._compose(IDLE_INTERVAL).without_reports()
         if not kind.is_partner:
             beat = beat.without_news()
-        if not kind.tells_suspects:
-            beat = beat.without_suspects()
+        if kind.tells_suspects:
+            beat.suspects = [each.fields() for each in self._suspects.news()]
         return beat.pack()
 
     def _is_far(self, member):
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -2,7 +2,7 @@
 
 from heathercleat.connection.http import before
 from heathercleat.events import Event
-from heathercleat.steering.process.capacity.ends import TargetEnds
+from heathercleat.steering.process.capacity.ends import CONNECT_TIMEOUT, TargetEnds
 from heathercleat.steering.process.departure import LEAVING
 from heathercleat.steering.request.answer import (
     CLIENT_LEFT,
@@ -15,9 +15,6 @@
 from heathercleat.steering.request.call import StreamCut
 from heathercleat.steering.request.exchange import TargetExchange
 
-#: Seconds in which a target has to accept a connection: a lost opening packet is sent
-#: again after one second, and by then another target has answered.
-CONNECT_TIMEOUT = 0.4
 #: Age in seconds up to which an idle connection carries requests that may run once
 #: only; a target may drop an older one just as the request is on its way.
 UNSAFE_IDLE_AGE = 2.0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -162,7 +162,7 @@
             [],
             [],
             self.suspects.digest,
-            [each.fields() for each in self.suspects.news()],
+            [],
         )
 
 
