--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -72,7 +72,7 @@
 @pytest.fixture
 def fleet():
     with SteeringFleet(
-        plain_config(), DOMAINS, dict.fromkeys(DOMAINS, 2), TARGETS, subnet=64
+        plain_config(), DOMAINS, dict.fromkeys(DOMAINS, 2), TARGETS, subnet=42
     ) as started:
         yield started
 
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -38,7 +38,7 @@
         DOMAINS,
         dict.fromkeys(DOMAINS, 2),
         TARGETS,
-        subnet=66,
+        subnet=43,
         suspends=True,
     ) as started:
         yield started
