Logs tell which requests a stop abandons, and what was known when they were taken

A process that ended wrote nothing of the requests that ended with it, so the incident's hypotheses could not be told apart. No decision changes.

--- a/src/heathercleat/steering/connection/reading.py
+++ b/src/heathercleat/steering/connection/reading.py
@@ -69,6 +69,9 @@
         call.affinity = client.affinity
         call.client_wait = client.wait
         call.fingerprint = fingerprint(head.method, head.target, passed, turn.body)
+        call.stop_estimate = self._node.departure.estimate(
+            route.name, self._clock.now()
+        )
         return call
 
     async def _wait_for_start(self, until):
--- a/src/heathercleat/steering/process/capacity/work.py
+++ b/src/heathercleat/steering/process/capacity/work.py
@@ -24,6 +24,7 @@
 
     def __init__(self):
         self._means = {}
+        self._answers = {}
         self._home = {}
         self._other = {}
         self._known = {}
@@ -36,6 +37,7 @@
         if home:
             self._known.setdefault(route, _KnownTime()).observe(seconds)
         parts = self._home if home else self._other
+        self._answers[route] = self.answers(route) + 1
         move_mean(self._means, route, seconds, WEIGHT)
         move_mean(parts, route, seconds, WEIGHT)
 
@@ -43,6 +45,10 @@
         """Return the mean of a route; 0 before the first answer."""
         return self._means.get(route, 0.0)
 
+    def answers(self, route):
+        """Return the number of answers observed for a route."""
+        return self._answers.get(route, 0)
+
     def at_home(self, route):
         """Return the mean at targets that get the requests for the object."""
         return self._home.get(route, 0.0)
--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -19,6 +19,22 @@
 LEAVING = "the VM is leaving"
 
 
+class StopEstimate:
+    """What a leaving VM knew of a request when it took it.
+
+    :param after: seconds since the stop signal.
+    :param needed: seconds that the request was taken to need at most.
+    :param answers: answers of the route on which that rests.
+    """
+
+    __slots__ = ("after", "needed", "answers")
+
+    def __init__(self, after, needed, answers):
+        self.after = after
+        self.needed = needed
+        self.answers = answers
+
+
 class Departure:
     """The end of this process, once it has been told to leave.
 
@@ -30,6 +46,7 @@
 
     def __init__(self, work_times):
         self._work_times = work_times
+        self._began_at = None
         self._ends_at = _NO_END
 
     @property
@@ -47,8 +64,20 @@
 
         :param grace: seconds from now until the platform kills the process.
         """
+        self._began_at = now
         self._ends_at = now + grace - STOP_MARGIN
 
+    def elapsed(self, now):
+        """Return the seconds since the stop signal."""
+        return now - self._began_at
+
+    def estimate(self, route, now):
+        """Return the :class:`StopEstimate` of a request; ``None`` while it stays."""
+        if self._began_at is None:
+            return None
+        answers = self._work_times.answers(route)
+        return StopEstimate(self.elapsed(now), self._needed(route), answers)
+
     def check(self, route, now):
         """Check that a request of a route can still be finished.
 
@@ -60,5 +89,8 @@
 
     def is_too_late(self, route, now):
         """Return whether a request sent to a target now might be cut."""
-        longest = RUN_SPREAD * self._work_times.longest(route)
-        return now > self._ends_at - max(LEAST_RUN, longest)
+        return now > self._ends_at - self._needed(route)
+
+    def _needed(self, route):
+        """Return the seconds that a request of a route is taken to need at most."""
+        return max(LEAST_RUN, RUN_SPREAD * self._work_times.longest(route))
--- a/src/heathercleat/steering/process/leavers.py
+++ b/src/heathercleat/steering/process/leavers.py
@@ -23,6 +23,10 @@
         """Return the number of requests under way."""
         return len(self._calls)
 
+    def calls(self):
+        """Return the requests under way."""
+        return list(self._calls)
+
     @contextmanager
     def watch(self, call):
         """Watch a call's stream for the time of the block."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -302,7 +302,6 @@
             for run in self._loops():
                 await group.spawn(run_guarded, run, self._journal, RESTART_PAUSE)
             await self._listeners.start(group)
-        self._journal.write(Event.VM_STOPPED)
 
     def _loops(self):
         return (
@@ -355,6 +354,19 @@
         self._listeners.close()
         while self._is_busy() and self.clock.now() < self.departure.ends_at:
             await sleep(LEAVING_INTERVAL)
+        self._record_abandoned()
+
+    def _record_abandoned(self):
+        """Log the requests that end with this process, and how long the stop took."""
+        now = self.clock.now()
+        calls = self.leavers.calls()
+        for call in calls:
+            self.record.abandoned(call, now)
+        self._journal.write(
+            Event.VM_STOPPED,
+            seconds=round(self.departure.elapsed(now), 3),
+            abandoned=len(calls),
+        )
 
     async def _finish_requests(self):
         """Serve on until nothing is under way, or it is time for the last answers."""
--- a/src/heathercleat/steering/process/record.py
+++ b/src/heathercleat/steering/process/record.py
@@ -67,6 +67,7 @@
             fingerprint=call.fingerprint if call else None,
             tries=call.tries if call else [],
             retry_in=retry_in,
+            **_stop_fields(call and call.stop_estimate),
         )
 
     def left(self, call, now):
@@ -83,6 +84,26 @@
             tries=call.tries,
         )
 
+    def abandoned(self, call, now):
+        """Note a request under way as its VM ends: it gets no answer."""
+        seconds = now - call.arrived_at
+        self._count(call.route.name, "abandoned", seconds)
+        place = call.trying
+        # No limit on lines: the process writes these once.
+        self._journal.write(
+            Event.REQUEST_ABANDONED,
+            request=call.id,
+            route=call.route.name,
+            service=call.service,
+            seconds=round(seconds, 4),
+            deadline_in=round(call.deadline - now, 3),
+            forwarded=call.client_wait is None,
+            trying=f"{place.vm} {place.target}" if place else None,
+            trying_seconds=round(now - call.trying_since, 4) if place else None,
+            tries=call.tries,
+            **_stop_fields(call.stop_estimate),
+        )
+
     def flush(self, **beliefs):
         """Write the sums of the last interval beside the state of beliefs."""
         sums, self._sums = self._sums, {}
@@ -105,3 +126,14 @@
             return
         self._lines += 1
         self._journal.write(event, **inputs)
+
+
+def _stop_fields(estimate):
+    """Return what a :class:`StopEstimate` adds to a line; ``None`` adds nothing."""
+    if estimate is None:
+        return {}
+    return {
+        "taken_after": round(estimate.after, 3),
+        "taken_needing": round(estimate.needed, 3),
+        "taken_knowing": estimate.answers,
+    }
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -59,6 +59,10 @@
     :param fingerprint: the same for each attempt of a request; see
         :mod:`heathercleat.steering.request.fingerprint`.
     :param tries: a line of text for each try so far, for the log.
+    :param trying: the :class:`Place` of the try under way, or ``None``.
+    :param trying_since: when that try began.
+    :param stop_estimate: the :class:`StopEstimate` with which a leaving VM took it, or
+        ``None``.
     """
 
     __slots__ = (
@@ -82,6 +86,9 @@
         "on_leave",
         "stream",
         "tries",
+        "trying",
+        "trying_since",
+        "stop_estimate",
     )
 
     def __init__(self, id, method, path, headers, body, route, service, stream):
@@ -103,6 +110,9 @@
         self.client_wait = None
         self.fingerprint = ""
         self.tries = []
+        self.trying = None
+        self.trying_since = 0.0
+        self.stop_estimate = None
         self.left = False
         #: The :class:`Interruptible` to tell when the client leaves, or ``None``.
         self.on_leave = None
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -113,7 +113,9 @@
             if self._sends and not self._spend_repeat(now):
                 return self._give_up()
             until = min(self._until(place, now), call.deadline)
+            call.trying, call.trying_since = place, now
             result = await self._steering._tries.run(call, place, self._avoid, until)
+            call.trying = None
             if call.left:
                 raise CallerLeftError
             final = self._take(place, result, until)
