A leaving VM takes a request only if it ends before the process does

Callers saw requests that were sent 3 s after a VM was told to stop run at their target and end without an answer as the process ended. The VM asked whether 1.5 times the mean of the route's times is left, 1.5 s at least. A mean is no bound: before the first answers it is 0, soon after a start it knows the shortest runs only, and it halves the two humps of known and unknown objects.

Now a request is sent to a target in a stop only if it ends before the last answers go: by its deadline (a caller's wait or the route's timeout, whichever is sooner), or by a bound on the route's runs, a quarter above the longest of the last 100 answers and of the runs under way, and none below 30 answers. What may not be finished is refused at once, with leave to come back to another VM.

--- a/src/heathercleat/steering/connection/reading.py
+++ b/src/heathercleat/steering/connection/reading.py
@@ -44,8 +44,8 @@
         await self._wait_for_start(arrived_at + START_PATIENCE)
         client = read_client_head(headers)
         route = self._match(head, headers)
-        self._node.departure.check(route.name, self._clock.now())
         deadline = arrived_at + min(client.wait, route.timeout)
+        self._node.departure.check(route.name, deadline, self._clock.now())
         if turn.body is None:
             turn.body = await self._read_body(turn, headers, deadline)
         passed = [each for each in end_to_end(headers) if each[0] != b"content-length"]
@@ -70,7 +70,7 @@
         call.client_wait = client.wait
         call.fingerprint = fingerprint(head.method, head.target, passed, turn.body)
         call.stop_estimate = self._node.departure.estimate(
-            route.name, self._clock.now()
+            route.name, deadline, self._clock.now()
         )
         return call
 
--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -7,11 +7,6 @@
 _NO_END = float("inf")
 #: Seconds before the platform's kill at which a leaving process ends by itself.
 STOP_MARGIN = 0.7
-#: Seconds before the end at which the last request starts, where no work time is known.
-LEAST_RUN = 1.5
-#: Times the mean that a run takes at most, so that an end cuts none: work times of a
-#: route spread by about 15%, and 1.5 times the mean leaves out one in a hundred.
-RUN_SPREAD = 1.5
 #: Seconds before the end at which the answers that are ready go first: they need a
 #: round trip at most to be sent.
 LAST_ANSWERS = 0.25
@@ -38,8 +33,8 @@
 class Departure:
     """The end of this process, once it has been told to leave.
 
-    With one bound for all routes, requests that wait 1 s and run for 1 to 3.5 s were
-    sent to a target and cut by the end of the process: on 2 of 25 drawn days.
+    A request is sent to a target only if it ends before the process does: by its
+    deadline, or by the bound on the times of its route.
 
     :param work_times: the :class:`WorkTimes`.
     """
@@ -71,26 +66,29 @@
         """Return the seconds since the stop signal."""
         return now - self._began_at
 
-    def estimate(self, route, now):
-        """Return the :class:`StopEstimate` of a request; ``None`` while it stays."""
-        if self._began_at is None:
-            return None
-        answers = self._work_times.answers(route)
-        return StopEstimate(self.elapsed(now), self._needed(route), answers)
-
-    def check(self, route, now):
+    def check(self, route, deadline, now):
         """Check that a request of a route can still be finished.
 
-        :raises RequestError: when it cannot; the client may come back at once, to
+        :raises RequestError: when it may not; the client may come back at once, to
             another VM.
         """
-        if self.is_too_late(route, now):
+        if self.is_too_late(route, deadline, now):
             raise RequestError(ResultCode.NO_ROOM, LEAVING, retry_at=now)
 
-    def is_too_late(self, route, now):
-        """Return whether a request sent to a target now might be cut."""
-        return now > self._ends_at - self._needed(route)
+    def is_too_late(self, route, deadline, now):
+        """Return whether a request sent to a target now might be cut.
+
+        :param deadline: the instant at which the request ends in any case.
+        """
+        return now + self._needed(route, deadline, now) > self.last_answers_at
+
+    def estimate(self, route, deadline, now):
+        """Return the :class:`StopEstimate` of a request; ``None`` while it stays."""
+        if self._began_at is None:
+            return None
+        needed = self._needed(route, deadline, now)
+        return StopEstimate(self.elapsed(now), needed, self._work_times.answers(route))
 
-    def _needed(self, route):
-        """Return the seconds that a request of a route is taken to need at most."""
-        return max(LEAST_RUN, RUN_SPREAD * self._work_times.longest(route))
+    def _needed(self, route, deadline, now):
+        """Return the seconds that a request sent now takes at most."""
+        return min(deadline - now, self._work_times.bound(route, now))
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -90,7 +90,7 @@
         now = self._clock.now()
         if call.left:
             return CLIENT_LEFT
-        if self._departure.is_too_late(call.route.name, now):
+        if self._departure.is_too_late(call.route.name, call.deadline, now):
             return LEAVING
         if now >= call.deadline:
             return DEADLINE
@@ -122,7 +122,8 @@
         # To cut the connection does not undo what runs, which may run once only.
         call.on_leave = StreamCut(stream) if call.route.kind.idempotent else None
         try:
-            result = await exchange.run()
+            with self._work_times.running(call.route.name, began_at):
+                result = await exchange.run()
         except BaseException:
             await self._pool.discard(entry.host, entry.port, stream)
             raise
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -105,7 +105,7 @@
                 raise CallerLeftError
             now = clock.now()
             if not self._runs:
-                self._steering._departure.check(call.route.name, now)
+                self._steering._departure.check(call.route.name, call.deadline, now)
                 self._check_quarantine()
             place = self._next_place(now)
             if place is None:
@@ -114,7 +114,7 @@
                 return self._give_up()
             until = min(self._until(place, now), call.deadline)
             call.trying, call.trying_since = place, now
-            result = await self._steering._tries.run(call, place, self._avoid, until)
+            result = await self._try(place, until)
             call.trying = None
             if call.left:
                 raise CallerLeftError
@@ -122,6 +122,15 @@
             if final is not None:
                 return final
 
+    async def _try(self, place, until):
+        """Return the :class:`TryResult` of a try at a place."""
+        call, steering = self._call, self._steering
+        trying = steering._tries.run(call, place, self._avoid, until)
+        if steering._tries.is_own(place):
+            return await trying
+        with steering._work_times.running(call.route.name, call.trying_since):
+            return await trying
+
     def _next_place(self, now):
         """Return where to try next, or ``None`` when it is time to give up."""
         if now >= self._call.deadline or self._unsent >= MOST_UNSENT:
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -6,8 +6,13 @@
 from heathercleat import ResultCode
 from heathercleat.errors import RequestError
 from heathercleat.steering.process.capacity.admission import Admission
-from heathercleat.steering.process.capacity.work import WorkTimes
-from heathercleat.steering.process.departure import LEAVING, Departure
+from heathercleat.steering.process.capacity.work import LEAST_ANSWERS, WorkTimes
+from heathercleat.steering.process.departure import (
+    LAST_ANSWERS,
+    LEAVING,
+    STOP_MARGIN,
+    Departure,
+)
 from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.request.answer import End
 from heathercleat.steering.request.local import LocalTry
@@ -15,13 +20,22 @@
 from tests.test_steer import Scene, answered, no_slot
 
 GRACE = 6.0
+#: Seconds after the signal at which the last answers go.
+LAST = GRACE - STOP_MARGIN - LAST_ANSWERS
+#: A deadline beyond any end.
+FAR = 20.0
 
 
-def departure(*seconds, home=True):
-    """Return a :class:`Departure` that began at 0, with the work times of a route."""
+def work_times(*seconds, home=True):
+    """Return the :class:`WorkTimes` of a route that had enough answers."""
     times = WorkTimes()
-    for each in seconds:
-        times.observe("r1", each, home)
+    for number in range(LEAST_ANSWERS):
+        times.observe("r1", seconds[number % len(seconds)], home)
+    return times
+
+
+def departure(times):
+    """Return a :class:`Departure` that began at 0."""
     made = Departure(times)
     made.begin(0.0, GRACE)
     return made
@@ -29,45 +43,61 @@
 
 def test_vm_that_stays_takes_requests_at_any_time():
     made = Departure(WorkTimes())
-    assert not made.is_too_late("r1", 1e9)
+    assert not made.is_too_late("r1", 1e9 + FAR, 1e9)
 
 
 @pytest.mark.parametrize(
     ("work", "now", "too_late"),
-    [(0.3, 3.6, False), (1.0, 3.6, False), (1.2, 3.6, True), (3.5, 0.2, True)],
+    [(0.3, 3.6, False), (1.0, 3.6, False), (1.2, 3.6, True), (3.9, 0.2, True)],
 )
 def test_request_is_taken_while_it_can_be_finished(work, now, too_late):
-    assert departure(work).is_too_late("r1", now) is too_late
+    made = departure(work_times(work))
+    assert made.is_too_late("r1", FAR, now) is too_late
 
 
-def test_longest_work_time_counts():
-    """A target that does not know the object takes longer than the mean."""
+@pytest.mark.parametrize("answers", [0, 1, LEAST_ANSWERS - 1])
+def test_request_of_a_route_of_which_little_is_known_is_cut_by_no_end(answers):
     times = WorkTimes()
-    times.observe("r1", 0.3, True)
-    times.observe("r1", 3.0, False)
-    made = Departure(times)
-    made.begin(0.0, GRACE)
-    assert made.is_too_late("r1", 1.0)
+    for _ in range(answers):
+        times.observe("r1", 0.1, True)
+    assert departure(times).is_too_late("r1", LAST + 0.1, 0.0)
 
 
-def test_no_request_is_taken_just_before_the_end():
-    assert departure().is_too_late("r1", GRACE - 1.0)
+@pytest.mark.parametrize(("deadline", "too_late"), [(LAST, False), (LAST + 0.01, True)])
+def test_request_that_ends_by_its_deadline_is_taken(deadline, too_late):
+    made = departure(WorkTimes())
+    assert made.is_too_late("r1", deadline, 3.0) is too_late
+
+
+def test_longest_run_counts_not_the_mean_of_short_and_long_ones():
+    times = work_times(*[0.3] * 9, 3.0)
+    assert departure(times).is_too_late("r1", FAR, 1.4)
+
+
+def test_runs_under_way_count_before_they_end():
+    times = work_times(0.3)
+    with times.running("r1", -3.0):
+        assert departure(times).is_too_late("r1", FAR, 1.4)
+    assert not departure(times).is_too_late("r1", FAR, 1.4)
 
 
 def test_request_that_cannot_be_finished_may_come_back_at_once():
     with pytest.raises(RequestError) as caught:
-        departure(3.5).check("r1", 2.0)
+        departure(work_times(3.5)).check("r1", FAR, 2.0)
     assert caught.value.code is ResultCode.NO_ROOM
     assert caught.value.retry_at == 2.0
 
 
 def test_waiting_request_is_given_back_when_it_can_no_longer_be_finished():
     scene = Scene([no_slot(), answered()])
-    scene.work_times.observe("r1", 0.2, True)
+    for _ in range(LEAST_ANSWERS):
+        scene.work_times.observe("r1", 0.2, True)
     made = scene.call()
+    made.deadline = scene.parts.clock.now() + FAR
     made.returned = True
     now = scene.parts.clock.now()
-    scene.departure.begin(now, 1.5 + 0.7 + 0.02)
+    needed = scene.work_times.bound("r1", now)
+    scene.departure.begin(now, needed + LAST_ANSWERS + STOP_MARGIN + 0.02)
     with pytest.raises(RequestError) as caught:
         scene.run(made)
     assert LEAVING in str(caught.value)
@@ -76,8 +106,7 @@
 
 def test_request_that_gets_its_slot_too_late_is_not_sent():
     parts = Parts([entry("t1", slots=1)])
-    times = WorkTimes()
-    times.observe("r1", 3.5, False)
+    times = work_times(3.5, home=False)
     made = Departure(times)
     admission = Admission(parts.ledger, parts.members.region_of, parts.clock)
     local = LocalTry(
@@ -95,6 +124,7 @@
     (target,) = parts.ledger.all()
     request = call(parts.clock)
     request.patient_until = parts.clock.now() + 5.0
+    request.deadline = parts.clock.now() + FAR
 
     async def main():
         use = target.take(parts.clock.now())
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -123,9 +123,24 @@
     Mutation(
         "LOST-departure",
         f"{STEERING}/process/departure.py",
-        "now > self._ends_at - max(LEAST_RUN, longest)",
+        "now + self._needed(route, deadline, now) > self.last_answers_at",
         "False",
         "tests/test_departure.py",
+        "tests/test_planned_stops.py",
+    ),
+    Mutation(
+        "LOST-little-known",
+        f"{STEERING}/process/capacity/work.py",
+        "if self.answers(route) < LEAST_ANSWERS:",
+        "if not self.answers(route):",
+        "tests/test_departure.py",
+    ),
+    Mutation(
+        "LOST-runs-under-way",
+        f"{STEERING}/process/capacity/work.py",
+        "max(*self._latest[route], *ages)",
+        "max(*self._latest[route], 0.0)",
+        "tests/test_departure.py",
     ),
     Mutation(
         "MIXED-order",
