The owner of a target does not send what outlasts the VM that asked

A VM that leaves checked the time before it passed a request on; the owner of the target, which stays, let it wait for a slot and looked at its own end only. The order of a forwarded request now tells for how long it may still be sent, less the round trip, and a wait in a stop ends at that instant.

test_departure: fails without the look (mutation LOST-owner-is-told).

--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -3,8 +3,8 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import RequestError
 
-#: The end of a process that stays.
-_NO_END = float("inf")
+#: The instant of an end that does not come.
+NO_END = float("inf")
 #: Seconds before the platform's kill at which a leaving process ends by itself.
 STOP_MARGIN = 0.7
 #: Seconds before the end at which the answers that are ready go first: they need a
@@ -42,7 +42,7 @@
     def __init__(self, work_times):
         self._work_times = work_times
         self._began_at = None
-        self._ends_at = _NO_END
+        self._ends_at = NO_END
 
     @property
     def ends_at(self):
@@ -80,15 +80,20 @@
 
         :param deadline: the instant at which the request ends in any case.
         """
-        return now + self._needed(route, deadline, now) > self.last_answers_at
+        return now >= self.send_by(route, deadline, now)
+
+    def send_by(self, route, deadline, now):
+        """Return the instant until which a request may be sent to a target.
+
+        :data:`NO_END` where its deadline ends it soon enough.
+        """
+        if deadline <= self.last_answers_at:
+            return NO_END
+        return self.last_answers_at - self._work_times.bound(route, now)
 
     def estimate(self, route, deadline, now):
         """Return the :class:`StopEstimate` of a request; ``None`` while it stays."""
         if self._began_at is None:
             return None
-        needed = self._needed(route, deadline, now)
+        needed = min(deadline - now, self._work_times.bound(route, now))
         return StopEstimate(self.elapsed(now), needed, self._work_times.answers(route))
-
-    def _needed(self, route, deadline, now):
-        """Return the seconds that a request sent now takes at most."""
-        return min(deadline - now, self._work_times.bound(route, now))
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -2,6 +2,8 @@
 
 from typing import Protocol
 
+from heathercleat.steering.process.departure import NO_END
+
 
 class Interruptible(Protocol):
     """What a request waits for, and what is to be told when its client leaves."""
@@ -52,6 +54,8 @@
     :param deadline: when the final answer is due.
     :param aim_at: when the answer should be there.
     :param patient_until: when it is given up without a slot.
+    :param send_by: until when it may be sent to a target: the VM that took it may end
+        before a later one ends.
     :param home_until: until when only targets that know its object may run it.
     :param returned: whether it came back after a refusal.
     :param affinity: key of the object that it is about, or ``None``.
@@ -78,6 +82,7 @@
         "aim_at",
         "patient_until",
         "home_until",
+        "send_by",
         "returned",
         "affinity",
         "client_wait",
@@ -105,6 +110,7 @@
         self.aim_at = 0.0
         self.patient_until = 0.0
         self.home_until = 0.0
+        self.send_by = NO_END
         self.returned = False
         self.affinity = None
         self.client_wait = None
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -39,6 +39,7 @@
         "wait_for",
         "patience",
         "home_for",
+        "send_for",
     )
 
     def __init__(self, *fields):
@@ -68,6 +69,7 @@
             until - now,
             call.patient_until - now,
             call.home_until - now,
+            call.send_by - now - trip,
         )
 
     def pack(self):
@@ -112,6 +114,7 @@
     call.aim_at = now + order.aim_in
     call.patient_until = now + order.patience
     call.home_until = now + order.home_for
+    call.send_by = now + order.send_for
     call.returned = order.returned
     call.affinity = order.affinity
     call.fingerprint = order.fingerprint
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -90,6 +90,8 @@
         now = self._clock.now()
         if call.left:
             return CLIENT_LEFT
+        if now >= call.send_by:
+            return LEAVING
         if self._departure.is_too_late(call.route.name, call.deadline, now):
             return LEAVING
         if now >= call.deadline:
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -112,7 +112,10 @@
                 return self._give_up()
             if self._sends and not self._spend_repeat(now):
                 return self._give_up()
-            until = min(self._until(place, now), call.deadline)
+            call.send_by = self._steering._departure.send_by(
+                call.route.name, call.deadline, now
+            )
+            until = min(self._until(place, now), call.deadline, call.send_by)
             call.trying, call.trying_since = place, now
             result = await self._try(place, until)
             call.trying = None
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -1,5 +1,6 @@
 """What a leaving VM still takes, and what it gives back at once."""
 
+import h11
 import pytest
 from curio import run, sleep, spawn
 
@@ -10,11 +11,13 @@
 from heathercleat.steering.process.departure import (
     LAST_ANSWERS,
     LEAVING,
+    NO_END,
     STOP_MARGIN,
     Departure,
 )
 from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.request.answer import End
+from heathercleat.steering.request.forward import ForwardOrder, call_of
 from heathercleat.steering.request.local import LocalTry
 from tests.steering_parts import Parts, call, entry
 from tests.test_steer import Scene, answered, no_slot
@@ -104,38 +107,74 @@
     assert len(scene.local.tried) == 1
 
 
+class Owner:
+    """The owner of one target that has one slot."""
+
+    def __init__(self, times):
+        self.parts = parts = Parts([entry("t1", slots=1)])
+        self.departure = Departure(times)
+        self.admission = Admission(parts.ledger, parts.members.region_of, parts.clock)
+        self.local = LocalTry(
+            self.admission,
+            parts.ledger,
+            parts.registry,
+            None,
+            times,
+            self.departure,
+            None,
+            Suspects(parts.journal, parts.clock),
+            parts.journal,
+            parts.clock,
+        )
+        (self.target,) = parts.ledger.all()
+
+    def call(self):
+        """Return a request that may wait for long."""
+        made = call(self.parts.clock)
+        made.patient_until = self.parts.clock.now() + FAR
+        made.deadline = self.parts.clock.now() + FAR
+        return made
+
+    def run(self, request, seconds, meanwhile=None):
+        """Return the result of a request that waits some seconds for the slot."""
+        clock = self.parts.clock
+
+        async def main():
+            use = self.target.take(clock.now())
+            task = await spawn(self.local.run, request, (), (), clock.now() + FAR)
+            await sleep(0)
+            if meanwhile is not None:
+                meanwhile()
+            clock.time += seconds
+            await self.admission.release(use, True)
+            return await task.join()
+
+        return run(main)
+
+
 def test_request_that_gets_its_slot_too_late_is_not_sent():
-    parts = Parts([entry("t1", slots=1)])
-    times = work_times(3.5, home=False)
-    made = Departure(times)
-    admission = Admission(parts.ledger, parts.members.region_of, parts.clock)
-    local = LocalTry(
-        admission,
-        parts.ledger,
-        parts.registry,
-        None,
-        times,
-        made,
-        None,
-        Suspects(parts.journal, parts.clock),
-        parts.journal,
-        parts.clock,
-    )
-    (target,) = parts.ledger.all()
-    request = call(parts.clock)
-    request.patient_until = parts.clock.now() + 5.0
-    request.deadline = parts.clock.now() + FAR
-
-    async def main():
-        use = target.take(parts.clock.now())
-        until = parts.clock.now() + 5.0
-        task = await spawn(local.run, request, (), (), until)
-        await sleep(0)
-        made.begin(parts.clock.now(), GRACE)
-        parts.clock.time += 1.0
-        await admission.release(use, True)
-        return await task.join()
-
-    result = run(main)
+    owner = Owner(work_times(3.5, home=False))
+    now = owner.parts.clock.now()
+    result = owner.run(owner.call(), 1.0, lambda: owner.departure.begin(now, GRACE))
+    assert (result.end, result.reason) == (End.NOT_SENT, LEAVING)
+    assert owner.target.free(owner.parts.clock.now()) == 1
+
+
+def test_owner_does_not_send_what_outlasts_the_vm_that_asked():
+    owner = Owner(WorkTimes())
+    request = owner.call()
+    request.send_by = owner.parts.clock.now() + 0.5
+    result = owner.run(request, 1.0)
     assert (result.end, result.reason) == (End.NOT_SENT, LEAVING)
-    assert target.free(parts.clock.now()) == 1
+
+
+@pytest.mark.parametrize(("send_in", "expected"), [(2.0, 1.9), (NO_END, NO_END)])
+def test_owner_is_told_until_when_it_may_send(send_in, expected):
+    parts = Parts([entry("t1")])
+    now = parts.clock.now()
+    request = call(parts.clock)
+    request.send_by = now + send_in
+    packed = ForwardOrder.of(request, (), (), now, 0.1, now).pack()
+    head = h11.Request(method="GET", target="/x", headers=[("host", "a.example")])
+    made = call_of(ForwardOrder.unpack(packed), head, [], b"", None, now)
+    assert made.send_by == pytest.approx(now + expected)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -123,11 +123,18 @@
     Mutation(
         "LOST-departure",
         f"{STEERING}/process/departure.py",
-        "now + self._needed(route, deadline, now) > self.last_answers_at",
-        "False",
+        "return now >= self.send_by(route, deadline, now)",
+        "return False",
         "tests/test_departure.py",
         "tests/test_planned_stops.py",
     ),
+    Mutation(
+        "LOST-owner-is-told",
+        f"{STEERING}/request/local.py",
+        "if now >= call.send_by:",
+        "if False:",
+        "tests/test_departure.py",
+    ),
     Mutation(
         "LOST-little-known",
         f"{STEERING}/process/capacity/work.py",
