A leaving VM does not repeat a request that it may not finish

Only the first send of a request was held against the end of the process; a safe request whose first run failed was sent again up to the last moment of a stop, and cut. Now it is answered with the target's failure, or with 502, which lets the client ask elsewhere.

--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -107,6 +107,10 @@
             if not self._runs:
                 self._steering._departure.check(call.route.name, call.deadline, now)
                 self._check_quarantine()
+            elif self._steering._departure.is_too_late(
+                call.route.name, call.deadline, now
+            ):
+                return self._give_up()
             place = self._next_place(now)
             if place is None:
                 return self._give_up()
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -20,7 +20,7 @@
 from heathercleat.steering.request.forward import ForwardOrder, call_of
 from heathercleat.steering.request.local import LocalTry
 from tests.steering_parts import Parts, call, entry
-from tests.test_steer import Scene, answered, no_slot
+from tests.test_steer import Scene, answered, ended, no_slot
 
 GRACE = 6.0
 #: Seconds after the signal at which the last answers go.
@@ -107,6 +107,25 @@
     assert len(scene.local.tried) == 1
 
 
+@pytest.mark.parametrize("first", [ended(End.UNKNOWN), answered(500)])
+def test_request_is_not_repeated_when_it_can_no_longer_be_finished(first):
+    scene = Scene([first, answered()])
+    made = scene.call()
+    now = scene.parts.clock.now()
+    made.deadline = now + FAR
+    for _ in range(LEAST_ANSWERS):
+        scene.work_times.observe("r1", 0.2, True)
+    needed = scene.work_times.bound("r1", now)
+    scene.departure.begin(now, needed + LAST_ANSWERS + STOP_MARGIN + 0.005)
+    if first.answer:
+        assert scene.run(made).status == 500
+    else:
+        with pytest.raises(RequestError) as caught:
+            scene.run(made)
+        assert caught.value.code is ResultCode.ANSWER_LOST
+    assert len(scene.local.tried) == 1
+
+
 class Owner:
     """The owner of one target that has one slot."""
 
