A connection on which a client always sends ahead closes in a stop

The answer that tells a client to close was the one with no request behind it; a client that always has one ahead was never told, and its connection took requests until the process ended. 2.5 s after the signal, when look-ups have named the VM no more for longer than their answers live, a connection takes no request behind others: the last answer closes it, and what the client has sent behind it is read and dropped for half a second, so that no reset takes that answer away.

--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -17,7 +17,7 @@
 from heathercleat.steering.connection.pipeline import Pipeline, Turn
 from heathercleat.steering.connection.reading import CallReader
 
-#: Seconds and bytes for which the rest of a refused request is read.
+#: Seconds and bytes for which what a client still sends is read after the last answer.
 LINGER_SECONDS = 0.5
 LINGER_BYTES = 8 << 20
 #: Requests of one connection that are served at the same time: an estimate. Each may
@@ -66,6 +66,8 @@
                 self._reading = False
             self._reading = False
             await self._pipeline.drain()
+            if self._closed:
+                await self._linger()
         except CancelledError:
             await self._pipeline.cancel()
             raise
@@ -95,8 +97,7 @@
     async def _follow(self):
         """Go on to the next request; return whether the connection can take one."""
         if not self._stream.request_complete:
-            async with ignore_after(LINGER_SECONDS):
-                await self._stream.linger(LINGER_BYTES)
+            await self._linger()
             return False
         following = self._stream.following()
         if following is None:
@@ -104,6 +105,11 @@
         self._stream = following
         return True
 
+    async def _linger(self):
+        """Read and drop what the client sends before it sees the end."""
+        async with ignore_after(LINGER_SECONDS):
+            await self._stream.linger(LINGER_BYTES)
+
     async def _serve(self, turn):
         """Serve a request to its end."""
         call = None
@@ -140,6 +146,9 @@
         """Return the head of the next request, or ``None`` to close."""
         if not self._stream.head_begun and not await self._wait_for_bytes():
             return None
+        if self._clock.now() >= self._node.departure.keeps_until:
+            # The last of the answers that are due closes the connection.
+            await self._pipeline.drain()
         if self._closed:
             # Bytes that came before the close are still read after it.
             return None
--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -10,6 +10,9 @@
 #: Seconds before the end at which the answers that are ready go first: they need a
 #: round trip at most to be sent.
 LAST_ANSWERS = 0.25
+#: Seconds after the stop signal until which clients' connections are kept: those that
+#: looked the VM up before may come for so long.
+LINGER_SECONDS = 2.5
 #: Why a request was given back.
 LEAVING = "the VM is leaving"
 
@@ -42,8 +45,14 @@
     def __init__(self, work_times):
         self._work_times = work_times
         self._began_at = None
+        self._keeps_until = NO_END
         self._ends_at = NO_END
 
+    @property
+    def keeps_until(self):
+        """Return the instant until which connections take further requests."""
+        return self._keeps_until
+
     @property
     def ends_at(self):
         """Return the instant at which the process ends; infinite while it stays."""
@@ -60,6 +69,7 @@
         :param grace: seconds from now until the platform kills the process.
         """
         self._began_at = now
+        self._keeps_until = now + LINGER_SECONDS
         self._ends_at = now + grace - STOP_MARGIN
 
     def elapsed(self, now):
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -67,8 +67,6 @@
 RESTART_PAUSE = 0.05
 #: Seconds between two looks whether a leaving VM has finished its requests.
 LEAVING_INTERVAL = 0.05
-#: Seconds for which a leaving VM goes on taking requests of clients that looked it up.
-LINGER_SECONDS = 2.5
 #: Seconds without a request under way after which a leaving VM ends.
 QUIET_SECONDS = 0.4
 
@@ -370,12 +368,11 @@
 
     async def _finish_requests(self):
         """Serve on until nothing is under way, or it is time for the last answers."""
-        linger_until = self.clock.now() + LINGER_SECONDS
         busy_at = self.clock.now()
         while (now := self.clock.now()) < self.departure.last_answers_at:
             if self._is_busy():
                 busy_at = now
-            if now >= linger_until and now - busy_at >= QUIET_SECONDS:
+            if now >= self.departure.keeps_until and now - busy_at >= QUIET_SECONDS:
                 return
             await sleep(LEAVING_INTERVAL)
 
