A leaving VM closes clients' idle connections 2.5 s after the signal

A kept connection without a request stayed open until the process ended, and its client's next request came as late as 3 s after the signal and later, to be refused or, before, cut. Now idle connections end once look-ups have named the VM no more for as long as their answers live; what crosses the close was not read, and may be sent again. A VM with nothing under way ends 0.4 s after that.

test_planned_stops, kept connection: fails without it (closed at 5.1 s).

--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -69,8 +69,8 @@
         :param grace: seconds from now until the platform kills the process.
         """
         self._began_at = now
-        self._keeps_until = now + LINGER_SECONDS
         self._ends_at = now + grace - STOP_MARGIN
+        self._keeps_until = min(now + LINGER_SECONDS, self.last_answers_at)
 
     def elapsed(self, now):
         """Return the seconds since the stop signal."""
--- a/src/heathercleat/steering/process/listeners.py
+++ b/src/heathercleat/steering/process/listeners.py
@@ -66,6 +66,10 @@
         under way and the end of the process would be passed on and cut.
         """
         self._closing = True
+        self.close_idle()
+
+    def close_idle(self):
+        """End the connections of clients that have no request under way."""
         for connection in list(self._clients):
             connection.close_idle()
 
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -368,11 +368,14 @@
 
     async def _finish_requests(self):
         """Serve on until nothing is under way, or it is time for the last answers."""
+        while self.clock.now() < self.departure.keeps_until:
+            await sleep(LEAVING_INTERVAL)
+        self._listeners.close_idle()
         busy_at = self.clock.now()
         while (now := self.clock.now()) < self.departure.last_answers_at:
             if self._is_busy():
                 busy_at = now
-            if now >= self.departure.keeps_until and now - busy_at >= QUIET_SECONDS:
+            if now - busy_at >= QUIET_SECONDS:
                 return
             await sleep(LEAVING_INTERVAL)
 
--- a/tests/test_planned_stops.py
+++ b/tests/test_planned_stops.py
@@ -69,14 +69,20 @@
         except (OSError, HTTPException):
             return None
 
+    def wait_closed(self):
+        """Wait until the VM closes the connection."""
+        assert self._connection.sock.recv(1) == b""
+
 
 def stop_while_busy(fleet, vm):
-    """Tell a VM to stop that has a long request under way; return when that was."""
+    """Tell a VM to stop that has a long request under way; return its thread."""
     fleet.switch_target("i-1", work_s=LONG)
-    threading.Thread(target=Kept(vm).send, args=("GET", PATHS["safe"], "long")).start()
+    args = ("GET", PATHS["safe"], "long")
+    thread = threading.Thread(target=Kept(vm).send, args=args)
+    thread.start()
     wait_for(lambda: fleet.runs())
     fleet.stop_vm(vm)
-    return time.monotonic()
+    return thread
 
 
 def send_at_once(clients):
@@ -97,7 +103,8 @@
 
 def test_request_taken_late_in_a_stop_is_not_cut(fleet, vm):
     clients = {"safe": Kept(vm), "once": Kept(vm)}
-    stopped_at = stop_while_busy(fleet, vm)
+    stop_while_busy(fleet, vm)
+    stopped_at = time.monotonic()
     fleet.switch_target("i-1", work_s=WORK)
     time.sleep(max(0.0, stopped_at + LATE - time.monotonic()))
     statuses = send_at_once(clients)
@@ -106,6 +113,14 @@
     assert {run[0] for run in fleet.runs()} - {"long"} == answered
 
 
+def test_kept_connection_without_a_request_is_closed_long_before_the_end(fleet, vm):
+    kept = Kept(vm)
+    kept.send("GET", PATHS["safe"], "first")
+    long_request = stop_while_busy(fleet, vm)
+    kept.wait_closed()
+    assert long_request.is_alive()
+
+
 def test_request_that_ends_before_the_vm_is_served(fleet, vm):
     kept = Kept(vm, wait_ms=1500)
     stop_while_busy(fleet, vm)
