A leaving VM uses more of the time until it is killed

A process ended 0.7 s before the platform's kill, and cut what ran until then. Nothing is to be done after its last answers but to write its last lines, so 0.35 s are left.

--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -6,7 +6,7 @@
 #: The instant of an end that does not come.
 NO_END = float("inf")
 #: Seconds before the platform's kill at which a leaving process ends by itself.
-STOP_MARGIN = 0.7
+STOP_MARGIN = 0.35
 #: Seconds before the end at which the answers that are ready go first: they need a
 #: round trip at most to be sent.
 LAST_ANSWERS = 0.25
