--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -124,7 +124,7 @@
             if waiter is None:
                 return
             queue.waiters.remove(waiter)
-            waiter.permit = target.take(now)
+            waiter.permit = target.take(now, waiter.call.deadline)
             await waiter.signal.set()
 
     async def _wait(self, waiter, until):
@@ -155,7 +155,7 @@
         def order(target):
             return waiter.place(target.entry.id), -target.free(now)
 
-        return min(free, key=order).take(now)
+        return min(free, key=order).take(now, waiter.call.deadline)
 
     def _queue(self, service):
         queue = self._queues.get(service)
--- a/src/heathercleat/steering/process/capacity/owners.py
+++ b/src/heathercleat/steering/process/capacity/owners.py
@@ -60,11 +60,11 @@
 
     def _rebuild(self):
         self._stale = False
-        active = self._members.active()
+        owners = self._members.owners()
         before, self._divided = self._divided, {}
         self._owner = {}
         for failure_domain, services in self._group().items():
-            candidates = self._candidates(failure_domain, active)
+            candidates = self._candidates(failure_domain, owners)
             for service, targets in services.items():
                 key = failure_domain, service
                 division = _divide(before.get(key), sorted(targets), sorted(candidates))
@@ -79,14 +79,14 @@
             services.setdefault(entry.service, []).append(entry.id)
         return groups
 
-    def _candidates(self, failure_domain, active):
+    def _candidates(self, failure_domain, owners):
         """Return the VMs that may own targets of a failure domain, nearest first."""
-        near = [each.vm for each in active if each.failure_domain == failure_domain]
+        near = [each.vm for each in owners if each.failure_domain == failure_domain]
         if near:
             return near
         region = self._members.region_of(failure_domain)
-        near = [each.vm for each in active if each.region == region]
-        return near or [each.vm for each in active]
+        near = [each.vm for each in owners if each.region == region]
+        return near or [each.vm for each in owners]
 
 
 def _divide(before, targets, candidates):
--- a/src/heathercleat/steering/process/capacity/rooms.py
+++ b/src/heathercleat/steering/process/capacity/rooms.py
@@ -24,12 +24,23 @@
     :param report: the :class:`Report` of the target's owner.
     """
 
-    __slots__ = ("_report", "_free", "_limit", "_valid_until")
+    __slots__ = ("_report", "_free", "_limit", "_used", "_valid_until")
+
+    @property
+    def used(self):
+        """Return the requests that the owner had at the target."""
+        return self._used
+
+    @property
+    def valid_until(self):
+        """Return the instant until which the report on the target is believed."""
+        return self._valid_until
 
     def __init__(self, report):
         self._report = report
         self._free = 0
         self._limit = None
+        self._used = 0
         self._valid_until = 0.0
 
     def is_known(self, now):
@@ -47,12 +58,17 @@
         """Return how many requests the target takes at once, ``None`` if unknown."""
         return self._limit
 
-    def report(self, free, limit, valid_until):
+    def report(self, free, limit, used, valid_until):
         """Take the owner's report."""
         self._free = free
         self._limit = limit
+        self._used = used
         self._valid_until = valid_until
 
+    def expire(self):
+        """Believe the last report no more."""
+        self._valid_until = 0.0
+
     def take(self):
         """Note a request sent to the target."""
         self._free = max(0, self._free - 1)
@@ -77,16 +93,18 @@
     def report(self, owner, rooms, waits, losses):
         """Take an owner's report.
 
-        :param rooms: ``(target id, free slots, slots in use at most)`` of each target
-            that it owns.
+        :param rooms: ``(target id, free slots, slots in use at most, slots in use)`` of
+            each target that it owns.
         :param waits: ``(service, seconds, seconds)`` that a new request would wait
             there, one in time and one that is late; ``None`` without a slot.
         :param losses: ``(service, part)`` of their worth that its clients lose.
         """
         valid_until = self._clock.now() + REPORT_LIFE
-        for target_id, free, limit in rooms:
-            self.room(target_id, owner).report(free, limit, valid_until)
         report = self._report(owner)
+        for room in report.rooms.values():
+            room.expire()
+        for target_id, free, limit, used in rooms:
+            self.room(target_id, owner).report(free, limit, used, valid_until)
         report.valid_until = valid_until
         report.waits = {
             service: None if early is None else Waits(early, late)
@@ -107,6 +125,14 @@
             room = report.rooms[target_id] = Room(report)
         return room
 
+    def owners(self):
+        """Return the names of the VMs that have reported."""
+        return list(self._reports)
+
+    def reported(self, target_id, owner):
+        """Return the :class:`Room` at a target of an owner, ``None`` if it has none."""
+        return self._report(owner).rooms.get(target_id)
+
     def is_known(self, owner):
         """Return whether an owner reports to this VM, or said that it was full."""
         return self._clock.now() < self._report(owner).valid_until
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -4,6 +4,7 @@
 from statistics import median
 
 from heathercleat.events import Event
+from heathercleat.process.clock import NEVER
 from heathercleat.steering.process.capacity.health import TargetHealth
 
 #: Seconds for which a target's own report of load from elsewhere is believed.
@@ -37,13 +38,17 @@
 
 
 class Use:
-    """A request that occupies a slot of a target."""
+    """A request that occupies a slot of a target.
 
-    __slots__ = ("target", "began_at")
+    :param ends_by: instant at which it ends at the latest.
+    """
+
+    __slots__ = ("target", "began_at", "ends_by")
 
-    def __init__(self, target, began_at):
+    def __init__(self, target, began_at, ends_by):
         self.target = target
         self.began_at = began_at
+        self.ends_by = ends_by
 
 
 class OwnedTarget:
@@ -51,10 +56,12 @@
 
     :param entry: its :class:`TargetEntry`.
     :param cold_limit: requests within :data:`COLD_WINDOW` while cold, or ``None``.
+    :param held: the :class:`HeldSlots`.
     """
 
     __slots__ = (
         "entry",
+        "_held",
         "health",
         "uses",
         "cold_limit",
@@ -65,8 +72,9 @@
         "_elsewhere_until",
     )
 
-    def __init__(self, entry, cold_limit, cold_until):
+    def __init__(self, entry, cold_limit, cold_until, held):
         self.entry = entry
+        self._held = held
         self.health = TargetHealth()
         self.uses = []
         self.cold_limit = cold_limit
@@ -82,16 +90,20 @@
 
     def free(self, now):
         """Return how many more requests the target takes now."""
-        free = self.limit(now) - len(self.uses)
+        elsewhere = self._held.count(self.entry.id, now)
         if now < self._elsewhere_until:
-            free -= self._elsewhere
+            elsewhere = max(elsewhere, self._elsewhere)
+        free = self.limit(now) - len(self.uses) - elsewhere
         if now < self.cold_until and self.cold_limit is not None:
             free = min(free, self.cold_limit - self._count_recent(now))
         return max(0, free)
 
-    def take(self, now):
-        """Occupy a slot and return the :class:`Use`."""
-        use = Use(self, now)
+    def take(self, now, ends_by=NEVER):
+        """Occupy a slot and return the :class:`Use`.
+
+        :param ends_by: instant at which the request ends at the latest.
+        """
+        use = Use(self, now, ends_by)
         self.uses.append(use)
         self._recent.append(now)
         self._count_recent(now)
@@ -100,8 +112,8 @@
     def reported(self, running, waiting, now):
         """Take the target's own report of its load, to see requests of other VMs.
 
-        A former owner's requests are not counted here; without the report the slots
-        would be filled twice for as long as they run.
+        It tells also of those of which the VM that sent them tells nothing, as one that
+        is cut off from this one.
         """
         self._elsewhere = max(0, running + waiting - len(self.uses))
         self._elsewhere_until = now + REPORT_LIFE
@@ -116,6 +128,11 @@
             return 1
         return self.entry.slots
 
+    def is_current(self, registry):
+        """Return whether the target has not started again since it was owned here."""
+        entry = registry.entry(self.entry.id)
+        return entry is not None and entry.is_same_incarnation(self.entry)
+
     def _count_recent(self, now):
         while self._recent and self._recent[0] <= now - COLD_WINDOW:
             self._recent.popleft()
@@ -129,13 +146,15 @@
     :param registry: the usable targets.
     :param services: returns the :class:`Service` of a name, or ``None``.
     :param bounds: the operators' :class:`Bounds`.
+    :param held: the :class:`HeldSlots`.
     """
 
-    def __init__(self, owners, registry, services, bounds, journal, clock):
+    def __init__(self, owners, registry, services, bounds, held, journal, clock):
         self._owners = owners
         self._registry = registry
         self._services = services
         self._bounds = bounds
+        self._held = held
         self._journal = journal
         self._clock = clock
         self._owned = {}
@@ -166,6 +185,23 @@
         self._refresh()
         return self._owned.get(target_id)
 
+    def handed_over(self):
+        """Yield each target with requests from here that another VM owns now.
+
+        With it come the name of that VM, the number of requests, and the instant at
+        which the last of them ends at the latest.
+        """
+        self._refresh()
+        for target_id, target in self._former.items():
+            owner = self._owners.of(target_id) if target.uses else None
+            if owner is not None and target.is_current(self._registry):
+                ends_by = max(use.ends_by for use in target.uses)
+                yield target_id, owner, len(target.uses), ends_by
+
+    def heirs(self):
+        """Return the names of the VMs that own targets with requests from here."""
+        return {owner for _, owner, _, _ in self.handed_over()}
+
     def release(self, use):
         """Free the slot of a use."""
         if use in use.target.uses:
@@ -201,6 +237,7 @@
             if entry is not None:
                 owned[target_id] = self._keep(entry)
         for target_id in owned.keys() - self._owned.keys():
+            self._held.expect(target_id)
             self._journal.write(Event.HOME_ADOPTED, target=target_id)
         for target_id in self._owned.keys() - owned.keys():
             self._journal.write(Event.HOME_HANDED_OVER, target=target_id)
@@ -219,7 +256,8 @@
         cold_until = self._registry.cold_until(entry.id)
         target = self._owned.get(entry.id) or self._former.get(entry.id)
         if target is None or not target.entry.is_same_incarnation(entry):
-            return OwnedTarget(entry, self._cold_limit(entry), cold_until)
+            limit = self._cold_limit(entry)
+            return OwnedTarget(entry, limit, cold_until, self._held)
         target.entry = entry
         target.cold_until = max(target.cold_until, cold_until)
         return target
--- a/src/heathercleat/steering/process/directory.py
+++ b/src/heathercleat/steering/process/directory.py
@@ -7,6 +7,8 @@
 #: Seconds for which clients may keep an answer: a VM that leaves goes on serving for
 #: longer, and a client asks rarely enough for it to cost under 1% of a core.
 LOOKUP_TTL = 2.0
+#: The same where all that are named leave: VMs that start again are there soon.
+LEAVING_TTL = 0.5
 #: VMs of the client's own failure domain from which those of the rest of its region
 #: are left out.
 ENOUGH = 2
@@ -36,12 +38,17 @@
         self._ttl = min(LOOKUP_TTL, longest_ttl)
 
     def lookup(self, region, failure_domain):
-        """Return the :class:`Lookup` for a client of a region and failure domain."""
+        """Return the :class:`Lookup` for a client of a region and failure domain.
+
+        VMs that leave are named where no VM serves: they still run requests, and a
+        client that is told of none takes the look-up for failed and tries it at others.
+        """
         active = self._members.active()
-        near = [each for each in active if each.region == region]
+        named = active or self._members.leaving()
+        near = [each for each in named if each.region == region]
         here = [each for each in near if each.failure_domain == failure_domain]
-        chosen = here if len(here) >= ENOUGH else near or active
+        chosen = here if len(here) >= ENOUGH else near or named
         if len(chosen) > MOST_ADDRESSES:
             chosen = sample(chosen, MOST_ADDRESSES)
         addresses = [f"{each.ip}:{self._port}" for each in chosen]
-        return Lookup(addresses, self._ttl)
+        return Lookup(addresses, self._ttl if active else min(LEAVING_TTL, self._ttl))
--- a/src/heathercleat/steering/process/membership/beat.py
+++ b/src/heathercleat/steering/process/membership/beat.py
@@ -31,6 +31,7 @@
     :param rooms: see :meth:`RoomView.report`; ``None`` in a beat without reports.
     :param waits: see :meth:`RoomView.report`.
     :param losses: see :meth:`RoomView.report`.
+    :param held: see :meth:`HeldSlots.report`.
     :param suspects_digest: see :attr:`Suspects.digest`.
     :param suspects: the fields of each :class:`SuspectNews` that is told; none to VMs
         that know the same.
@@ -47,6 +48,7 @@
         "rooms",
         "waits",
         "losses",
+        "held",
         "suspects_digest",
         "suspects",
     )
@@ -57,7 +59,7 @@
 
     def without_reports(self):
         """Drop the reports, which only VMs that carry requests use; return the beat."""
-        self.rooms = self.waits = self.losses = None
+        self.rooms = self.waits = self.losses = self.held = None
         return self
 
     def without_news(self):
@@ -67,7 +69,7 @@
 
     @property
     def has_reports(self):
-        """Return whether it tells of rooms, waits and losses."""
+        """Return whether it tells of rooms, waits, losses and held slots."""
         return self.rooms is not None
 
     def pack(self):
--- a/src/heathercleat/steering/process/membership/composer.py
+++ b/src/heathercleat/steering/process/membership/composer.py
@@ -1,5 +1,7 @@
 """What a VM tells of itself and its targets in heartbeats."""
 
+from math import ceil
+
 from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.member import news_of
 
@@ -54,6 +56,7 @@
             list(self._rooms()),
             list(self._waits()),
             list(self._losses()),
+            list(self._held()),
             self._suspects.digest,
             [],
         )
@@ -63,7 +66,16 @@
         now = self._clock.now()
         for target in self._ledger.all():
             room = self._admission.room(target, now)
-            yield [target.entry.id, room, target.limit(now)]
+            yield [target.entry.id, room, target.limit(now), len(target.uses)]
+
+    def _held(self):
+        """Yield the fields of each target with requests from here that others own.
+
+        The time that is left is rounded up.
+        """
+        now = self._clock.now()
+        for target_id, _, count, ends_by in self._ledger.handed_over():
+            yield [target_id, count, ceil(max(0.0, ends_by - now) * 100) / 100]
 
     def _waits(self):
         """Yield the fields of each owned service's :class:`Waits`, in seconds."""
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -11,6 +11,7 @@
 from heathercleat.events import Event
 from heathercleat.steering.process.means import move_mean
 from heathercleat.steering.process.membership.beat import Beat
+from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.quarantine.suspect import SuspectNews
 
 #: Seconds between two heartbeats: room reports are stale for half of it on average,
@@ -75,16 +76,30 @@
     :param settings: the :class:`NodeSettings`.
     :param compose: returns a new :class:`Beat` to send, for an interval.
     :param rooms: the :class:`RoomView` that takes reports.
+    :param held: the :class:`HeldSlots` that take them.
+    :param heirs: returns the names of the VMs that own targets with requests from here.
     :param suspects: the :class:`Suspects`.
     :param on_beat: a coroutine function that is called after each heartbeat.
     """
 
     def __init__(
-        self, settings, members, rooms, suspects, compose, on_beat, journal, clock
+        self,
+        settings,
+        members,
+        rooms,
+        held,
+        heirs,
+        suspects,
+        compose,
+        on_beat,
+        journal,
+        clock,
     ):
         self._settings = settings
         self._members = members
         self._rooms = rooms
+        self._held = held
+        self._heirs = heirs
         self._suspects = suspects
         self._compose = compose
         self._on_beat = on_beat
@@ -160,6 +175,7 @@
             self._observe_trip(member, now - echoed - held)
         if beat.has_reports:
             self._rooms.report(beat.own.vm, beat.rooms, beat.waits, beat.losses)
+            self._held.report(beat.own.vm, beat.held)
         for fields in beat.suspects:
             self._suspects.told(SuspectNews.of(fields))
         return member if is_new else None
@@ -182,7 +198,7 @@
         return self._interval()
 
     async def send(self, to_all=True):
-        """Send one heartbeat to the active VMs.
+        """Send one heartbeat to the VMs that carry requests.
 
         :param to_all: send it to every known VM and seed.
         """
@@ -193,21 +209,23 @@
     async def _send_all(self, members):
         """Send a heartbeat to some members, composed once for all that get the same.
 
-        It has reports where both VMs are active. Only partners are told news: told to
-        all, what 195 VMs that start together tell each other took 155 MB between
-        regions within 8 s, and filled the links of the weaker ones.
+        It has reports where both VMs carry requests, or the other one is about to. Only
+        partners are told news: told to all, what 195 VMs that start together tell each
+        other took 155 MB between regions within 8 s, and filled the links of the weaker
+        ones.
         """
-        active = self._members.active()
+        traffic = self._members.traffic()
         packed = {}
         for member in members:
-            kind = self._kind(member, active)
+            kind = self._kind(member, traffic)
             if kind not in packed:
                 packed[kind] = self._pack(kind)
             await self._send_to(member.ip, packed[kind], member.vm)
 
-    def _kind(self, member, active):
+    def _kind(self, member, traffic):
         """Return the :class:`BeatKind` of the heartbeat to a VM."""
-        full = self._members.own in active and member in active
+        takes_part = member in traffic or member.stage == Stage.STARTING
+        full = self._members.own in traffic and takes_part
         is_partner = self._is_partner(member)
         differs = member.suspects_digest != self._suspects.digest
         is_far = full and self._is_far(member)
@@ -270,23 +288,23 @@
             members.rumours.add(vm)
 
     def _interval(self):
-        """Return the seconds between two heartbeats from here to active VMs."""
-        active = self._members.active()
+        """Return the seconds between two heartbeats to VMs that carry requests."""
+        traffic = self._members.traffic()
         if self._is_starting():
             unheard = sum(each.heard_at is None for each in self._members.others())
             least = INTERVAL if self._members.topology.is_mesh else START_INTERVAL
             return max(least, unheard / MOST_PER_SECOND)
-        if self._members.own not in active:
+        if self._members.own not in traffic:
             return IDLE_INTERVAL
-        return max(INTERVAL, len(self._regular(active)) / MOST_PER_SECOND)
+        return max(INTERVAL, len(self._regular(traffic)) / MOST_PER_SECOND)
 
     def _is_starting(self):
         return self._clock.now() < self._started_at + START_SECONDS
 
-    def _regular(self, active):
-        """Return the active VMs that get each heartbeat."""
+    def _regular(self, members):
+        """Return those of some VMs that get each heartbeat."""
         topology = self._members.topology
-        others = [each for each in active if each is not self._members.own]
+        others = [each for each in members if each is not self._members.own]
         if topology.is_mesh:
             return others
         return [each for each in others if self._is_partner(each)]
@@ -304,12 +322,20 @@
 
     def _receivers(self, to_all):
         """Return the VMs to send to."""
-        regular = self._regular(self._members.active())
+        receivers = self._regular(self._members.traffic())
         if to_all:
-            return [*regular, *self._rare(regular)]
-        if self._round % FAR_ROUNDS == 0:
-            return regular
-        return [each for each in regular if not self._is_far(each)]
+            receivers = [*receivers, *self._rare(receivers)]
+        elif self._round % FAR_ROUNDS:
+            receivers = [each for each in receivers if not self._is_far(each)]
+        return [
+            *receivers,
+            *(each for each in self._live_heirs() if each not in receivers),
+        ]
+
+    def _live_heirs(self):
+        """Return the VMs that have to know how many slots are taken from here."""
+        live = map(self._members.live, self._heirs())
+        return [each for each in live if each is not None]
 
     def _unknown_seeds(self):
         """Return the IP numbers in the settings that belong to no known VM."""
@@ -322,7 +348,7 @@
         members, own = self._members, self._members.own
         rest = [each for each in members.others() if each not in regular]
         if members.topology.is_mesh:
-            carries = own in members.active()
+            carries = own in members.traffic()
             return [
                 each
                 for each in rest
--- a/src/heathercleat/steering/process/membership/member.py
+++ b/src/heathercleat/steering/process/membership/member.py
@@ -1,5 +1,7 @@
 """One VM, as another one knows it."""
 
+from enum import IntEnum
+
 #: Seconds of silence after which a VM is taken as dead: seven heartbeats, so that a few
 #: lost datagrams (2.5% on a bad link) or a short stall do not count as a death.
 SILENCE = 1.1
@@ -7,6 +9,22 @@
 LOST_BEATS = 4
 
 
+class Stage(IntEnum):
+    """What a VM does; the numbers go over the wire.
+
+    :cvar STARTING: it does not know its tables yet, and takes no clients.
+    :cvar SERVING: it takes clients, and owns targets if it is strong enough.
+    :cvar LEAVING: it has been told to stop and goes on with the clients that it has; it
+        owns targets where no VM serves.
+    :cvar FINISHING: it has been told to stop and owns no targets.
+    """
+
+    STARTING = 0
+    SERVING = 1
+    LEAVING = 2
+    FINISHING = 3
+
+
 class Member:
     """What is known of one VM.
 
@@ -14,7 +32,8 @@
     :param stamp: orders what is told of the VM; the highest one is believed.
     :param told_live: whether the VM lives, by what is told with that stamp.
     :param dead_at: instant at which what is told of its death is believed, or ``None``.
-    :param serving: whether it takes clients and owns targets.
+    :param stage: its :class:`Stage`.
+    :param stops_since: instant at which this VM learned that it stops, or ``None``.
     :param heard_at: instant of its last heartbeat to this VM.
     :param unreachable_until: instant until which it is left out since it fell silent
         here, or ``None``.
@@ -34,7 +53,8 @@
         "stamp",
         "told_live",
         "dead_at",
-        "serving",
+        "stage",
+        "stops_since",
         "heard_at",
         "unreachable_until",
         "lost_at",
@@ -57,7 +77,8 @@
         self.stamp = 0
         self.told_live = False
         self.dead_at = None
-        self.serving = False
+        self.stage = Stage.STARTING
+        self.stops_since = None
         self.heard_at = None
         self.unreachable_until = None
         self.lost_at = None
@@ -70,11 +91,29 @@
         self.digest = None
         self.suspects_digest = 0
 
+    @property
+    def serving(self):
+        """Return whether the VM takes clients and may own targets."""
+        return self.stage == Stage.SERVING
+
+    @property
+    def stops(self):
+        """Return whether the VM has been told to stop."""
+        return self.stage >= Stage.LEAVING
+
     @property
     def patience(self):
         """Return the seconds of silence after which the VM is taken as dead."""
         return max(SILENCE, LOST_BEATS * self.interval)
 
+    def enter(self, stage, now):
+        """Note what the VM does from now on."""
+        self.stage = stage
+        if not self.stops:
+            self.stops_since = None
+        elif self.stops_since is None:
+            self.stops_since = now
+
     def is_heard(self, now):
         """Return whether the VM's own heartbeats show that it lives."""
         return self.heard_at is not None and now - self.heard_at <= self.patience
@@ -95,7 +134,7 @@
         "incarnation",
         "stamp",
         "live",
-        "serving",
+        "stage",
         "store_lost",
         "strength",
     )
@@ -119,7 +158,7 @@
         member.incarnation,
         member.stamp,
         member.told_live,
-        member.serving,
+        member.stage,
         member.store_lost,
         member.strength,
     )
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -3,7 +3,7 @@
 from zlib import crc32
 
 from heathercleat.events import Event
-from heathercleat.steering.process.membership.member import Member, news_of
+from heathercleat.steering.process.membership.member import Member, Stage, news_of
 from heathercleat.steering.process.membership.rumours import Rumours
 from heathercleat.steering.process.membership.topology import Topology
 
@@ -49,7 +49,9 @@
         self._members = {settings.vm: self._own}
         self._live = {}
         self._active = None
-        self._carriers = []
+        self._leaving = None
+        self._traffic = None
+        self._owners = []
         self._topology_stale = False
         self._digest = None
         self._checked_at = clock.now()
@@ -85,7 +87,7 @@
         return self._newest_target_version
 
     def on_change(self, callback):
-        """Call ``callback()`` when the VMs that carry requests have changed.
+        """Call ``callback()`` when the VMs that may own targets have changed.
 
         Nothing is worked out anew for the others: where 168 of 195 carry none, a roll
         of all VMs would have each rank the targets again seven times as often.
@@ -96,12 +98,38 @@
         """Return the live VMs that take clients and own targets."""
         return [member for member in self._live.values() if member.serving]
 
+    def serving_or_stopping(self):
+        """Return the live VMs that may have clients."""
+        return [each for each in self._live.values() if each.serving or each.stops]
+
     def active(self):
         """Return the serving VMs that are named to clients and own targets."""
         if self._active is None:
-            self._active = list(self._find_active())
+            self._active = list(_find_strong(self.serving()))
         return self._active
 
+    def leaving(self):
+        """Return the VMs that own targets where none is active."""
+        if self._leaving is None:
+            live = self._live.values()
+            leaving = [each for each in live if each.stage == Stage.LEAVING]
+            self._leaving = list(_find_strong(leaving))
+        return self._leaving
+
+    def owners(self):
+        """Return the VMs that own targets.
+
+        They are the active ones. Where none is left, those that leave keep the targets
+        until they end: nobody else could run a request.
+        """
+        return self.active() or self.leaving()
+
+    def traffic(self):
+        """Return the VMs that carry requests: those that stop still have clients."""
+        if self._traffic is None:
+            self._traffic = self._find_traffic()
+        return self._traffic
+
     def live(self, vm):
         """Return the live :class:`Member` of that name, or ``None``."""
         return self._live.get(vm)
@@ -124,11 +152,15 @@
 
     def set_serving(self, serving):
         """Set whether this VM takes clients."""
-        if self._own.serving != serving:
-            self._own.serving = serving
-            self.check()
-            self._tell_own()
-            self._changed()
+        self._enter(Stage.SERVING if serving else Stage.STARTING)
+
+    def leave(self):
+        """Take no new clients; own targets only where no VM serves."""
+        self._enter(Stage.LEAVING)
+
+    def finish(self):
+        """Own no targets any more; a VM that serves or leaves has to take them."""
+        self._enter(Stage.FINISHING)
 
     def set_store_lost(self, store_lost):
         """Set whether the store does not answer this VM."""
@@ -164,7 +196,7 @@
             member = Member(own.vm, own.ip, own.failure_domain, own.region)
             self._members[own.vm] = member
         changed = self._is_change(member, own)
-        _take_news(member, own)
+        self._take_news(member, own)
         member.interval = beat.interval
         self._note_versions(member, beat)
         member.store_answers = beat.store_answers
@@ -206,7 +238,7 @@
         if not news.live and member.is_heard(now):
             return
         changed = self._is_change(member, news)
-        _take_news(member, news)
+        self._take_news(member, news)
         if news.live and changed and not member.is_unreachable(now):
             self._join(member)
 
@@ -245,23 +277,33 @@
         elif member.told_live and not member.is_unreachable(now):
             self._join(member)
 
-    def _find_active(self):
-        """Yield the strong VMs of each region, or all where these are too few."""
-        regions = {}
-        for member in self.serving():
-            regions.setdefault(member.region, []).append(member)
-        for members in regions.values():
-            least = STRONG_SHARE * max(each.strength for each in members)
-            strong = [each for each in members if each.strength >= least]
-            total = sum(each.strength for each in members)
-            enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
-            yield from strong if enough else members
+    def _enter(self, stage):
+        if self._own.stage == stage:
+            return
+        self._own.enter(stage, self._clock.now())
+        self.check()
+        self._tell_own()
+        self._changed()
+
+    def _find_traffic(self):
+        """Return the active VMs, and those that stop and were active before."""
+        strong = _find_strong(self.serving_or_stopping())
+        stopping = (each for each in strong if each.stops)
+        return [*self.active(), *stopping]
+
+    def _take_news(self, member, news):
+        if member.incarnation != news.incarnation:
+            member.stops_since = None
+        member.incarnation = news.incarnation
+        member.enter(news.stage, self._clock.now())
+        member.store_lost = news.store_lost
+        member.strength = news.strength
 
     def _is_change(self, member, news):
         """Return whether news changes which VMs live or what they do."""
         return (
             self._live.get(member.vm) is not member
-            or member.serving != news.serving
+            or member.stage != news.stage
             or member.incarnation != news.incarnation
         )
 
@@ -316,7 +358,7 @@
     def _update_topology(self):
         """Pick anew, at most once a heartbeat: a start of 195 VMs is 194 changes."""
         self._topology_stale = False
-        self.topology.update(self.live_others(), self.active())
+        self.topology.update(self.live_others(), self.traffic())
 
     def _is_lost(self, member, now):
         if member.is_heard(now):
@@ -332,7 +374,9 @@
         member.dead_at = None
         if member.told_live:
             member.unreachable_until = now + RETRY_SILENT
-            self.topology.suspect(member.failure_domain)
+            # The end of one that stops is no sign that its neighbours are in trouble.
+            if not member.stops:
+                self.topology.suspect(member.failure_domain)
             member.told_live = False
             member.stamp += 1
             self._spread(member)
@@ -358,18 +402,24 @@
 
     def _changed(self):
         """Work out anew what depends on the live VMs."""
-        self._active = None
+        self._active = self._leaving = self._traffic = None
         self._topology_stale = True
-        carriers = [(each.vm, each.ip) for each in self.active()]
-        if carriers == self._carriers:
+        owners = [(each.vm, each.ip) for each in self.owners()]
+        if owners == self._owners:
             return
-        self._carriers = carriers
+        self._owners = owners
         for callback in self._on_change:
             callback()
 
 
-def _take_news(member, news):
-    member.incarnation = news.incarnation
-    member.serving = news.serving
-    member.store_lost = news.store_lost
-    member.strength = news.strength
+def _find_strong(members):
+    """Yield the strong VMs of each region, or all where these are too few."""
+    regions = {}
+    for member in members:
+        regions.setdefault(member.region, []).append(member)
+    for members in regions.values():
+        least = STRONG_SHARE * max(each.strength for each in members)
+        strong = [each for each in members if each.strength >= least]
+        total = sum(each.strength for each in members)
+        enough = sum(each.strength for each in strong) >= ENOUGH_SHARE * total
+        yield from strong if enough else members
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -18,6 +18,7 @@
 from heathercleat.steering.process.bodies import BodyMemory
 from heathercleat.steering.process.capacity.admission import Admission
 from heathercleat.steering.process.capacity.budget import RetryBudget
+from heathercleat.steering.process.capacity.held import HeldSlots
 from heathercleat.steering.process.capacity.losses import RegionLosses
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.pressure import Pressure
@@ -30,6 +31,7 @@
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
 from heathercleat.steering.process.directory import Directory
+from heathercleat.steering.process.handover import Handover
 from heathercleat.steering.process.leavers import Leavers
 from heathercleat.steering.process.listeners import Listeners
 from heathercleat.steering.process.membership.composer import BeatComposer
@@ -108,16 +110,19 @@
         self._registry = TargetRegistry(journal, clock)
         self._members = Members(settings, journal, clock, incarnation)
         self._owners = Owners(self._registry, self._members)
+        self._rooms = RoomView(clock)
+        self._held = HeldSlots(self._members, self._rooms, clock)
         self._ledger = SlotLedger(
             self._owners,
             self._registry,
             self._service,
             settings.bounds,
+            self._held,
             journal,
             clock,
         )
+        self._handover = Handover(self._members, self._owners, self._is_short)
         self._admission = Admission(self._ledger, self._members.region_of, clock)
-        self._rooms = RoomView(clock)
         self._work_times = WorkTimes()
         self.departure = Departure(self._work_times)
         self._pressure = Pressure()
@@ -164,6 +169,8 @@
             settings,
             self._members,
             self._rooms,
+            self._held,
+            self._ledger.heirs,
             self._suspects,
             composer.compose,
             self._tables.notice,
@@ -345,7 +352,12 @@
             self._reload()
         self.departure.begin(self.clock.now(), self._settings.bounds.stop_grace)
         self._leaving = True
-        self._members.set_serving(False)
+        self._members.leave()
+        self._handover.begin(
+            self.clock.now(),
+            self.clock.now() + LINGER_SECONDS,
+            self.departure.ends_at,
+        )
         self._journal.write(Event.VM_LEAVING, requests=self.leavers.count)
         await self._gossip.send()
         await spawn(self._tables.deregister, daemon=True)
@@ -375,10 +387,17 @@
         while (now := self.clock.now()) < self.departure.last_answers_at:
             if self._is_busy():
                 busy_at = now
-            if now >= linger_until and now - busy_at >= QUIET_SECONDS:
+            self._handover.check(now, self._listeners.busy)
+            is_quiet = now - busy_at >= QUIET_SECONDS and self._handover.is_over
+            if now >= linger_until and is_quiet:
                 return
             await sleep(LEAVING_INTERVAL)
 
+    def _is_short(self, now):
+        """Return whether some route's requests cannot end in time any more."""
+        routes = self._table.routes if self._table else ()
+        return any(self.departure.is_too_late(route.name, now) for route in routes)
+
     def _is_busy(self):
         return bool(self.leavers.count) or self._listeners.busy
 
@@ -410,7 +429,7 @@
                 bounds.retry_ratio,
                 bounds.retry_slack,
                 bounds.retry_window,
-                lambda: len(self._members.serving()),
+                lambda: len(self._members.serving_or_stopping()),
             )
         return budget
 
--- a/src/heathercleat/steering/version/routing.py
+++ b/src/heathercleat/steering/version/routing.py
@@ -125,6 +125,11 @@
         for each in self._hosts.values():
             each.sort(key=lambda route: len(route.prefix), reverse=True)
 
+    @property
+    def routes(self):
+        """Return every :class:`Route`."""
+        return [route for routes in self._hosts.values() for route in routes]
+
     def match(self, host, path):
         """Return the route with the longest prefix of ``path``, or ``None``."""
         for route in self._hosts.get(host, ()):
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -4,12 +4,14 @@
 
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
+from heathercleat.steering.process.capacity.held import HeldSlots
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.registry import TargetRegistry
+from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.capacity.slots import SlotLedger
 from heathercleat.steering.process.capacity.target import TargetEntry
 from heathercleat.steering.process.membership.beat import Beat
-from heathercleat.steering.process.membership.member import News
+from heathercleat.steering.process.membership.member import News, Stage
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.request.call import Call
 from heathercleat.steering.version.routing import Kind, Route, Service, Share
@@ -81,6 +83,7 @@
     incarnation=1,
     strength=0.86,
     store_answers=True,
+    stage=None,
 ):
     own = News(
         vm,
@@ -90,11 +93,11 @@
         incarnation,
         incarnation,
         True,
-        serving,
+        Stage(serving) if stage is None else stage,
         False,
         strength,
     )
-    return Beat(own, 0.15, 0, 0, store_answers, 0, [], [], [], [], 0, [])
+    return Beat(own, 0.15, 0, 0, store_answers, 0, [], [], [], [], [], 0, [])
 
 
 class Parts:
@@ -107,11 +110,14 @@
         self.registry = TargetRegistry(self.journal, self.clock)
         self.members = Members(self.settings, self.journal, self.clock, 1)
         self.owners = Owners(self.registry, self.members)
+        self.rooms = RoomView(self.clock)
+        self.held = HeldSlots(self.members, self.rooms, self.clock)
         self.ledger = SlotLedger(
             self.owners,
             self.registry,
             lambda name: Service(name, COLD_RATE),
             self.settings.bounds,
+            self.held,
             self.journal,
             self.clock,
         )
--- /dev/null
+++ b/tests/test_handing_over.py
@@ -0,0 +1,559 @@
+"""Targets change owners while VMs stop and start: who owns them, and their slots."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.held import HeldSlots
+from heathercleat.steering.process.capacity.owners import Owners
+from heathercleat.steering.process.capacity.pressure import Pressure
+from heathercleat.steering.process.capacity.registry import TargetRegistry
+from heathercleat.steering.process.capacity.rooms import REPORT_LIFE
+from heathercleat.steering.process.capacity.slots import SlotLedger
+from heathercleat.steering.process.directory import LEAVING_TTL, Directory
+from heathercleat.steering.process.handover import Handover
+from heathercleat.steering.process.membership.composer import BeatComposer
+from heathercleat.steering.process.membership.gossip import INTERVAL
+from heathercleat.steering.process.membership.member import Stage
+from heathercleat.steering.process.membership.members import Members
+from heathercleat.steering.process.membership.topology import FAR_PICKS, NEAR_PICKS
+from tests.steering_parts import Parts, beat, entry
+from tests.test_membership import REGIONS, Network, SimulatedVm, drive
+
+LEAVING, FINISHING = Stage.LEAVING, Stage.FINISHING
+TARGETS = [entry(f"t{number}") for number in range(8)]
+NEAR, FAR = ("north-a", "north"), ("south-a", "south")
+#: Seconds for which a leaving process lives, and until which its clients may come.
+GRACE, LINGER = 5.3, 2.5
+#: The longest time of a simulated request, and requests that begin in each step.
+LONGEST_RUN = 3.5
+#: Seconds in which VMs may differ on the owner of a target: three heartbeats.
+AGREE_SECONDS = 3 * INTERVAL
+NO_TABLES = SimpleNamespace(
+    operator=SimpleNamespace(told=0),
+    targets=SimpleNamespace(told=0),
+    store_answers=True,
+    store_lost=False,
+)
+
+
+def owners_of(parts, targets=TARGETS):
+    return {parts.owners.of(each.id) for each in targets}
+
+
+@pytest.mark.parametrize("domain", [NEAR, ("north-b", "north"), FAR])
+def test_vms_that_leave_own_targets_where_none_serves(domain):
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2", *domain, stage=LEAVING))
+    assert owners_of(parts) == {"vm-1"}
+    parts.members.finish()
+    assert owners_of(parts) == {"vm-2"}
+
+
+def test_nearest_vm_that_leaves_owns_targets():
+    parts = Parts([*TARGETS, entry("far", domain="south-a")])
+    parts.members.leave()
+    parts.members.heard(beat("vm-2", *FAR, stage=LEAVING))
+    assert owners_of(parts) == {"vm-1"}
+    assert parts.owners.of("far") == "vm-2"
+
+
+@pytest.mark.parametrize("domain", [NEAR, ("north-b", "north"), FAR])
+def test_vm_that_serves_goes_before_a_nearer_one_that_leaves(domain):
+    parts = Parts(TARGETS)
+    parts.members.leave()
+    assert owners_of(parts) == {"vm-1"}
+    parts.members.heard(beat("vm-2", *domain))
+    assert owners_of(parts) == {"vm-2"}
+
+
+def test_vm_that_starts_or_finishes_owns_nothing():
+    parts = Parts(TARGETS)
+    parts.members.finish()
+    parts.members.heard(beat("vm-2", stage=FINISHING))
+    parts.members.heard(beat("vm-3", stage=Stage.STARTING))
+    assert owners_of(parts) == {None}
+
+
+def test_weak_vm_that_leaves_owns_nothing_beside_a_strong_one():
+    parts = Parts(TARGETS)
+    parts.members.leave()
+    parts.members.heard(beat("vm-2", strength=0.1, stage=LEAVING))
+    assert owners_of(parts) == {"vm-1"}
+
+
+def lookup(parts):
+    found = Directory(parts.members, 80, 5.0).lookup("north", "north-a")
+    return found, [each.partition(":")[0] for each in found.addresses]
+
+
+def test_vm_that_leaves_is_named_only_where_none_serves():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2", *FAR, stage=LEAVING))
+    found, addresses = lookup(parts)
+    assert addresses == [parts.settings.ip]
+    assert found.ttl > LEAVING_TTL
+    parts.members.leave()
+    found, addresses = lookup(parts)
+    assert addresses == [parts.settings.ip]
+    assert found.ttl == LEAVING_TTL
+
+
+@pytest.mark.parametrize("stage", [Stage.STARTING, FINISHING])
+def test_vm_that_runs_no_requests_is_never_named(stage):
+    parts = Parts(TARGETS)
+    parts.members.finish()
+    parts.members.heard(beat("vm-2", stage=stage))
+    assert lookup(parts)[1] == []
+
+
+class Stop:
+    """A VM that leaves at instant 100, with what its handover looks at."""
+
+    def __init__(self, *others):
+        self.parts = Parts(TARGETS)
+        for other in others:
+            self.parts.members.heard(other)
+        self.handover = Handover(
+            self.parts.members, self.parts.owners, lambda now: now >= self.short_at
+        )
+        self.parts.members.leave()
+        now = self.parts.clock.now()
+        self.handover.begin(now, now + LINGER, now + GRACE)
+        self.began_at = now
+        self.short_at = now + GRACE
+
+    def run(self, until, has_clients=False):
+        """Let time pass until so many seconds after the stop signal."""
+        clock = self.parts.clock
+        while clock.time < self.began_at + until:
+            clock.time += 0.05
+            for other in self.parts.members.live_others():
+                other.heard_at = clock.time
+            self.handover.check(clock.time, has_clients)
+        return self.handover.is_over
+
+
+def test_vm_has_nothing_to_hand_over_where_another_serves():
+    assert Stop(beat("vm-2")).run(0.1)
+
+
+def test_last_vm_keeps_its_targets_while_a_request_may_end_in_time():
+    stop = Stop()
+    assert not stop.run(3.7)
+    assert stop.run(3.9)
+
+
+def test_last_vm_hands_over_to_one_that_serves_again():
+    stop = Stop(beat("vm-2", stage=FINISHING))
+    assert not stop.run(1.0)
+    stop.parts.members.heard(beat("vm-2", incarnation=2))
+    assert stop.run(1.1)
+
+
+def test_one_vm_of_a_region_stays_and_the_others_go_once_they_are_quiet():
+    names = [f"vm-{number}" for number in range(2, 9)]
+    stop = Stop(*(beat(name, stage=LEAVING) for name in names))
+    assert not stop.run(2.4)
+    assert stop.run(3.0)
+
+
+def test_last_vm_of_a_region_stays_though_its_clients_are_quiet():
+    stop = Stop(beat("vm-2", *FAR, stage=LEAVING))
+    assert not stop.run(3.0)
+
+
+@pytest.mark.parametrize(("later", "hands_over"), [(0.0, False), (1.0, True)])
+def test_vm_with_too_little_time_for_a_route_hands_over_to_one_with_more(
+    later, hands_over
+):
+    stop = Stop()
+    stop.run(later)
+    stop.parts.members.heard(beat("vm-2", stage=LEAVING))
+    assert not stop.run(1.5, has_clients=True)
+    stop.short_at = stop.parts.clock.now()
+    assert stop.run(1.6, has_clients=True) is hands_over
+
+
+def test_vm_with_clients_keeps_its_targets():
+    names = [f"vm-{number}" for number in range(2, 9)]
+    stop = Stop(*(beat(name, stage=LEAVING) for name in names))
+    assert not stop.run(3.7, has_clients=True)
+    assert stop.run(3.9, has_clients=True)
+
+
+class OwnersMachine(RuleBasedStateMachine):
+    """Nine VMs change their stages; all hear of it, sooner or later."""
+
+    COUNT = 9
+
+    def __init__(self):
+        super().__init__()
+        domains = list(REGIONS)
+        self.stages = {}
+        self.views = []
+        for _ in range(3):
+            parts = Parts(serving=False)
+            parts.members = Members(parts.settings, parts.journal, parts.clock, 1)
+            parts.members._regions = REGIONS
+            parts.owners = Owners(parts.registry, parts.members)
+            parts.registry.replace(
+                [entry(f"t{each}", domain=domains[each % 4]) for each in range(12)]
+            )
+            self.views.append(parts)
+        numbers = range(2, 2 + self.COUNT)
+        self.domains = {f"vm-{each}": domains[each % 4] for each in numbers}
+        for vm in self.domains:
+            self.enter(vm, Stage.SERVING, 1)
+        self.settle()
+
+    @rule(number=st.integers(2, COUNT + 1), stage=st.sampled_from(Stage))
+    def change(self, number, stage):
+        vm = f"vm-{number}"
+        self.enter(vm, stage, self.stages[vm][1] + 1)
+
+    def enter(self, vm, stage, incarnation):
+        self.stages[vm] = stage, incarnation
+
+    @rule(number=st.integers(2, COUNT + 1))
+    def hear(self, number):
+        """One VM's heartbeat arrives at the first observer only."""
+        self.deliver(self.views[0], f"vm-{number}")
+
+    @rule()
+    def settle(self):
+        for parts in self.views:
+            for vm in self.domains:
+                self.deliver(parts, vm)
+
+    def deliver(self, parts, vm):
+        stage, incarnation = self.stages[vm]
+        domain = self.domains[vm]
+        told = beat(vm, domain, REGIONS[domain], incarnation=incarnation, stage=stage)
+        parts.members.heard(told)
+
+    def owners(self, parts):
+        return {f"t{each}": parts.owners.of(f"t{each}") for each in range(12)}
+
+    @invariant()
+    def owners_follow_from_what_is_known(self):
+        for parts in self.views:
+            known = {each.vm: each.stage for each in parts.members.live_others()}
+            least = Stage.SERVING
+            if least not in known.values():
+                least = LEAVING
+            expected = least in known.values()
+            for owner in self.owners(parts).values():
+                assert (owner is not None) == expected
+                assert owner is None or known[owner] == least
+
+    @rule()
+    def agree(self):
+        self.settle()
+        first, *others = map(self.owners, self.views)
+        assert all(each == first for each in others)
+
+
+OwnersMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+TestOwners = OwnersMachine.TestCase
+
+
+class OwningVm(SimulatedVm):
+    """A VM that owns targets, in a simulated network."""
+
+    def __init__(self, network, number, incarnation=1, serving=True):
+        super().__init__(network, number, incarnation)
+        self.members.set_serving(serving)
+        journal = Journal(self.name, self.domain)
+        clock = network.clock
+        self.registry = TargetRegistry(journal, clock)
+        self.owners = Owners(self.registry, self.members)
+        self.ledger = SlotLedger(
+            self.owners,
+            self.registry,
+            lambda name: None,
+            Parts().settings.bounds,
+            self.held,
+            journal,
+            clock,
+        )
+        self.registry.replace(network.entries)
+        self.composer = BeatComposer(
+            self.members,
+            NO_TABLES,
+            self.ledger,
+            Admission(self.ledger, REGIONS.get, clock),
+            Pressure(),
+            self.suspects,
+            tuple,
+            clock,
+        )
+        self.uses = []
+
+    def compose(self, interval):
+        return self.composer.compose(interval)
+
+    def heirs(self):
+        return self.ledger.heirs()
+
+    def leave(self):
+        """Leave as the process does: all partners are told at once."""
+        self.members.leave()
+        drive(self.gossip.send())
+
+    def stop(self):
+        """End: the requests under way end with the process."""
+        self.running = False
+        self.uses = []
+
+    def work(self, rng):
+        """End and begin requests, as many as there seem to be slots."""
+        now = self.network.clock.now()
+        for use in [each for each in self.uses if each.ends_by <= now]:
+            self.uses.remove(use)
+            self.ledger.release(use)
+            use.target.health.succeeded(now - use.began_at)
+        for target in self.ledger.all():
+            while target.free(now):
+                ends_by = now + rng.uniform(0.2, LONGEST_RUN)
+                self.uses.append(target.take(now, ends_by))
+
+
+class AnsweringNetwork(Network):
+    """A network in which VMs answer the first heartbeat of another one at once."""
+
+    def send(self, sender, ip, data):
+        known = ip in self.vms and self.vms[ip].members.live(sender.name)
+        super().send(sender, ip, data)
+        receiver = self.vms.get(ip)
+        member = receiver and receiver.members.live(sender.name)
+        if member and not known:
+            drive(receiver.gossip._send_all([member]))
+
+
+class Fleet:
+    """VMs that keep all targets full, and how far these are over their slots."""
+
+    SLOTS = 4
+
+    def __init__(self, count, targets, loss=0.0, seed=1):
+        self.rng = random.Random(seed)
+        self.network = AnsweringNetwork(loss, seed)
+        self.network.entries = [
+            entry(f"t{each}", slots=self.SLOTS, domain=list(REGIONS)[each % 4])
+            for each in range(targets)
+        ]
+        self.vms = [OwningVm(self.network, number) for number in range(count)]
+        self.network.run(4.0)
+        self.over = 0.0
+        self.used = 0.0
+
+    def run(self, seconds, step=0.05):
+        end = self.network.clock.time + seconds
+        while self.network.clock.time < end:
+            for vm in self.network.running():
+                vm.work(self.rng)
+            self.count(step)
+            self.network.run(step)
+
+    def count(self, step):
+        running = {}
+        for vm in self.network.running():
+            for use in vm.uses:
+                target_id = use.target.entry.id
+                running[target_id] = running.get(target_id, 0) + 1
+        self.used += sum(running.values()) * step
+        self.over += sum(max(0, each - self.SLOTS) for each in running.values()) * step
+
+    def start_again(self, vm):
+        """Start a VM that ended, which serves once it has heard from the others."""
+        again = OwningVm(self.network, vm.number, 2, serving=False)
+        self.network.run(2 * INTERVAL)
+        again.members.set_serving(True)
+        return again
+
+    def run_unowned(self, seconds):
+        """Let time pass; return the longest for which a target had no owner."""
+        most, since = 0.0, {}
+        end = self.network.clock.time + seconds
+        while self.network.clock.time < end:
+            self.network.run(0.05)
+            now = self.network.clock.time
+            owned = {
+                target.entry.id
+                for vm in self.network.running()
+                for target in vm.ledger.all()
+            }
+            for each in self.network.entries:
+                if each.id in owned:
+                    since.pop(each.id, None)
+                else:
+                    most = max(most, now - since.setdefault(each.id, now - 0.05))
+        return most
+
+
+@pytest.mark.parametrize(("count", "targets"), [(9, 12), (72, 24)])
+def test_vm_that_leaves_hands_its_slots_over(count, targets):
+    fleet = Fleet(count, targets)
+    fleet.run(1.0)
+    for vm in fleet.vms[:4]:
+        vm.leave()
+        fleet.run(0.4)
+    fleet.run(LONGEST_RUN)
+    assert fleet.used > 0
+    assert fleet.over == 0.0
+
+
+def test_vm_that_starts_waits_for_the_slots_of_the_owner_before_it():
+    fleet = Fleet(9, 12)
+    for vm in fleet.vms[:3]:
+        vm.leave()
+        fleet.run(LONGEST_RUN + 0.5)
+        vm.stop()
+        fleet.run(2.0)
+        fleet.start_again(vm)
+        fleet.run(1.0)
+    assert fleet.over == 0.0
+
+
+def test_new_owner_is_told_though_it_is_no_partner():
+    fleet = Fleet(72, 24)
+    fleet.run(1.0)
+    for vm in fleet.vms:
+        vm.gossip._is_partner = lambda member: False
+    leaving = next(vm for vm in fleet.vms if vm.uses)
+    leaving.leave()
+    heirs = {each.name: each for each in fleet.vms if each.name in leaving.heirs()}
+    assert heirs
+    for target_id, owner, count, _ in leaving.ledger.handed_over():
+        held = heirs[owner].held.count(target_id, fleet.network.clock.now())
+        assert held == count
+
+
+@pytest.mark.parametrize("count", [9, 72])
+def test_vm_that_leaves_goes_on_hearing_reports(count):
+    fleet = Fleet(count, 12)
+    vm = fleet.vms[0]
+    vm.leave()
+    fleet.network.run(2 * REPORT_LIFE)
+    owners = [each for each in fleet.vms[1:] if vm.rooms.is_known(each.name)]
+    assert len(owners) >= min(count - 1, NEAR_PICKS + FAR_PICKS)
+
+
+def test_end_of_a_vm_that_left_makes_no_further_picks():
+    fleet = Fleet(72, 12)
+    vm = fleet.vms[0]
+    picks = {each.name: len(each.members.topology.picks) for each in fleet.vms}
+    vm.leave()
+    fleet.network.run(1.0)
+    vm.stop()
+    for _ in range(20):
+        fleet.network.run(0.2)
+        for each in fleet.network.running():
+            assert len(each.members.topology.picks) <= picks[each.name]
+    assert all(not each.members.live(vm.name) for each in fleet.network.running())
+
+
+def test_vms_that_stop_may_have_clients():
+    parts = Parts(TARGETS)
+    parts.members.heard(beat("vm-2", stage=FINISHING))
+    parts.members.heard(beat("vm-3", stage=Stage.STARTING))
+    parts.members.leave()
+    names = {each.vm for each in parts.members.serving_or_stopping()}
+    assert names == {"vm-1", "vm-2"}
+
+
+@pytest.mark.parametrize(("count", "loss"), [(9, 0.0), (9, 0.05), (72, 0.0)])
+def test_fleet_told_to_stop_owns_its_targets_to_the_end(count, loss):
+    fleet = Fleet(count, 12, loss)
+    for vm in fleet.vms:
+        vm.leave()
+        assert fleet.run_unowned(3.6 / count) <= AGREE_SECONDS
+    assert fleet.run_unowned(1.0) <= AGREE_SECONDS
+
+
+def test_all_slots_are_used_again_after_lost_heartbeats():
+    fleet = Fleet(9, 12, loss=0.3)
+    for vm in fleet.vms[:3]:
+        vm.leave()
+    fleet.run(0.5)
+    fleet.network.is_cut = lambda sender, receiver: sender in fleet.vms[:3]
+    fleet.run(LONGEST_RUN + REPORT_LIFE)
+    now = fleet.network.clock.now()
+    owned = [(vm, target) for vm in fleet.vms[3:] for target in vm.ledger.all()]
+    assert len(owned) == 12
+    for vm, target in owned:
+        assert vm.held.count(target.entry.id, now) == 0
+
+
+class HoldsMachine(RuleBasedStateMachine):
+    """Two VMs tell one what they still have at its target; heartbeats get lost."""
+
+    SLOTS = 4
+    VMS = ("vm-2", "vm-3")
+
+    def __init__(self):
+        super().__init__()
+        self.parts = Parts([entry("t1", slots=self.SLOTS)])
+        self.held: HeldSlots = self.parts.held
+        self.told = {}
+        self.incarnations = dict.fromkeys(self.VMS, 1)
+        for vm in self.VMS:
+            self.hear(vm)
+
+    def hear(self, vm):
+        told = beat(vm, incarnation=self.incarnations[vm], stage=LEAVING)
+        self.parts.members.heard(told)
+
+    @rule(
+        vm=st.sampled_from(VMS),
+        count=st.integers(0, SLOTS),
+        seconds=st.floats(0.0, 5.0),
+    )
+    def report(self, vm, count, seconds):
+        held = [["t1", count, seconds]] if count else []
+        self.held.report(vm, held)
+        self.told[vm] = count, self.parts.clock.now() + seconds
+
+    @rule(vm=st.sampled_from(VMS))
+    def start_again(self, vm):
+        self.incarnations[vm] += 1
+        self.hear(vm)
+        self.told.pop(vm, None)
+
+    @rule(seconds=st.floats(0.0, 2.0))
+    def wait(self, seconds):
+        self.parts.clock.time += seconds
+
+    @rule()
+    def take(self):
+        now = self.parts.clock.now()
+        (target,) = self.parts.ledger.all()
+        if target.free(now):
+            target.take(now, now + 1.0)
+
+    @rule()
+    def release(self):
+        (target,) = self.parts.ledger.all()
+        if target.uses:
+            self.parts.ledger.release(target.uses[0])
+
+    @invariant()
+    def what_was_told_last_counts_until_its_deadline(self):
+        now = self.parts.clock.now()
+        held = sum(count for count, until in self.told.values() if now < until)
+        assert self.held.count("t1", now) == held
+        (target,) = self.parts.ledger.all()
+        if not target.health.is_silent(now, now) and target.limit(now):
+            expected = max(0, self.SLOTS - held - len(target.uses))
+            assert target.free(now) == expected
+
+
+HoldsMachine.TestCase.settings = settings(max_examples=60, deadline=None)
+TestHolds = HoldsMachine.TestCase
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
+from heathercleat.steering.process.capacity.held import HeldSlots
 from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.gossip import (
@@ -112,11 +113,14 @@
         self.members = Members(settings, journal, network.clock, incarnation)
         self.members.own.strength = strength
         self.rooms = RoomView(network.clock)
+        self.held = HeldSlots(self.members, self.rooms, network.clock)
         self.suspects = Suspects(journal, network.clock)
         self.gossip = Gossip(
             settings,
             self.members,
             self.rooms,
+            self.held,
+            lambda: self.heirs(),
             self.suspects,
             self.compose,
             nothing_to_do,
@@ -134,6 +138,10 @@
         """Return the names of the VMs that this one takes as serving."""
         return {each.vm for each in self.members.serving()}
 
+    def heirs(self):
+        """Return the names of the VMs that own targets with requests from here."""
+        return set()
+
     def meet_all(self):
         """Learn from the store which VMs there are."""
         for vm in self.network.vms.values():
@@ -161,6 +169,7 @@
             [],
             [],
             [],
+            [],
             self.suspects.digest,
             [],
         )
--- a/tests/test_object_homes.py
+++ b/tests/test_object_homes.py
@@ -45,7 +45,7 @@
         self.places = Places(view, members, estimates, losses, shift, clock)
 
     def report(self, free):
-        rooms = [[f"s{number}", free, SLOTS] for number in range(FAR)]
+        rooms = [[f"s{number}", free, SLOTS, 0] for number in range(FAR)]
         self.rooms.report("vm-3", rooms, [["s1", 0.0, 0.0]], [])
 
     def call(self, number=0, **fields):
--- a/tests/test_target_view.py
+++ b/tests/test_target_view.py
@@ -39,7 +39,7 @@
         return self.view.regions("s1")[name]
 
     def report(self, free):
-        self.rooms.report("vm-3", [["far", free, 4]], [], [])
+        self.rooms.report("vm-3", [["far", free, 4, 0]], [], [])
 
     def take_all(self):
         for target in self.parts.ledger.all():
