--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -88,6 +88,30 @@
     assert owners_of(parts) == {"vm-1"}
 
 
+@pytest.mark.parametrize("serving", [0, 1, 5])
+@pytest.mark.parametrize("count", [9, 72, 195, 300])
+def test_views_of_a_fleet_agree_on_owners(count, serving):
+    rng = random.Random(count)
+    regions = {"north-a": "north", "south-a": "south"}
+    stages = [Stage.SERVING] * serving + [LEAVING] * (count - serving)
+    heard = [
+        beat(f"fe-{number}", domain, regions[domain], stage=stage)
+        for number, stage in enumerate(stages)
+        for domain in [list(regions)[number % 2]]
+    ]
+    views = []
+    for _ in range(3):
+        parts = Parts([*TARGETS, entry("far", domain="south-a")], serving=False)
+        rng.shuffle(heard)
+        for each in heard:
+            parts.members.heard(each)
+        views.append({each.id: parts.owners.of(each.id) for each in TARGETS})
+    assert views[0] == views[1] == views[2]
+    least = Stage.SERVING if serving else LEAVING
+    owners = {parts.members.live(vm).stage for vm in views[0].values()}
+    assert owners == {least}
+
+
 def lookup(parts):
     found = Directory(parts.members, 80, 5.0).lookup("north", "north-a")
     return found, [each.partition(":")[0] for each in found.addresses]
