A request that waits to be served alone is answered in a stop

A once-only request read behind a safe one waits until that is answered. The answer before it was taken for the last and closed the connection; the request then ran at its target and its answer went into the closed connection.

The request that waits is the last one now, and its answer closes the connection.

--- a/src/heathercleat/steering/connection/pipeline.py
+++ b/src/heathercleat/steering/connection/pipeline.py
@@ -78,6 +78,7 @@
         self._most = most
         self._abort = abort
         self._turns = deque()
+        self._alone = None
         self._failure = None
 
     @property
@@ -87,6 +88,8 @@
 
     def is_last(self, turn):
         """Return whether no request was read after that of a turn."""
+        if self._alone is not None:
+            return self._alone is turn
         return not self._turns or self._turns[-1] is turn
 
     def check(self):
@@ -99,6 +102,7 @@
 
         :param serve: a coroutine that serves the :class:`Turn` to its end.
         """
+        self._alone = None
         turn.before = self._turns[-1] if self._turns else None
         self._turns.append(turn)
         turn.task = await spawn(self._run, turn, serve, daemon=True)
@@ -108,6 +112,11 @@
         while len(self._turns) >= self._most:
             await self._turns[0].over.wait()
 
+    async def wait_alone(self, turn):
+        """Wait until a request that was read may be served, with none beside it."""
+        self._alone = turn
+        await self.drain()
+
     async def drain(self):
         """Wait until every request was answered or failed."""
         while self._turns:
--- a/src/heathercleat/steering/process/capacity/work.py
+++ b/src/heathercleat/steering/process/capacity/work.py
@@ -1,27 +1,19 @@
 """How long targets take for the requests of each route."""
 
 from collections import deque
-from contextlib import contextmanager
 
 from heathercleat.steering.process.means import move_mean
 
 #: Weight of the newest answer in the means.
 WEIGHT = 0.05
-#: Answers that are remembered for each route, and after how many new ones the time of a
-#: known object is worked out again.
+#: Answers of homes that are remembered for each route, and after how many new ones the
+#: time of a known object is worked out again.
 REMEMBERED = 100
 RENEWED_AFTER = 20
 #: Place of that time among the remembered ones: objects that are learned take three
 #: times as long, and are most of the first answers. With 450 objects or fewer in
 #: reach a tenth of the first 100 requests are for known ones.
 KNOWN_SHARE = 0.1
-#: Answers below which no bound on a route's time is known: of the next runs one in this
-#: number lasts longer than all before.
-LEAST_ANSWERS = 30
-#: What a bound is multiplied by, so that few runs beyond the longest one exceed it.
-BOUND_MARGIN = 1.25
-#: The bound where none is known.
-UNBOUNDED = float("inf")
 
 
 class WorkTimes:
@@ -32,8 +24,6 @@
 
     def __init__(self):
         self._means = {}
-        self._latest = {}
-        self._running = {}
         self._home = {}
         self._other = {}
         self._known = {}
@@ -46,7 +36,6 @@
         if home:
             self._known.setdefault(route, _KnownTime()).observe(seconds)
         parts = self._home if home else self._other
-        self._latest.setdefault(route, deque(maxlen=REMEMBERED)).append(seconds)
         move_mean(self._means, route, seconds, WEIGHT)
         move_mean(parts, route, seconds, WEIGHT)
 
@@ -54,34 +43,6 @@
         """Return the mean of a route; 0 before the first answer."""
         return self._means.get(route, 0.0)
 
-    @contextmanager
-    def running(self, route, now):
-        """Count a run of a route as under way for the time of the block."""
-        run = _Run(now)
-        runs = self._running.setdefault(route, set())
-        runs.add(run)
-        try:
-            yield
-        finally:
-            runs.discard(run)
-
-    def answers(self, route):
-        """Return the number of remembered answers of a route."""
-        return len(self._latest.get(route, ()))
-
-    def bound(self, route, now):
-        """Return the seconds that a run of a route takes at most.
-
-        Runs under way count with the time that they have taken so far: those that
-        have ended soon after a start are the shortest ones.
-
-        :data:`UNBOUNDED` while too few answers are known.
-        """
-        if self.answers(route) < LEAST_ANSWERS:
-            return UNBOUNDED
-        ages = (now - run.began_at for run in self._running.get(route, ()))
-        return BOUND_MARGIN * max(*self._latest[route], *ages)
-
     def at_home(self, route):
         """Return the mean at targets that get the requests for the object."""
         return self._home.get(route, 0.0)
@@ -94,20 +55,15 @@
         known = self._known.get(route)
         return known.seconds if known else None
 
+    def longest(self, route):
+        """Return the longest of a route's means."""
+        return max(self.of(route), self.at_home(route), self.elsewhere(route))
+
     def elsewhere(self, route):
         """Return the mean at other targets."""
         return self._other.get(route, 0.0)
 
 
-class _Run:
-    """A run under way."""
-
-    __slots__ = ("began_at",)
-
-    def __init__(self, began_at):
-        self.began_at = began_at
-
-
 class _KnownTime:
     """The time that a route's homes take for objects that they know."""
 
