An owner counts a forwarded request from its head to the end of its answer

The time that an order tells counts from its sending, and was taken from the end of the body: a body of one second made the target's deadline and the last instant to send one second later (4.0 s became 5.0 s). And a VM that stops was not busy while it sent an answer to another VM, which could end in its middle: a 502 for a request that had been answered.

--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -56,29 +56,34 @@
         head = await self._stream.next_event()
         if not isinstance(head, h11.Request):
             return False
+        # What the order tells counts from its sending, not from the end of its body.
+        arrived_at = self._clock.now()
         body = await read_body(self._stream, MAX_BODY_BYTES)
         if head.target.startswith(STATE_PATH):
             await self._send_state(*read_state_path(head.target))
         else:
-            await self._serve_request(head, body)
+            await self._serve_request(head, body, arrived_at)
         return self._stream.next_cycle()
 
     async def _send_state(self, table, after):
         await self._send(_NO_ANSWER, [], pack_state(self._snapshot(table, after)))
 
-    async def _serve_request(self, head, body):
+    async def _serve_request(self, head, body, arrived_at):
         headers = list(head.headers)
         packed = next(value for name, value in headers if name == ORDER)
         order = ForwardOrder.unpack(packed)
-        now = self._clock.now()
         passed = [each for each in end_to_end(headers) if each[0] != b"content-length"]
-        call = call_of(order, head, passed, body, self._stream, now)
-        until = now + order.wait_for
+        call = call_of(order, head, passed, body, self._stream, arrived_at)
+        until = arrived_at + order.wait_for
+        # The VM does not end before its answer to the other VM is sent.
         with self._leavers.watch(call):
             avoid = frozenset(order.avoid)
             result = await self._local.run(call, order.preferred, avoid, until)
-        if call.left:
-            raise EOFError("the other VM left")
+            if call.left:
+                raise EOFError("the other VM left")
+            await self._send_result(result)
+
+    async def _send_result(self, result):
         if result.end is End.ANSWERED:
             answer = result.answer
             headers = [*answer.headers, result_header(result)]
