Bursts are not refused for the leases held while a search for more runs

Callers got 503 (no_room, reasons "wait too long" and "waited") from a VM that leaves or has just started, and from homes after a stall, while slots were free.

Causes, from logs of trials (the steps of test_leaving with VM processes stopped and continued for a moment, SIGSTOP and SIGCONT): - A VM that has handed its targets over serves its callers by leases, of which the first is one slot. The turn of those behind was judged by that slot, and refused while the search for more was under way; with no slot at all they waited. Now the turn refuses nothing until a search since the queue was last empty has ended with less than it wanted. - A request whose time in the queue ended during a stall was refused though slots had become free. It takes what is free first. - A stall counted as holding time of the targets: 19 requests of 5 ms on four slots were expected to wait 0.90 s. It also counted as time for which the queue stood, and as answering time of targets. Stalls are measured and left out. route_refused tells the slots homed here and under leases.

--- a/src/heathercleat/process/capacity/admission.py
+++ b/src/heathercleat/process/capacity/admission.py
@@ -27,7 +27,10 @@
 
 @dataclass(slots=True)
 class LocalPermit:
-    """A slot of a target whose home is this VM."""
+    """A slot of a target whose home is this VM.
+
+    ``taken_at`` is an instant of :meth:`Stalls.running`.
+    """
 
     use: object
     target: object
@@ -48,14 +51,16 @@
     :param holder: the leases held.
     :param membership: tells whether this VM may act as a home.
     :param health: orders targets and learns from answers.
+    :param stalls: the :class:`Stalls` of this process.
     """
 
-    def __init__(self, vm, ledger, holder, membership, health, clock):
+    def __init__(self, vm, ledger, holder, membership, health, stalls, clock):
         self._vm = vm
         self._ledger = ledger
         self._holder = holder
         self._membership = membership
         self._health = health
+        self._stalls = stalls
         self._clock = clock
         self._queues = {}
         self._waiter_came = Signal()
@@ -93,7 +98,7 @@
         if use is None:
             return None
         target = self._ledger.targets[use.target].target
-        return LocalPermit(use, target, self._clock.now())
+        return LocalPermit(use, target, self._stalls.running())
 
     async def release(self, request, permit, certain):
         """Free the slot of a permit.
@@ -103,7 +108,7 @@
         if isinstance(permit, LeasedPermit):
             self._holder.release(permit.lease)
         else:
-            held = self._clock.now() - permit.taken_at
+            held = self._stalls.running() - permit.taken_at
             self._queue(request.service.name).observe(held)
             receiver = self._ledger.release(permit.use, certain)
             if receiver is not None:
@@ -143,8 +148,17 @@
 
     def _drain_time(self, service):
         """Return the seconds until a new last waiter has its turn, leases included."""
-        leased = sum(lease.slots for lease in self._holder.held(service.name))
-        return self._wait_with(service, self._local_slots(service) + leased)
+        slots = self._local_slots(service) + self._leased_slots(service)
+        return self._wait_with(service, slots)
+
+    def _waits_in_vain(self, queue, service, longest):
+        """Return whether a new last waiter would not have its turn in time.
+
+        Until a search for leases has fallen short, more slots than those held may come.
+        """
+        if self._holder.short_at(service.name) < queue.empty_at:
+            return False
+        return longest < self._drain_time(service) < NEVER
 
     def _local_slots(self, service):
         if not self._membership.may_act():
@@ -156,6 +170,9 @@
             if not entry.blocked and not self._health.is_slow(entry)
         )
 
+    def _leased_slots(self, service):
+        return sum(lease.slots for lease in self._holder.held(service.name))
+
     def _wait_with(self, service, slots):
         queue = self._queue(service.name)
         if not slots:
@@ -205,12 +222,13 @@
         use = self._ledger.take(entry, request.deadline)
         if use is None:
             return None
-        return LocalPermit(use, entry.target, self._clock.now())
+        return LocalPermit(use, entry.target, self._stalls.running())
 
     async def _wait(self, queue, request, avoid):
         waiter = Waiter(request, avoid, self._clock.now())
-        longest = queue.longest_wait(request.service, waiter.since)
-        if queue.waiters and longest < self._drain_time(request.service) < NEVER:
+        stalled = self._stalls.seconds()
+        longest = queue.longest_wait(request.service, waiter.since, stalled)
+        if queue.waiters and self._waits_in_vain(queue, request.service, longest):
             return self._last_resort(waiter, "wait too long")
         if not await self._make_place(queue, waiter):
             return self._last_resort(waiter, "queue full")
@@ -225,6 +243,9 @@
         try:
             await self._seek(queue, waiter)
             await self._wait_until(waiter, limit)
+            if waiter.permit is None and not waiter.evicted:
+                # After a stall of this process its time is over before its turn came.
+                await self.pump(request.service.name)
         except BaseException:
             await self._abandon(queue, waiter)
             raise
@@ -305,6 +326,8 @@
             service=request.service.name,
             reason=reason,
             queue=self.waiting(request.service.name),
+            local=self._local_slots(request.service),
+            leased=self._leased_slots(request.service),
             expected_wait=self._round(wait),
             retry_at=round(retry_at, 3),
         )
--- a/src/heathercleat/process/capacity/leases.py
+++ b/src/heathercleat/process/capacity/leases.py
@@ -20,7 +20,7 @@
 )
 from heathercleat.errors import PeerError
 from heathercleat.events import Event
-from heathercleat.process.clock import from_wall, to_wall
+from heathercleat.process.clock import NEVER, from_wall, to_wall
 
 #: Seconds for which a lease is granted or renewed.
 LEASE_TTL = 1.0
@@ -174,6 +174,7 @@
         self._leases = {}
         self._seeking = set()
         self._full_until = {}
+        self._short_at = {}
         self._on_room = None
         self._gained = Signal()
 
@@ -185,6 +186,10 @@
         """Return the leases held for a service."""
         return self._leases.get(service, [])
 
+    def short_at(self, service):
+        """Return when a search last ended without all the slots that it wanted."""
+        return self._short_at.get(service, NEVER)
+
     def take(self, service, avoid, patience):
         """Use a slot of the nearest lease with room.
 
@@ -263,6 +268,8 @@
                 if want <= 0:
                     return
                 want -= await self._ask(service, entry, distance, want, avoid)
+            if want > 0:
+                self._short_at[service.name] = self._clock.now()
         finally:
             self._seeking.discard(service.name)
 
--- a/src/heathercleat/process/capacity/queue.py
+++ b/src/heathercleat/process/capacity/queue.py
@@ -36,6 +36,7 @@
         self._waiters = []
         self._mean_hold = FIRST_HOLD
         self._empty_at = 0.0
+        self._stalled_before = 0.0
 
     @property
     def waiters(self):
@@ -47,20 +48,29 @@
         """Return the mean seconds for which a request holds a slot."""
         return self._mean_hold
 
+    @property
+    def empty_at(self):
+        """Return when a request last found the queue empty."""
+        return self._empty_at
+
     def observe(self, seconds):
         """Note how long a request held its slot."""
         self._mean_hold += HOLD_WEIGHT * (seconds - self._mean_hold)
 
-    def longest_wait(self, service, now):
+    def longest_wait(self, service, now, stalled):
         """Return how long a request may wait here, in seconds.
 
         A queue that empties now and then absorbs a burst, and may take its whole time.
         One that has not been empty for a while only adds delay, so its requests wait
         hardly longer than one takes (controlled delay: Nichols and Jacobson, 2012).
+
+        :param stalled: seconds for which this process has not run; a queue does not
+            stand while nobody serves it.
         """
         if not self._waiters:
-            self._empty_at = now
-        if now - self._empty_at <= service.queue_wait:
+            self._empty_at, self._stalled_before = now, stalled
+        standing = now - self._empty_at - (stalled - self._stalled_before)
+        if standing <= service.queue_wait:
             return service.queue_wait
         return min(service.queue_wait, STANDING_HOLDS * self._mean_hold)
 
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -36,6 +36,7 @@
 from heathercleat.process.once.sweeper import ClaimSweeper
 from heathercleat.process.once.tokens import PeerTokens
 from heathercleat.process.settings import load_settings
+from heathercleat.process.stalls import Stalls
 from heathercleat.version.blocks import build_blocks
 
 #: Seconds added to the life of look-ups before a leaving VM stops listening.
@@ -104,8 +105,15 @@
             clock,
         )
         self.holder = LeaseHolder(self, self.links, self.directory, clock)
+        self.stalls = Stalls(clock)
         self.admission = Admission(
-            self, self.ledger, self.holder, self.membership, self.health, clock
+            self,
+            self.ledger,
+            self.holder,
+            self.membership,
+            self.health,
+            self.stalls,
+            clock,
         )
         self.readiness = ReadinessBoard(
             self, self.ledger, self.membership, self.links, clock
@@ -278,6 +286,7 @@
 
     def _loops(self):
         return (
+            self.stalls.run,
             self.heartbeats.run,
             self.configuration.run,
             self.homes.run,
--- a/src/heathercleat/request/carry.py
+++ b/src/heathercleat/request/carry.py
@@ -99,7 +99,7 @@
 
 
 async def _attempt(vm, call, permit, deliver):
-    started_at = vm.clock.now()
+    started_at = vm.stalls.running()
     ended = False
     certain = False
 
@@ -108,7 +108,7 @@
         # the caller may send its next request before this task runs again.
         nonlocal ended
         ended = True
-        _note_success(vm, permit, attempt, vm.clock.now() - started_at)
+        _note_success(vm, permit, attempt, vm.stalls.running() - started_at)
         await _settle(vm, call, permit, attempt, certain=True)
 
     upstream = _upstream(vm, call, permit)
--- /dev/null
+++ b/tests/test_stalls.py
@@ -0,0 +1,26 @@
+import pytest
+
+from heathercleat.process.stalls import TICK, USUAL_GAP, Stalls
+from tests.fakes import ManualClock
+
+
+@pytest.mark.parametrize(
+    ("gap", "stalled"), [(TICK, 0), (USUAL_GAP, 0), (USUAL_GAP + 0.5, 0.5)]
+)
+def test_only_a_gap_beyond_the_usual_one_is_a_stall(gap, stalled):
+    clock = ManualClock()
+    stalls = Stalls(clock)
+    clock.time += gap
+    assert stalls.seconds() == pytest.approx(stalled)
+    stalls.tick()
+    assert stalls.seconds() == pytest.approx(stalled)
+
+
+def test_running_clock_stands_still_in_each_stall():
+    clock = ManualClock()
+    stalls = Stalls(clock)
+    began = stalls.running()
+    for _ in range(3):
+        clock.time += USUAL_GAP + 1.0
+        stalls.tick()
+    assert stalls.running() - began == pytest.approx(3 * USUAL_GAP)
