A VM that starts names no home that has not started yet

After a region is lost and returns, callers got 503 (no_room) for seconds: a VM that had just started named its own domain in look-ups, whose home had not started, and its callers waited there in vain.

Cause: a home that had told nothing yet counted as having all its slots. That is right for another domain, which may be cut off from this VM only, and not for the own one. And the first look-ups were answered before any home had been asked, and named VMs of domains that cannot serve as fallbacks with their full weight.

Unit tests; each fails with its part taken out.

--- a/src/heathercleat/connection/caller.py
+++ b/src/heathercleat/connection/caller.py
@@ -124,6 +124,8 @@
         query = {
             name: values[0] for name, values in parse_qs(urlsplit(path).query).items()
         }
+        if self._vm.text is not None:
+            await self._vm.readiness.wait_asked()
         answer = answer_lookup(self._vm, query, self._caller)
         self._vm.metrics.count_lookup(answer["service"])
         max_age = max(0, int(answer["expires_at"] - self._vm.clock.wall()))
--- a/src/heathercleat/process/capacity/readiness.py
+++ b/src/heathercleat/process/capacity/readiness.py
@@ -12,13 +12,17 @@
 
 from dataclasses import dataclass
 
-from curio import TaskGroup, sleep
+from curio import Event as Signal
+from curio import TaskGroup, ignore_after, sleep
 
 from heathercleat.connection.messages import FetchReadiness, Readiness
 from heathercleat.errors import PeerError
 from heathercleat.process.clock import NEVER
+from heathercleat.process.membership.peers import CALL_TIMEOUT
 
 CHECK_INTERVAL = 0.25
+#: Seconds for which look-ups wait until a VM that starts has asked homes once.
+FIRST_ROUND = CHECK_INTERVAL + CALL_TIMEOUT
 #: Seconds after a change within which homes are asked, whatever they tell.
 WATCH_SECONDS = 10.0
 #: Share of the slots with which a domain serves all its callers.
@@ -60,6 +64,7 @@
         self._ready_at = {}
         self._watched_state = None
         self._watch_until = 0.0
+        self._asked = Signal()
 
     @property
     def _here(self):
@@ -88,6 +93,17 @@
             return frozenset()
         return frozenset(name for name, each in shares.items() if position >= each)
 
+    async def wait_asked(self):
+        """Return when homes were asked once, or after ``FIRST_ROUND``.
+
+        A VM that has just started would else send callers to homes that start as well.
+        """
+        if self._asked.is_set():
+            return
+        async with ignore_after(FIRST_ROUND):
+            await self._asked.wait()
+        await self._asked.set()
+
     async def run(self):
         """Ask homes for their readiness while it may change."""
         while True:
@@ -113,6 +129,8 @@
         async with TaskGroup() as group:
             for name, host in hosts.items():
                 await group.spawn(self._ask, name, host)
+        if self._vm.directory.known:
+            await self._asked.set()
 
     async def _ask(self, name, host):
         try:
@@ -174,17 +192,23 @@
         if not total:
             return 1.0
         usable = sum(
-            min(slots, self._usable_of(home, service, slots))
+            min(slots, self._usable_of(home, service, slots, domain))
             for home, slots in totals.items()
         )
         return min(1.0, usable / (ENOUGH * total))
 
-    def _usable_of(self, home, service, slots):
-        """Return the usable slots of a home; one that told nothing yet is well."""
+    def _usable_of(self, home, service, slots, domain):
+        """Return the usable slots of a home.
+
+        One of this domain that told nothing yet has none. One of another domain is
+        well: it may be cut off from this VM, and not from callers.
+        """
         if home == self._vm.name:
             return self._usable_here(service)
         told = self._told.get(home)
-        return slots if told is None else told.get(service.name, 0)
+        if told is None:
+            return 0 if domain == self._here else slots
+        return told.get(service.name, 0)
 
     def _usable_here(self, service):
         if not self._membership.may_act():
--- a/src/heathercleat/request/lookup.py
+++ b/src/heathercleat/request/lookup.py
@@ -38,7 +38,7 @@
     avoided = _avoided(vm, service, client)
     candidates = vm.candidates.find(service, domain, avoided)
     nearest = candidates[0].domain if candidates else vm.settings.failure_domain
-    chosen = _choose(candidates)
+    chosen = _choose(candidates, avoided)
     now = vm.clock.wall()
     answer = {
         "service": service.name,
@@ -88,12 +88,19 @@
         raise RequestError(ResultCode.BAD_REQUEST, message) from None
 
 
-def _choose(candidates):
-    """Return ``(entry VM, weight)`` pairs: near ones, then one of each next domain."""
+def _choose(candidates, avoided):
+    """Return ``(entry VM, weight)`` pairs: near ones, then one of each next domain.
+
+    A VM to fall back on has no weight if its domain cannot serve the caller now.
+    """
     if not candidates:
         return []
     near = _pick(candidates[0], MAX_NEAR)
-    far = (pair for other in candidates[1:] for pair in _pick(other, 1))
+    far = (
+        (entry, 0 if other.domain in avoided else weight)
+        for other in candidates[1:]
+        for entry, weight in _pick(other, 1)
+    )
     return [*near, *islice(far, MAX_FAR)]
 
 
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -1,21 +1,24 @@
 import json
 
 import pytest
-from curio import run
+from curio import run, sleep, spawn
 
 from heathercleat import parse_text
-from heathercleat.connection.messages import Readiness
+from heathercleat.connection.messages import MemberRecord, Readiness
+from heathercleat.process.capacity.candidates import DomainVms
 from heathercleat.process.capacity.homes import Homes
 from heathercleat.process.capacity.readiness import GRACE, KEPT_SECONDS, ReadinessBoard
 from heathercleat.process.capacity.slots import Hold, SlotLedger
 from heathercleat.process.configuration.platform import VmEntry, VmList
 from heathercleat.process.membership.directory import Directory
 from heathercleat.process.membership.members import SETTLE, Membership
+from heathercleat.request.lookup import _choose
 from heathercleat.version.text import Drain, DrainScope
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 from tests.test_text import make_text
 
 SLOTS = 8
+MANY_VMS = 9
 NEAR = "127.0.0.2"
 
 
@@ -89,6 +92,43 @@
     assert parts.board.share(parts.service) == 0
 
 
+def test_vm_that_starts_before_the_home_of_its_domain_sends_callers_elsewhere():
+    parts = Parts(told=Readiness({"lookup": SLOTS}))
+    here = parts.vm.settings.failure_domain
+    for number in range(2, MANY_VMS):
+        host = f"127.0.1.{number}"
+        record = MemberRecord(f"{here}-{number}", host, here, 0, "live")
+        parts.membership.record(record)
+    assert not parts.vm.homes.desired()
+    assert parts.board.share(parts.service) == 0
+    parts.ask_homes()
+    assert parts.board.share(parts.service) == 1
+
+
+def test_look_ups_wait_until_homes_were_asked_once():
+    parts = Parts()
+
+    async def act():
+        waiting = await spawn(parts.board.wait_asked)
+        await sleep(0)
+        assert not waiting.terminated
+        await parts.board._ask_homes()
+        await waiting.join()
+
+    run(act)
+
+
+@pytest.mark.parametrize(("avoided", "weighs"), [((), True), (("north-b",), False)])
+def test_vm_of_a_domain_that_cannot_serve_is_the_last_to_fall_back_on(avoided, weighs):
+    domains = [
+        DomainVms(name, [(VmEntry(f"{name}-1", NEAR, name, False), SLOTS)], [SLOTS])
+        for name in ("north-a", "north-b")
+    ]
+    (_, first), (_, other) = _choose(domains, avoided)
+    assert first == SLOTS
+    assert bool(other) is weighs
+
+
 def test_drained_targets_are_no_reason_to_send_callers_away():
     parts = Parts()
     parts.vm.text.drains["d"] = Drain("d", DrainScope.TARGET, "t1", 0.0)
