A VM that stops refuses connections before it ends

A VM that was told to stop took connections and requests until its process ended: it ended when a look, each 0.2 s, found nothing under way, and whatever came between that look and the end was cut without an answer. Under callers that go on, it found no end at all. After look-ups that name it have expired, it now refuses connections of callers and of VMs that forward, closes idle ones on which nothing has arrived, and waits for the requests under way, which end by their deadlines. A request whose head has begun to arrive counts as under way. vm_stopped tells the seconds since the signal.

--- a/src/heathercleat/connection/serving.py
+++ b/src/heathercleat/connection/serving.py
@@ -27,7 +27,12 @@
     @property
     def busy(self):
         """Return whether a request is under way or has begun to arrive."""
-        return self._busy
+        return self._busy or self._stream.head_begun
+
+    def close_if_idle(self):
+        """Close the connection unless a request is under way or has begun to arrive."""
+        if not self._busy and self._stream.is_clean():
+            self._stream.abort()
 
     async def serve(self):
         """Serve requests one after the other until either side closes."""
--- a/src/heathercleat/process/listeners.py
+++ b/src/heathercleat/process/listeners.py
@@ -1,5 +1,7 @@
 """The listeners of an entry VM, and the connections of callers under way."""
 
+from socket import SHUT_RDWR
+
 from curio import TaskGroup, tcp_server_socket
 from curio.errors import CancelledError
 
@@ -21,6 +23,8 @@
     def __init__(self, vm):
         self._vm = vm
         self._connections = set()
+        self._handlers = {}
+        self._closed = False
 
     @property
     def connections(self):
@@ -32,25 +36,54 @@
         """Return whether any request is under way."""
         return any(connection.busy for connection in self._connections)
 
-    async def start(self, group):
-        """Listen on every port, with the accepting tasks in ``group``."""
+    def listen(self):
+        """Open every port.
+
+        :raises OSError: when one is taken.
+        """
         ports = self._vm.settings.ports
-        for port, handle in (
-            (ports.caller, self._serve_caller),
-            (ports.forward, self._serve_forwarded),
-            (ports.peer, PeerService(self._vm).serve),
-            (ports.operator, OperatorService(self._vm).serve),
-        ):
-            host = self._vm.settings.address
-            sock = tcp_server_socket(host, port, backlog=BACKLOG)
-            await group.spawn(self._accept, sock, handle)
+        self._handlers = {
+            self._open(ports.caller): self._serve_caller,
+            self._open(ports.forward): self._serve_forwarded,
+            self._open(ports.peer): PeerService(self._vm).serve,
+            self._open(ports.operator): OperatorService(self._vm).serve,
+        }
+
+    async def run(self):
+        """Accept connections on every port."""
+        async with TaskGroup() as group:
+            for sock, handle in self._handlers.items():
+                await group.spawn(self._accept, sock, handle)
+
+    async def close_to_callers(self):
+        """Refuse new connections of callers and of VMs that forward; close idle ones.
+
+        Requests under way go on: each ends by its deadline.
+        """
+        self._closed = True
+        for sock, handle in self._handlers.items():
+            if handle in (self._serve_caller, self._serve_forwarded):
+                await sock.shutdown(SHUT_RDWR)
+        for connection in self._connections:
+            connection.close_if_idle()
+
+    def _open(self, port):
+        return tcp_server_socket(self._vm.settings.address, port, backlog=BACKLOG)
 
     async def _accept(self, sock, handle):
-        async with sock:
-            async with TaskGroup() as group:
-                while True:
-                    client, address = await sock.accept()
-                    await group.spawn(self._run, handle, client, address)
+        async with TaskGroup() as group:
+            async with sock:
+                await self._spawn_accepted(sock, handle, group)
+
+    async def _spawn_accepted(self, sock, handle, group):
+        while True:
+            try:
+                client, address = await sock.accept()
+            except OSError:
+                if not self._closed:
+                    raise
+                return
+            await group.spawn(self._run, handle, client, address)
 
     async def _run(self, handle, client, address):
         """Run one connection; an error in it costs no other connection anything."""
--- a/src/heathercleat/process/vm.py
+++ b/src/heathercleat/process/vm.py
@@ -65,6 +65,7 @@
         self._budgets = {}
         self._peer_bytes = 0
         self._leave_requested = False
+        self._left_at = self._clock.now()
         self._fence = Fence(settings.fenced)
         self._platform = platform or self._connect_platform()
         # Claims wait for nobody else's calls: they have a connection of their own.
@@ -275,14 +276,16 @@
         signal.signal(signal.SIGTERM, lambda *_: self.request_leave())
         signal.signal(signal.SIGINT, lambda *_: self.request_leave())
         signal.signal(signal.SIGHUP, lambda *_: self._reload())
+        self._listeners.listen()
         async with TaskGroup(wait=any) as group:
             await group.spawn(self._shut_down)
+            await group.spawn(self._listeners.run)
             for run in self._loops():
                 await group.spawn(run_guarded, run, self._journal, CHECK_INTERVAL)
-            await self._listeners.start(group)
         await self.links.close()
         await self.pool.close()
-        self._journal.write(Event.VM_STOPPED)
+        seconds = round(self._clock.now() - self._left_at, 3)
+        self._journal.write(Event.VM_STOPPED, seconds=seconds)
 
     def _loops(self):
         return (
@@ -319,6 +322,7 @@
         while not self._leave_requested:
             await self._follow_own_drain()
             await sleep(CHECK_INTERVAL)
+        self._left_at = self._clock.now()
         self._journal.write(
             Event.VM_LEAVING,
             connections=self._listeners.connections,
@@ -327,6 +331,8 @@
         await self.membership.leave()
         # Callers may use a look-up made before this until it expires.
         await sleep(self._settings.lookup_ttl + LEAVE_MARGIN)
+        # What came later could be cut by the end of the process.
+        await self._listeners.close_to_callers()
         while self._listeners.busy:
             await sleep(CHECK_INTERVAL)
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,7 +1,10 @@
 import os
+import socket
 import threading
 import time
+from errno import ECONNREFUSED
 from hashlib import sha256
+from http.client import HTTPConnection
 
 import pytest
 
@@ -12,6 +15,8 @@
 #: The upload must outlast the life of look-ups and the margin, 3 s, after the stop.
 PARTS = 30
 PART = os.urandom(20_000)
+#: With these the upload goes on for seconds after the VM has closed to callers.
+SHORT_LOOKUPS = {"lookup_ttl_ms": 100}
 
 
 @pytest.fixture
@@ -60,6 +65,30 @@
     assert body.decode().split()[-1] == sha256(PART * PARTS).hexdigest()
 
 
+def is_refused(host):
+    with socket.socket() as sock:
+        return sock.connect_ex((host, PORTS["caller"])) == ECONNREFUSED
+
+
+def test_request_in_a_stop_is_not_taken_where_it_could_be_cut():
+    vms = {"north-a": 1}
+    with Fleet(demo_text(), vms, subnet=22, settings=SHORT_LOOKUPS) as fleet:
+        fleet.wait_ready()
+        vm = fleet.vms["north-a-1"]
+        upload = threading.Thread(target=slow_upload, args=(vm.host, results := []))
+        kept = HTTPConnection(vm.host, PORTS["caller"], timeout=10.0)
+        kept.request("GET", "/lookup?service=intake")
+        kept.getresponse().read()
+        upload.start()
+        wait_for(lambda: fleet.record("intake-north-a")["in_flight"])
+        vm.process.terminate()
+        wait_for(lambda: is_refused(vm.host))
+        assert kept.sock.recv(1) == b""
+        assert upload.is_alive()
+        upload.join()
+    assert results[0][0] == 200
+
+
 def test_stopping_vm_is_not_named_in_look_ups(fleet):
     leaving, other = fleet.vms["north-a-1"], fleet.vms["north-a-2"]
     leaving.process.terminate()
