A VM that stalls often takes the place of a silent member

A home that is paused was not replaced while its monitor stalled now and then: at each gap of 0.75 s or more in its own loop the monitor forgot all silence it had seen, so that 1.5 s of it never came together. Now the gap alone counts for nobody's silence. The home's right to act ends by its own clock as before, and the monitor has listened for 0.5 s after the gap before it judges.

The new unit test fails without the change.

--- a/src/heathercleat/process/membership/members.py
+++ b/src/heathercleat/process/membership/members.py
@@ -260,10 +260,12 @@
         self._last_tick = now
         if gap <= PAUSE_GAP:
             return
-        # What was not heard during a pause says nothing about the others.
+        # What was not heard during a pause says nothing about the others. Their silence
+        # before it counts, or a VM that stalls often would take no dead one's place.
         self._settled_at = now + SETTLE
         for member in self._members.values():
-            member.heard_at = member.silent_from = now
+            member.heard_at = min(now, member.heard_at + gap)
+            member.silent_from = min(now, member.silent_from + gap)
         self._vm.journal.write(Event.VM_PAUSED, gap=round(gap, 3))
         if self._on_pause is not None:
             self._on_pause()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -1,10 +1,12 @@
+from math import ceil
+
 import pytest
 from curio import run
 
 from heathercleat.connection.messages import Heartbeat, HeartbeatAck, MemberRecord
 from heathercleat.process.membership.heartbeats import Heartbeats
 from heathercleat.process.membership.member import DEAD_AFTER, LEASE
-from heathercleat.process.membership.members import SETTLE, Membership
+from heathercleat.process.membership.members import PAUSE_GAP, SETTLE, Membership
 from tests.fakes import FakeLinks, FakeVm, ManualClock
 
 
@@ -112,6 +114,19 @@
     assert "north-a-2" in membership.live()
 
 
+def test_monitor_that_stalls_often_takes_the_place_of_a_silent_member(vm, clock):
+    membership = make_membership(vm, clock)
+    membership.record(record())
+    for _ in range(1 + ceil(DEAD_AFTER / SETTLE)):
+        clock.time += 2 * PAUSE_GAP
+        tick(membership)
+        for _ in range(2):
+            clock.time += SETTLE / 2
+            tick(membership)
+            run(make_heartbeats(vm, membership, clock).judge)
+    assert "north-a-2" not in membership.live()
+
+
 def test_record_that_presumes_this_vm_dead_is_refuted(vm, clock):
     membership = make_membership(vm, clock)
     membership.record(record(vm="north-a-1", incarnation=1, state="dead"))
