A handover is not lost while another VM does not answer

A new home adopted nothing while one running VM of its domain gave no answer, and forgot what the others had handed over. They had ended being the home, so when all answered the next time nobody handed the target over, and every slot was held until the longest timeout of its service. That is the case where VMs of a domain of three or more stop in turn: the first has ended and refuses calls, and does not count as dead yet, while the second hands its targets over.

The new home keeps what it was told for DEAD_AFTER + LEASE, the time in which a silent VM is found dead, and passes it on to a VM that asks for the target. It forgets it with its homes when it was presumed dead: only then could another VM become the home without asking it.

Found by reading, shown by unit tests: two fail without the change, two guard against an old handover that is taken for proof. Not seen in a fleet; an answer that is lost on its way still loses the handover.

--- a/src/heathercleat/process/capacity/homes.py
+++ b/src/heathercleat/process/capacity/homes.py
@@ -7,7 +7,7 @@
 home admitted may run until then.
 """
 
-from dataclasses import astuple
+from dataclasses import astuple, dataclass
 
 from curio import TaskGroup, sleep
 
@@ -17,9 +17,25 @@
 from heathercleat.process.capacity.covers import Vouched, occupied_until
 from heathercleat.process.capacity.slots import CANCEL_GRACE, CLOCK_SKEW, Hold
 from heathercleat.process.clock import from_wall, to_wall
+from heathercleat.process.membership.member import DEAD_AFTER, LEASE
 from heathercleat.version.transition import Transition
 
 CHECK_INTERVAL = 0.1
+#: Seconds for which a handover is kept while other VMs do not answer: until one of them
+#: that is silent counts as dead.
+HANDOVER_KEPT = DEAD_AFTER + LEASE
+
+
+@dataclass(slots=True, frozen=True)
+class KeptHandover:
+    """What an earlier home told of a target that is not adopted yet.
+
+    ``holds`` and ``levels`` are as in a :class:`Handover`; ``until`` is an instant.
+    """
+
+    holds: list
+    levels: list
+    until: float
 
 
 class Homes:
@@ -43,6 +59,7 @@
         self._clock = clock
         self._acquiring = set()
         self._contested = set()
+        self._kept = {}
         self._transition = Transition()
         self._desired_state = None
         self._desired_pairs = []
@@ -62,6 +79,7 @@
         """Stop being the home of every target at once."""
         self._vm.journal.write(Event.HOMES_DROPPED, targets=len(self._ledger.targets))
         self._ledger.drop_all()
+        self._kept.clear()
 
     def hand_over(self, receiver, names):
         """Answer an :class:`Acquire` with what is known of the occupied slots.
@@ -77,6 +95,9 @@
         for name in names:
             handed_over = self._ledger.hand_over(name, receiver)
             if handed_over is None:
+                for kept in self._take_kept(name):
+                    targets.setdefault(name, []).extend(kept.holds)
+                    levels.setdefault(name, []).extend(kept.levels)
                 continue
             targets[name] = [
                 [hold.use_id, to_wall(self._clock, hold.until), hold.failure_domain]
@@ -153,7 +174,9 @@
         self._contested = set()
         try:
             handovers = await self._ask_all(names)
-            if handovers is None or not self._membership.may_act():
+            # The earlier homes have forgotten what they told.
+            self._keep(handovers)
+            if None in handovers or not self._membership.may_act():
                 return
             for service, target in missing:
                 if target.name not in self._contested:
@@ -162,15 +185,14 @@
             self._acquiring = set()
 
     async def _ask_all(self, names):
-        """Return the handover of every running VM, or ``None`` if one is missing."""
+        """Return the handover of every running VM, ``None`` for one without answer."""
         question = Acquire(self._vm.name, names)
         async with TaskGroup() as group:
             tasks = [
                 await group.spawn(self._ask, member.host, question)
                 for member in self._membership.running()
             ]
-        answers = [task.result for task in tasks]
-        return None if None in answers else answers
+        return [task.result for task in tasks]
 
     async def _ask(self, host, question):
         try:
@@ -178,17 +200,29 @@
         except PeerError:
             return None
 
+    def _keep(self, handovers):
+        until = self._clock.now() + HANDOVER_KEPT
+        for handover in handovers:
+            if handover is None:
+                continue
+            for name, holds in handover.targets.items():
+                kept = KeptHandover(holds, handover.levels[name], until)
+                self._kept.setdefault(name, []).append(kept)
+
+    def _take_kept(self, name):
+        now = self._clock.now()
+        return [each for each in self._kept.pop(name, ()) if now < each.until]
+
     def _adopt(self, service, target, handovers):
         holds, levels = [], []
-        handed_over = False
-        for handover in handovers:
-            for use_id, wall, domain in handover.targets.get(target.name, ()):
+        kept = self._take_kept(target.name)
+        for each in kept:
+            for use_id, wall, domain in each.holds:
                 until = from_wall(self._clock, wall) + CLOCK_SKEW
                 holds.append(Hold(until, use_id, domain))
-            for wall, level in handover.levels.get(target.name, ()):
+            for wall, level in each.levels:
                 levels.append((from_wall(self._clock, wall) + CLOCK_SKEW, level))
-            handed_over = handed_over or target.name in handover.targets
-        if not handed_over:
+        if not kept:
             until = self._occupied_until(service, target, handovers)
             until += CLOCK_SKEW + CANCEL_GRACE
             holds = [Hold(until) for _ in range(target.slots)]
@@ -202,7 +236,7 @@
             Event.HOME_ADOPTED,
             target=target.name,
             service=service.name,
-            handed_over=handed_over,
+            handed_over=bool(kept),
             held=len(holds),
             seconds=round(self._held_for(holds), 3),
         )
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,101 @@
+import json
+
+import pytest
+from curio import run
+
+from heathercleat import parse_text
+from heathercleat.connection.messages import Handover, MemberRecord
+from heathercleat.process.capacity.covers import CoverRecords
+from heathercleat.process.capacity.homes import HANDOVER_KEPT, Homes
+from heathercleat.process.capacity.slots import SlotLedger
+from heathercleat.process.membership.members import SETTLE, Membership
+from heathercleat.process.membership.peers import CALL_TIMEOUT
+from tests.fakes import FakeLinks, FakeVm, ManualClock
+from tests.test_text import make_text
+
+TARGET = "t1"
+EARLIER, ENDED = "127.0.0.2", "127.0.0.3"
+
+
+class Parts:
+    """A VM that takes a target over from another, while a third one does not answer."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.vm = vm = FakeVm()
+        vm.text = parse_text(json.dumps(make_text()))
+        vm.version = 1
+        self.ledger = SlotLedger(self.clock)
+        self.homed = {TARGET: [[7, self.clock.time + 5.0, None]]}
+        links = FakeLinks(self.answer)
+        self.membership = Membership(vm, links, self.clock)
+        self.clock.time += SETTLE
+        self.membership.note_tick()
+        for host in (EARLIER, ENDED):
+            self.record(host, "leaving")
+        records = CoverRecords(self.membership, self.clock)
+        self.homes = Homes(
+            vm, self.membership, self.ledger, links, records, None, self.clock
+        )
+
+    def record(self, host, state):
+        name = f"north-a-{host[-1]}"
+        self.membership.record(MemberRecord(name, host, "north-a", 1, state))
+
+    def answer(self, host, item):
+        if host == ENDED:
+            return None
+        told, self.homed = self.homed, {}
+        return Handover(told, dict.fromkeys(told, []), [])
+
+    def acquire(self):
+        self.homes._follow_text()
+        run(self.homes._acquire_missing)
+
+    def wait(self, seconds):
+        """Let time pass with every heartbeat acknowledged."""
+        self.clock.time += seconds
+        self.membership._last_tick = self.clock.time
+        for member in self.membership.members.values():
+            member.acked_at = self.clock.time
+
+    @property
+    def held(self):
+        """Return the numbers of the requests that hold slots of the target."""
+        return [hold.use_id for hold in self.ledger.targets[TARGET].holds]
+
+
+def test_handover_is_not_lost_where_another_vm_does_not_answer():
+    parts = Parts()
+    parts.acquire()
+    assert not parts.ledger.targets
+    parts.wait(CALL_TIMEOUT)
+    parts.record(ENDED, "dead")
+    parts.acquire()
+    assert parts.held == [7]
+
+
+def test_handover_that_is_not_adopted_is_passed_on():
+    parts = Parts()
+    parts.acquire()
+    first, again = (parts.homes.hand_over("north-a-4", [TARGET]) for _ in range(2))
+    assert [use_id for use_id, _, _ in first.targets[TARGET]] == [7]
+    assert not again.targets
+
+
+def forget(parts):
+    parts.homes.drop_all()
+
+
+def wait_long(parts):
+    parts.wait(HANDOVER_KEPT)
+
+
+@pytest.mark.parametrize("act", [forget, wait_long])
+def test_old_handover_is_no_proof_of_free_slots(act):
+    parts = Parts()
+    parts.acquire()
+    act(parts)
+    parts.record(ENDED, "dead")
+    parts.acquire()
+    assert set(parts.held) == {None}
