The end of a request that was handed over frees its slot at its new home

A home that stops or gives a target to a VM that has started names the requests under way. Their slots stay held at the new home until their deadlines, unless the earlier home reports their ends. That report was lost in two ways: it was told once, and it was dropped when it came before the new home had adopted the target, which waits for answers of the other VMs; a request of 5 ms ends in that time.

Reports are told again each 0.25 s until the new home answers or the deadline has passed, and those that come before the adoption are remembered until it.

Refusals with all six slots within reach in use remain. Unit tests; each fails with its part taken out.

--- a/src/heathercleat/process/capacity/homes.py
+++ b/src/heathercleat/process/capacity/homes.py
@@ -7,7 +7,7 @@
 home admitted may run until then.
 """
 
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, replace
 
 from curio import TaskGroup, sleep
 
@@ -21,6 +21,8 @@
 from heathercleat.version.transition import Transition
 
 CHECK_INTERVAL = 0.1
+#: Seconds between attempts to tell that a request handed over is done.
+TELL_INTERVAL = 0.25
 #: Seconds for which a handover is kept while other VMs do not answer: until one of them
 #: that is silent counts as dead.
 HANDOVER_KEPT = DEAD_AFTER + LEASE
@@ -60,6 +62,7 @@
         self._acquiring = set()
         self._contested = set()
         self._kept = {}
+        self._released = set()
         self._transition = Transition()
         self._desired_state = None
         self._desired_pairs = []
@@ -80,6 +83,7 @@
         self._vm.journal.write(Event.HOMES_DROPPED, targets=len(self._ledger.targets))
         self._ledger.drop_all()
         self._kept.clear()
+        self._released.clear()
 
     def hand_over(self, receiver, names):
         """Answer an :class:`Acquire` with what is known of the occupied slots.
@@ -116,14 +120,33 @@
         return Handover(targets, levels, vouched)
 
     async def tell_released(self, receiver, use):
-        """Tell the new home of a target that a request handed over with it is done."""
+        """Tell the new home of a target that a request handed over with it is done.
+
+        It is told again until it answers or has no slot held for the request any more.
+        """
+        while not await self._tell_released(receiver, use):
+            if self._clock.now() >= use.deadline + CANCEL_GRACE:
+                return
+            await sleep(TELL_INTERVAL)
+
+    async def _tell_released(self, receiver, use):
         member = self._membership.members.get(receiver)
         if member is None:
-            return
+            return True
         try:
             await self._links.call(member.host, Released(use.target, use.id))
         except PeerError:
-            pass
+            return False
+        return True
+
+    def note_released(self, target, use_id):
+        """Free the slot of a request that an earlier home reported as done.
+
+        The report may overtake the adoption of the target, which waits for other VMs.
+        """
+        if target in self._acquiring or target in self._kept:
+            self._released.add((target, use_id))
+        self._ledger.drop_hold(target, use_id)
 
     def _follow_text(self):
         """Take the limits of the text in force, the smaller ones while it spreads."""
@@ -183,6 +206,7 @@
                     self._adopt(service, target, handovers)
         finally:
             self._acquiring = set()
+            self._released = {each for each in self._released if each[0] in self._kept}
 
     async def _ask_all(self, names):
         """Return the handover of every running VM, ``None`` for one without answer."""
@@ -211,7 +235,17 @@
 
     def _take_kept(self, name):
         now = self._clock.now()
-        return [each for each in self._kept.pop(name, ()) if now < each.until]
+        return [
+            replace(each, holds=list(self._unreleased(name, each.holds)))
+            for each in self._kept.pop(name, ())
+            if now < each.until
+        ]
+
+    def _unreleased(self, name, holds):
+        for hold in holds:
+            use_id, *_ = hold
+            if (name, use_id) not in self._released:
+                yield hold
 
     def _adopt(self, service, target, handovers):
         holds, levels = [], []
--- a/src/heathercleat/process/membership/peer_service.py
+++ b/src/heathercleat/process/membership/peer_service.py
@@ -126,7 +126,7 @@
         return self._vm.homes.hand_over(item.vm, item.targets)
 
     async def _released(self, item, hello):
-        self._vm.ledger.drop_hold(item.target, item.use_id)
+        self._vm.homes.note_released(item.target, item.use_id)
         return Accepted()
 
     async def _cover(self, item, hello):
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,10 +4,10 @@
 from curio import run
 
 from heathercleat import parse_text
-from heathercleat.connection.messages import Handover, MemberRecord
+from heathercleat.connection.messages import Accepted, Handover, MemberRecord, Released
 from heathercleat.process.capacity.covers import CoverRecords
 from heathercleat.process.capacity.homes import HANDOVER_KEPT, Homes
-from heathercleat.process.capacity.slots import SlotLedger
+from heathercleat.process.capacity.slots import SlotLedger, Use
 from heathercleat.process.membership.members import SETTLE, Membership
 from heathercleat.process.membership.peers import CALL_TIMEOUT
 from tests.fakes import FakeLinks, FakeVm, ManualClock
@@ -26,6 +26,9 @@
         vm.text = parse_text(json.dumps(make_text()))
         vm.version = 1
         self.ledger = SlotLedger(self.clock)
+        self.calls = []
+        self.deaf = 0
+        self.released = []
         self.homed = {TARGET: [[7, self.clock.time + 5.0, None]]}
         links = FakeLinks(self.answer)
         self.membership = Membership(vm, links, self.clock)
@@ -43,8 +46,13 @@
         self.membership.record(MemberRecord(name, host, "north-a", 1, state))
 
     def answer(self, host, item):
-        if host == ENDED:
+        self.calls.append(item)
+        if host == ENDED or self.deaf > len(self.calls):
             return None
+        if isinstance(item, Released):
+            return Accepted()
+        for use_id in self.released:
+            self.homes.note_released(TARGET, use_id)
         told, self.homed = self.homed, {}
         return Handover(told, dict.fromkeys(told, []), [])
 
@@ -83,6 +91,26 @@
     assert not again.targets
 
 
+@pytest.mark.parametrize("dead_first", [False, True])
+def test_release_that_overtakes_the_adoption_frees_its_slot(dead_first):
+    parts = Parts()
+    parts.released = [7]
+    if not dead_first:
+        parts.acquire()
+    parts.record(ENDED, "dead")
+    parts.acquire()
+    assert parts.held == []
+
+
+@pytest.mark.parametrize(("seconds", "calls"), [(5.0, 3), (-5.0, 1)])
+def test_release_is_told_until_it_is_heard_or_the_slot_is_free_anyway(seconds, calls):
+    parts = Parts()
+    parts.deaf = 3
+    use = Use(7, TARGET, parts.clock.time + seconds)
+    run(parts.homes.tell_released, "north-a-2", use)
+    assert len(parts.calls) == calls
+
+
 def forget(parts):
     parts.homes.drop_all()
 
