Uses of two homes of a target have different numbers

Each home numbered the uses of its slots from 2 on. A new home frees the held slot whose number an earlier home reports as done; slots that a home before that one had handed on could bear the same number, and would have been freed with it while their request still ran. Numbers begin at a random one of 48 bits. Found by reading; the unit test fails without the change.

--- a/src/heathercleat/process/capacity/slots.py
+++ b/src/heathercleat/process/capacity/slots.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 from math import ceil
+from secrets import randbits
 
 from heathercleat.process.capacity.shift import ShiftWindow
 
@@ -15,6 +16,8 @@
 CANCEL_GRACE = 0.25
 #: Seconds by which the clocks of two VMs may differ.
 CLOCK_SKEW = 0.25
+#: Numbers of uses begin anywhere, so that those of two homes of a target differ.
+FIRST_ID_BITS = 48
 
 
 @dataclass(slots=True)
@@ -171,7 +174,7 @@
         self._clock = clock
         self._targets = {}
         self._by_service = {}
-        self._next_id = 1
+        self._next_id = randbits(FIRST_ID_BITS)
         self._handed_over = {}
 
     @property
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -8,6 +8,7 @@
 from heathercleat.process.capacity.covers import CoverRecords
 from heathercleat.process.capacity.homes import HANDOVER_KEPT, Homes
 from heathercleat.process.capacity.slots import SlotLedger, Use
+from heathercleat.process.clock import NEVER
 from heathercleat.process.membership.members import SETTLE, Membership
 from heathercleat.process.membership.peers import CALL_TIMEOUT
 from tests.fakes import FakeLinks, FakeVm, ManualClock
@@ -111,6 +112,13 @@
     assert len(parts.calls) == calls
 
 
+def test_uses_of_two_homes_have_different_numbers():
+    target = parse_text(json.dumps(make_text())).services["lookup"].targets[TARGET]
+    ledgers = [SlotLedger(ManualClock()) for _ in range(2)]
+    first, second = (ledger.take(ledger.adopt(target, []), NEVER) for ledger in ledgers)
+    assert first.id != second.id
+
+
 def forget(parts):
     parts.homes.drop_all()
 
