A load of planned stops counts what they cost callers

The tests stop one VM or several under plain requests. What a stop does to connections that are kept, to requests sent ahead on them, to uploads and to once-only requests was seen in trials only, and a trial is gone when it is needed again.

The stand-in target tells when its runs begin and end.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH := src:.
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: test explore soak demo bench lint format binary capacity mutations
+.PHONY: test explore soak demo bench lint format binary capacity mutations stops
 
 $(STAMP): requirements.lock requirements-dev.lock
 	$(PYTHON) -m venv $(VENV)
@@ -50,5 +50,10 @@
 soak: $(STAMP)
 	$(BIN)/python -m standins.soak --seeds 10
 
+# All VMs in turn, and all told to stop within three seconds; each ends with its table.
+stops: $(STAMP)
+	$(BIN)/python -m standins.stops --plan turn
+	$(BIN)/python -m standins.stops --plan together
+
 mutations: $(STAMP)
 	$(BIN)/python tools/mutations.py
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -6,7 +6,8 @@
 goes first), ``unsigned`` (no signature), ``encoded`` (an encoding header), ``lose``
 (run the request and reset), ``learning_x`` (times longer that it takes for an object
 that it does not remember) and ``remembers`` (how many it does). ``GET /record`` tells
-the runs and the most requests at once.
+the runs, the most requests at once, and as ``spans`` the request id, the begin and the
+planned end of each run, in seconds of ``time.monotonic()``.
 
 ``fatal`` (paths) are requests under which the target ends: all its connections break
 and new ones are refused. It is back ``down_s`` seconds later as another incarnation,
@@ -57,6 +58,7 @@
         self._running = 0
         self._most = 0
         self._runs = []
+        self._spans = []
         self._shed = 0
         self._switches = {
             "id": instance,
@@ -132,6 +134,7 @@
         elif head.target == b"/record":
             record = {
                 "runs": self._runs,
+                "spans": self._spans,
                 "most": self._most,
                 "shed": self._shed,
                 "ends": self._ends,
@@ -166,8 +169,11 @@
         if path in self._switches["fatal"]:
             self._ends.append([time.monotonic(), path])
             await self._ended.set()
+        work = self._work(headers.get(b"cookie"))
+        now = time.monotonic()
+        self._spans.append([headers[REQUEST_ID].decode(), now, now + work])
         try:
-            await sleep(self._work(headers.get(b"cookie")))
+            await sleep(work)
         finally:
             self._running -= 1
         await self._answer(stream, echo, body)
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -226,6 +226,10 @@
         """Return ``[request id, path, milliseconds, digest]`` of every run."""
         return [run for each in self.targets for run in self.record(each)["runs"]]
 
+    def spans(self):
+        """Return ``[request id, begin, planned end]`` of every run."""
+        return [span for each in self.targets for span in self.record(each)["spans"]]
+
     def target_host(self, target_id):
         """Return the IP number of a target."""
         number = list(self.targets).index(target_id)
