The lab restarts VMs in turn, and has clients that keep connections

`rolling_restart` stops every VM, the next one when the one before serves again. With `keeping`, clients hold a connection until it ends, some sending ahead on it. Reports tell requests that a target ran and that were given up from failed ones, and how many came back.

--- a/standins/lab/experiment.py
+++ b/standins/lab/experiment.py
@@ -4,8 +4,11 @@
 import threading
 import time
 
-from standins.lab.load import Load
+from standins.lab.keeping import KeepingLoad
+from standins.lab.load import Load, note_runs
 from standins.steering_fleet import SteeringFleet
+from standins.stops.deployment import configuration
+from standins.stops.plan import Stopper, begin_rolling_restart
 
 SUBNET = 39
 SERVICE = "s1"
@@ -49,12 +52,20 @@
                 learning_x=scenario.learning_factor,
                 remembers=scenario.remembered,
             )
+        stopper, restarts = Stopper(fleet), []
+        keeping = KeepingLoad(fleet, scenario, stopper)
         load = Load(fleet, scenario)
         thread = threading.Thread(target=load.run)
         thread.start()
-        _inject(fleet, scenario)
+        keeping.start()
+        _inject(fleet, scenario, stopper, restarts)
         thread.join()
-        return load.results
+        for restart in restarts:
+            restart.join()
+        keeping.stop()
+        results = [*load.results, *keeping.results()]
+        note_runs(results, fleet.runs())
+        return results
 
 
 def _configuration(scenario):
@@ -67,16 +78,23 @@
         "version": "r1",
         "services": [{"name": SERVICE, "maxConnections": 400}],
         "limits": LIMITS,
-        "hosts": [{"host": "a.example", "paths": [route]}],
+        "hosts": [{"host": "a.example", "paths": [route, *_keeping_routes(scenario)]}],
     }
 
 
-def _inject(fleet, scenario):
+def _keeping_routes(scenario):
+    """Return the routes of clients that keep connections, where there are any."""
+    if not scenario.ahead and not scenario.kept:
+        return []
+    return configuration()["hosts"][0]["paths"]
+
+
+def _inject(fleet, scenario, stopper, restarts):
     """Begin and end the faults at their instants."""
     began_at = time.monotonic()
     steps = []
     for fault in scenario.faults:
-        begin, end = _actions(fleet, scenario, fault)
+        begin, end = _actions(fleet, scenario, stopper, restarts, fault)
         steps.append((fault.at, begin))
         if fault.until is not None:
             steps.append((fault.until, end))
@@ -85,13 +103,19 @@
         act()
 
 
-def _actions(fleet, scenario, fault):
+def _actions(fleet, scenario, stopper, restarts, fault):
     """Return what begins a fault and what ends it."""
     vm = fleet.vms.get(fault.name)
     name, seconds = fault.name, fault.seconds
     return {
         "kill_vm": (lambda: vm.process.kill(), lambda: fleet.restart_vm(vm)),
         "stop_vm": (lambda: fleet.stop_vm(vm), lambda: fleet.restart_vm(vm)),
+        "rolling_restart": (
+            lambda: restarts.append(
+                begin_rolling_restart(list(fleet.vms.values()), stopper)
+            ),
+            None,
+        ),
         "pause_vm": (
             lambda: fleet.stop_vm(vm, signal.SIGSTOP),
             lambda: fleet.stop_vm(vm, signal.SIGCONT),
--- a/standins/lab/load.py
+++ b/standins/lab/load.py
@@ -28,16 +28,36 @@
     """How one request ended; instants are seconds from the start of the load.
 
     :param status: of the last answer, ``None`` when there was none.
+    :param attempts: how many there were.
+    :param failed: ids of those that ended otherwise than with a success or a refusal.
     """
 
-    __slots__ = ("sent_at", "domain", "seconds", "status", "attempts")
-
-    def __init__(self, sent_at, domain, seconds, status, attempts):
+    __slots__ = (
+        "sent_at",
+        "domain",
+        "seconds",
+        "status",
+        "attempts",
+        "failed",
+        "given_up",
+    )
+
+    def __init__(self, sent_at, domain, seconds, status, attempts, failed=()):
         self.sent_at = sent_at
         self.domain = domain
         self.seconds = seconds
         self.status = status
         self.attempts = attempts
+        self.failed = failed
+        #: Whether a target ran one of the failed attempts.
+        self.given_up = False
+
+
+def note_runs(results, runs):
+    """Note which failed attempts ran, of the targets' records."""
+    ran = {run[0] for run in runs}
+    for result in results:
+        result.given_up = not ran.isdisjoint(result.failed)
 
 
 class Load:
@@ -81,11 +101,12 @@
     async def _request(self, domain, request, item, rng):
         began_at = self._clock.now()
         deadline = began_at + self._scenario.deadline
-        status = None
+        status, failed = None, []
         for attempt in range(1, MOST_ATTEMPTS + 1):
-            status, wait = await self._attempt(
-                domain, f"{request}-{attempt}", item, deadline, rng
-            )
+            name = f"{request}-{attempt}"
+            status, wait = await self._attempt(domain, name, item, deadline, rng)
+            if status not in (200, 503):
+                failed.append(name)
             if status is not None and status != 503:
                 break
             if self._clock.now() + wait >= deadline or attempt == MOST_ATTEMPTS:
@@ -93,7 +114,8 @@
             await sleep(wait)
         seconds = self._clock.now() - began_at
         sent_at = began_at - self._began_at
-        self.results.append(Result(sent_at, domain, seconds, status, attempt))
+        result = Result(sent_at, domain, seconds, status, attempt, failed)
+        self.results.append(result)
 
     async def _attempt(self, domain, request, item, deadline, rng):
         """Return the status, and after how many seconds to come back."""
--- a/standins/lab/report.py
+++ b/standins/lab/report.py
@@ -5,7 +5,9 @@
 import pygal
 from hdrh.histogram import HdrHistogram
 
-OUTCOMES = ("in aim", "late", "refused", "failed")
+#: A request is given up when a target ran one of its attempts, and that one ended
+#: without the target's answer.
+OUTCOMES = ("in aim", "late", "refused", "given up", "failed")
 MILLISECONDS = 1000
 #: Milliseconds that the histogram distinguishes at most, with three digits.
 LONGEST_MS = 60_000
@@ -20,9 +22,11 @@
 
     def __init__(self, results, aim):
         self.counts = dict.fromkeys(OUTCOMES, 0)
+        self.returned = 0
         self._latencies = HdrHistogram(1, LONGEST_MS, DIGITS)
         for result in results:
             self.counts[outcome(result, aim)] += 1
+            self.returned += result.attempts > 1
             if result.status == 200:
                 self._latencies.record_value(int(result.seconds * MILLISECONDS))
 
@@ -39,17 +43,19 @@
         """Return a line of a Markdown table."""
         counts = " | ".join(str(self.counts[each]) for each in OUTCOMES)
         times = f"{self.latency(50)} | {self.latency(99)}"
-        return f"| {name} | {self.total} | {counts} | {times} |"
+        return f"| {name} | {self.total} | {counts} | {self.returned} | {times} |"
 
 
 HEADING = (
-    f"| | asked | {' | '.join(OUTCOMES)} | p50 ms | p99 ms |\n"
-    "| --- | --- | --- | --- | --- | --- | --- | --- |"
+    f"| | asked | {' | '.join(OUTCOMES)} | came back | p50 ms | p99 ms |\n"
+    f"|{' --- |' * (len(OUTCOMES) + 5)}"
 )
 
 
 def outcome(result, aim):
     """Return which of :data:`OUTCOMES` a request had."""
+    if result.given_up:
+        return "given up"
     if result.status == 200:
         return "in aim" if result.seconds <= aim else "late"
     return "refused" if result.status == 503 else "failed"
@@ -84,7 +90,7 @@
                 "",
                 *(faults or ["none"]),
                 "",
-                "# All requests and by failure domain of the client",
+                "# All requests, and by client",
                 "",
                 HEADING,
                 self._whole.row("all"),
@@ -105,6 +111,8 @@
             name: {
                 "in aim %": round(100 * group.counts["in aim"] / group.total, 1),
                 "refused %": round(100 * group.counts["refused"] / group.total, 1),
+                "given up %": round(100 * group.counts["given up"] / group.total, 1),
+                "came back %": round(100 * group.returned / group.total, 1),
                 "failed %": round(100 * group.counts["failed"] / group.total, 1),
                 "p50 ms": group.latency(50),
                 "p99 ms": group.latency(99),
--- a/standins/lab/scenario.py
+++ b/standins/lab/scenario.py
@@ -26,6 +26,7 @@
                 "kill_vm",
                 "pause_vm",
                 "stop_vm",
+                "rolling_restart",
                 "store_down",
                 "slow_target",
                 "cut_link",
@@ -50,6 +51,14 @@
         "vms": {"type": "object", "additionalProperties": {"type": "integer"}},
         "targets": {"type": "object", "additionalProperties": _TARGET},
         "clients": {"type": "object", "additionalProperties": _NUMBER},
+        "keeping": {
+            "type": "object",
+            "additionalProperties": False,
+            "properties": {
+                "ahead": {"type": "integer", "minimum": 0},
+                "kept": {"type": "integer", "minimum": 0},
+            },
+        },
         "work_s": _NUMBER,
         "learning_factor": {"type": "number", "minimum": 1},
         "remembered_objects": {"type": "integer", "minimum": 1},
@@ -97,6 +106,8 @@
     :param vms: number of VMs in each failure domain.
     :param targets: ``{name: (failure domain, slots)}``.
     :param clients: requests a second from each failure domain.
+    :param ahead: clients that send ahead on a connection that they keep.
+    :param kept: clients that send one request after another on such a connection.
     :param work: time that a target takes for an object that it remembers.
     :param learning_factor: times longer that it takes for another one.
     :param objects: number of objects that are asked for.
@@ -109,6 +120,8 @@
         "vms",
         "targets",
         "clients",
+        "ahead",
+        "kept",
         "work",
         "learning_factor",
         "remembered",
@@ -128,6 +141,9 @@
             for name, target in document["targets"].items()
         }
         self.clients = document["clients"]
+        keeping = document.get("keeping", {})
+        self.ahead = keeping.get("ahead", 0)
+        self.kept = keeping.get("kept", 0)
         self.work = document.get("work_s", 0.05)
         self.learning_factor = document.get("learning_factor", 1.0)
         self.remembered = document.get("remembered_objects", 24)
@@ -155,6 +171,9 @@
         place = "/".join(map(str, error.absolute_path)) or "the file"
         yield f"{place}: {error.message}"
         return
+    for number, fault in enumerate(document.get("faults", ())):
+        if fault["kind"] == "rolling_restart" and "for_s" in fault:
+            yield f"faults/{number}: a rolling restart ends by itself"
     domains = document["failure_domains"]
     for part in ("vms", "clients"):
         for domain in document[part]:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from standins.lab.load import Result
+from standins.lab.load import Result, note_runs
 from standins.lab.report import Group, Report, compare, outcome
 from standins.lab.scenario import Scenario, ScenarioError, load_scenario
 
@@ -43,6 +43,20 @@
     assert outcome(ended, 0.3) == expected
 
 
+@pytest.mark.parametrize(
+    ("runs", "expected"),
+    [
+        ([["q-1", "/", 1, ""]], "given up"),
+        ([["q-2", "/", 1, ""]], "in aim"),
+        ([], "in aim"),
+    ],
+)
+def test_request_is_given_up_where_a_failed_attempt_ran(runs, expected):
+    repeated = Result(0.5, "north-a", 0.1, 200, 2, ["q-1"])
+    note_runs([repeated], runs)
+    assert outcome(repeated, 0.3) == expected
+
+
 def test_latencies_are_those_of_answers():
     group = Group([result(seconds=0.1), result(503, seconds=9.0)], 0.3)
     assert (group.total, group.latency(99)) == (2, 100)
@@ -56,6 +70,10 @@
         ({"seconds": 0}, "seconds: 0 is less than"),
         ({"typo": 1}, "'typo' was unexpected"),
         ({"faults": [{"at_s": 1, "kind": "flood"}]}, "'flood' is not one of"),
+        (
+            {"faults": [{"at_s": 1, "for_s": 9, "kind": "rolling_restart"}]},
+            "faults/0: a rolling restart ends by itself",
+        ),
     ],
 )
 def test_scenario_that_makes_no_sense_is_an_error(tmp_path, changes, message):
