--- a/standins/stops/report.py
+++ b/standins/stops/report.py
@@ -47,6 +47,7 @@
             "refused in the worst 2 s %": round(100 * tally.worst_share(), 1),
             "requests refused once or more": self._refused_requests(),
             "requests never served": self._never_served(),
+            "failed by status": self._failed_by_status(),
             "refused by second after SIGTERM": self._refused_by_second(),
             "refused by reason, logged": self._refusals,
             "given up": [self._describe(each) for each in self._given_up()],
@@ -108,6 +109,10 @@
     def _refused(self):
         return self._tally.with_outcome(Outcome.REFUSED, Outcome.REFUSED_BUT_RAN)
 
+    def _failed_by_status(self):
+        failed = self._tally.with_outcome(Outcome.FAILED)
+        return dict(Counter(str(each.status) for each in failed))
+
     def _refused_by_second(self):
         """Return counts by second after the signal of the VM that refused."""
         seconds = Counter()
