Two fleets on the same addresses are told apart

Two loads that were started with the same subnet took one store for their own: one ran 2024 requests into "no route", since the other's configuration was in force. A fleet now does not start where a store answers already.

--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -107,7 +107,13 @@
         self.wait_ready()
 
     def start_store(self):
-        """Start the store, empty."""
+        """Start the store, empty.
+
+        :raises RuntimeError: when another fleet has the same addresses: each would
+            work with the other's configuration.
+        """
+        if self._store_answers():
+            raise RuntimeError(f"a store answers at {self.store[0]} already")
         self._spawn("store", "standins.table_store", *map(str, self.store))
         wait_for(self._store_answers)
 
--- a/standins/stops/report.py
+++ b/standins/stops/report.py
@@ -1,5 +1,6 @@
 """A table and figures of a run, and the goals that they are held against."""
 
+import re
 from collections import Counter
 
 from standins.stops.tally import Outcome, last_closed
@@ -8,6 +9,8 @@
 #: refused, where VMs are stopped in turn and in the worst seconds of a fleet's stop.
 MOST_REFUSED = 0.005
 MOST_REFUSED_TOGETHER = 0.10
+#: What a reason tells of one request begins so.
+DETAILS = re.compile(r' \(| for "')
 
 
 class Report:
@@ -141,12 +144,12 @@
 def count_refusals(lines):
     """Return the number of refusals by reason, of log lines; VMs leave some out.
 
-    What a reason tells of the moment, in parentheses, is left out.
+    What a reason tells of the moment, in parentheses or quoted, is left out.
     """
     reasons = Counter()
     for line in lines:
         if line.get("name") == "request_refused":
-            reasons[line["reason"].partition(" (")[0]] += 1
+            reasons[DETAILS.split(line["reason"], maxsplit=1)[0]] += 1
         if line.get("name") == "lines_left_out":
             reasons["lines left out"] += line["lines"]
     return dict(reasons.most_common())
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -153,10 +153,15 @@
     lines = [
         {"name": "request_refused", "reason": "no room (here 2 targets)"},
         {"name": "request_refused", "reason": "no room (here 0 targets)"},
+        {"name": "request_refused", "reason": 'no route for "a" and "/b"'},
         {"name": "lines_left_out", "lines": 7},
         {"name": "vm_started"},
     ]
-    assert count_refusals(lines) == {"lines left out": 7, "no room": 2}
+    assert count_refusals(lines) == {
+        "lines left out": 7,
+        "no room": 2,
+        "no route": 1,
+    }
 
 
 def test_answers_that_come_together_go_to_requests_in_order():
