Requests whose client left, and those beside a kill, are no loss of a planned stop

Requests behind one that had waited to its deadline ended with the client's own close and counted as given up by the VM; unanswered ones beside a kill counted against the stop.

--- a/standins/lab/keeping.py
+++ b/standins/lab/keeping.py
@@ -6,6 +6,7 @@
 from standins.stops.clients import Clients
 from standins.stops.deployment import Size
 from standins.stops.records import PROMISES
+from standins.stops.tally import timed_out
 
 
 class KeepingLoad:
@@ -58,5 +59,6 @@
 
 
 def _failed(attempt):
-    """Return whether an attempt ended otherwise than with an answer or a refusal."""
-    return not attempt.signed and attempt.status not in PROMISES
+    """Return whether an attempt ended early, without an answer or a refusal."""
+    answered = attempt.signed or attempt.status in PROMISES
+    return not answered and not timed_out(attempt)
--- a/standins/lab/load.py
+++ b/standins/lab/load.py
@@ -20,6 +20,8 @@
 LOOKUP_SECONDS = 1.0
 #: Seconds after which a client without advice comes back.
 USUAL_RETURN = 0.1
+#: Seconds before its deadline from which a request has run out of time.
+LAST_SECONDS = 0.1
 #: Attempts of a client: the first one and one repeat.
 MOST_ATTEMPTS = 2
 
@@ -29,7 +31,8 @@
 
     :param status: of the last answer, ``None`` when there was none.
     :param attempts: how many there were.
-    :param failed: ids of those that ended otherwise than with a success or a refusal.
+    :param failed: ids of those that ended otherwise than with a success or a refusal,
+        before the deadline.
     """
 
     __slots__ = (
@@ -105,7 +108,7 @@
         for attempt in range(1, MOST_ATTEMPTS + 1):
             name = f"{request}-{attempt}"
             status, wait = await self._attempt(domain, name, item, deadline, rng)
-            if status not in (200, 503):
+            if status not in (200, 503) and self._clock.now() < deadline - LAST_SECONDS:
                 failed.append(name)
             if status is not None and status != 503:
                 break
--- a/standins/lab/report.py
+++ b/standins/lab/report.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 #: A request is given up when a target ran one of its attempts, and that one ended
-#: without the target's answer.
+#: without the target's answer, before its deadline.
 OUTCOMES = ("in aim", "late", "refused", "given up", "failed")
 MILLISECONDS = 1000
 #: Milliseconds that the histogram distinguishes at most, with three digits.
--- a/standins/stops/__main__.py
+++ b/standins/stops/__main__.py
@@ -77,6 +77,9 @@
         rng.shuffle(vms)
         if args.plan != "together":
             stopper.expect(vms[0])
+        elif args.beside == "kill":
+            # The one that is killed is not told to stop.
+            vms.pop()
         clients = Clients(fleet, size, args.seed, stopper)
         thread = threading.Thread(target=clients.run, daemon=True)
         thread.start()
--- a/standins/stops/clients.py
+++ b/standins/stops/clients.py
@@ -170,7 +170,9 @@
             pass
         try:
             await before(until, self._clock, connection.read_answer())
-        except (TimeoutError, *CONNECTION_ERRORS):
+        except TimeoutError:
+            connection.give_up(left=True)
+        except CONNECTION_ERRORS:
             connection.give_up()
         if not connection.is_open:
             await connection.close()
--- a/standins/stops/connection.py
+++ b/standins/stops/connection.py
@@ -123,8 +123,11 @@
         self._rest += data
         return None
 
-    def give_up(self):
-        """End the connection and return the attempts that got no answer."""
+    def give_up(self, left=False):
+        """End the connection and return the attempts that got no answer.
+
+        :param left: whether that is the client's doing.
+        """
         now = self._clock.now()
         if self._opened.closed_at is None:
             self._opened.closed_at = now
@@ -133,6 +136,7 @@
         for attempt in lost:
             attempt.ended_at = now
             attempt.behind_close = self._closes
+            attempt.left = left
         return lost
 
     async def close(self):
--- a/standins/stops/records.py
+++ b/standins/stops/records.py
@@ -48,6 +48,7 @@
     :param signed: whether a target signed the answer.
     :param answer_to: id of the attempt that the answer names.
     :param behind_close: whether an answer before it told that its VM reads no further.
+    :param left: whether its client ended the connection, long past a deadline.
     :param connected: whether there was a connection to send it on.
     """
 
@@ -64,6 +65,7 @@
         "answer_to",
         "retry_after",
         "behind_close",
+        "left",
         "connected",
     )
 
@@ -80,6 +82,7 @@
         self.answer_to = None
         self.retry_after = None
         self.behind_close = False
+        self.left = False
         self.connected = True
 
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -52,6 +52,7 @@
         (attempt(101, 103, behind_close=True), None, Outcome.CROSSED),
         (attempt(101, 103, behind_close=True), (101, 104), Outcome.GIVEN_UP),
         (attempt(98, 105.95, 504), (98, 107), Outcome.TIMED_OUT),
+        (attempt(101, 103, left=True), (101, 104), Outcome.TIMED_OUT),
         (attempt(101, 101, connected=False), None, Outcome.NOT_CONNECTED),
     ],
 )
@@ -90,6 +91,11 @@
     assert tally(each, (101, 103.3), [kill]).outcome(each) is outcome
 
 
+def test_a_kill_excuses_what_was_not_answered():
+    each = attempt(101, 103)
+    assert tally(each, kills=[102.0]).outcome(each) is Outcome.KILLED
+
+
 def test_request_passed_on_to_a_vm_that_stops_counts():
     each = attempt(102.9, 105.1, 502, vm="vm-2")
     counted = tally(each, (102.9, 105.9))
