--- a/standins/stops/ahead.py
+++ b/standins/stops/ahead.py
@@ -13,7 +13,7 @@
 #: Seconds between two requests on one connection.
 AHEAD_GAP = (0.1, 0.5)
 POLL_SECONDS = 0.02
-#: Seconds after which a client comes back where no VM takes its connection.
+#: Seconds after which a client without advice comes back.
 USUAL_RETURN = 0.1
 
 
--- a/standins/stops/clients.py
+++ b/standins/stops/clients.py
@@ -6,7 +6,7 @@
 
 from heathercleat.connection.http import CONNECTION_ERRORS, before
 from heathercleat.process.clock import SystemClock
-from standins.stops.ahead import AheadClient
+from standins.stops.ahead import USUAL_RETURN, AheadClient
 from standins.stops.connection import PATIENCE, open_connection
 from standins.stops.deployment import AIM_SECONDS, WAIT_SECONDS
 from standins.stops.directory import Directory
@@ -30,8 +30,6 @@
 #: Kinds of requests of clients that wait for each answer, with their weights.
 MIXTURE = {SAFE: 60, ONCE: 25, UPLOAD: 15}
 MOST_ATTEMPTS = 4
-#: Seconds after which a client without advice comes back.
-USUAL_RETURN = 0.1
 #: Part of the time left for which a client heeds an advice to wait.
 LONGEST_ADVICE = 1 / 3
 #: Answers after which nobody comes back.
