The soak stops VMs in overlapping series beside clients that keep connections

Clients now keep connections from the first fault on, some sending ahead on them, and after the faults VMs are told to stop, told again, told to read their settings or killed while they stop, stopped as they start, or all told within a second.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -13,7 +13,9 @@
 - a success is signed, whole, and the answer to its own request;
 - a target that leaves just after the last fault gets no requests once the VMs are bound
   by its drain and that is over, and is used again when it starts again under its id;
-- after the last fault, requests are served again.
+- after the last fault, requests are served again;
+- a planned stop ends no request that a target works on; see
+  :mod:`standins.soak_stops`.
 """
 
 import random
@@ -27,6 +29,7 @@
 from http.client import HTTPException
 
 from standins.fleet import STOP_SECONDS, wait_for
+from standins.soak_stops import PlannedStops, long_routes
 from standins.steering_fleet import (
     SteeringFleet,
     front_link,
@@ -334,10 +337,15 @@
         yield f"{request.id}: not the whole answer"
 
 
-def run_seed(seed, seconds, config):
-    """Run one seed and return the broken promises, and how requests ended."""
+def run_seed(seed, seconds, config, vms_each=1, with_stops=True):
+    """Run one seed and return the broken promises, and how requests ended.
+
+    :param vms_each: number of VMs in each failure domain.
+    :param with_stops: have planned stops follow the faults.
+    """
     rng = random.Random(seed)
-    vms = dict.fromkeys(DOMAINS, 1)
+    vms = dict.fromkeys(DOMAINS, vms_each)
+    config["hosts"][0]["paths"].extend(long_routes())
     # A paused VM sees a suspension with one seed of two.
     suspends = seed % 2 == 1
     with SteeringFleet(
@@ -351,18 +359,27 @@
     ) as fleet:
         faults = Faults(fleet, rng, iter(range(100, 10_000)))
         clients = Clients(fleet, seed)
+        # Its own numbers: what a seed draws for the faults stays the same.
+        stops = PlannedStops(fleet, DOMAINS, seed, random.Random(f"{seed}-stops"))
         clients.start()
+        stops.start_clients()
         try:
             faults.run(seconds)
             broken = list(check_leaving(fleet, seed))
         finally:
             clients.stop()
+        if with_stops:
+            broken.extend(stops.run())
         broken.extend(_check_recovery(fleet, seed))
+        stops.stop_clients()
         time.sleep(SETTLE_SECONDS)
         broken.extend(check(clients.sent, fleet.runs()))
+        spans = fleet.spans()
+        broken.extend(stops.check(spans))
         ends = Counter(request.status for request in clients.sent)
+        ends.update(stops.ends(spans))
     if broken:
-        broken.extend(f"fault: {line}" for line in faults.log)
+        broken.extend(f"fault: {line}" for line in [*faults.log, *stops.log])
     return broken, ends
 
 
@@ -391,11 +408,12 @@
     parser = ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--seeds", type=int, default=10)
+    parser.add_argument("--vms", type=int, default=1, help="VMs in a failure domain")
     parser.add_argument("--seconds", type=float, default=8.0, help="length of a seed")
     args = parser.parse_args()
     failed = []
     for seed in range(args.first, args.first + args.seeds):
-        broken, ends = run_seed(seed, args.seconds, config())
+        broken, ends = run_seed(seed, args.seconds, config(), args.vms)
         print(f"seed {seed}: {dict(ends)}, {len(broken)} lines on broken promises")
         for line in broken:
             print(f"  {line}")
--- /dev/null
+++ b/standins/soak_stops.py
@@ -0,0 +1,259 @@
+"""Planned stops of the soak: signals in series that overlap, and what they must not do.
+
+Clients keep connections, some sending ahead on them, until the process is gone. VMs
+are told to stop, told again, told to read their settings while they stop, killed while
+they stop, stopped as they start, and all told to stop within a second. Each is started
+again as it ends. No request that a VM passed on to a target may end without the
+target's answer, but for those that :class:`Outcome` excuses.
+"""
+
+import signal
+import threading
+import time
+
+from standins.fleet import wait_for
+from standins.stops.clients import Clients
+from standins.stops.deployment import GRACE_SECONDS, Size, configuration
+from standins.stops.plan import Stopper
+from standins.stops.records import PROMISES
+from standins.stops.tally import Outcome, Tally, collect_runs
+
+STEPS = 3
+#: Shares of seeds that end with a stop of the fleet, and with a kill in a stop.
+FLEET_SHARE = 0.5
+KILL_SHARE = 0.5
+STEP_GAP = (1.0, 3.5)
+#: Seconds between the first signal to a VM and another one.
+SIGNAL_GAP = (0.05, 3.0)
+#: Seconds from the start of a process to its stop.
+START_GAP = (0.0, 0.6)
+#: Seconds within which a whole fleet is told to stop.
+FLEET_SECONDS = 1.0
+POLL_SECONDS = 0.01
+#: Seconds of work for an object that a target knows, and times longer for others.
+WORK_SECONDS = 0.1
+LEARNING_FACTOR = 20.0
+#: Seconds of load before the first signal.
+LOAD_SECONDS = 2.0
+LAST_ANSWERS_SECONDS = 20.0
+#: Statuses that blame the client; every request of the soak is proper.
+CLIENT_ERRORS = range(400, 500)
+
+
+def long_routes():
+    """Return routes whose requests may outlast the first seconds of a stop."""
+    return configuration()["hosts"][0]["paths"]
+
+
+def keeping_clients(fleet, domains, seed, stopper):
+    """Return clients as many as the targets' slots bear, most of them sending ahead."""
+    size = Size(domains, vms=0, targets=0, ahead=6, kept=2, single=1.0, objects=6)
+    return Clients(fleet, size, seed, stopper)
+
+
+class Signals:
+    """Sends signals to VMs, each drawn.
+
+    :param stopper: starts VMs again as they end.
+    """
+
+    def __init__(self, fleet, stopper, rng):
+        self._fleet = fleet
+        self._stopper = stopper
+        self._rng = rng
+        self._sending = []
+        self.kills = []
+        self.log = []
+
+    def run(self):
+        """Send a series of signals and wait until every VM serves again.
+
+        :raises TimeoutError: when one does not.
+        """
+        steps = list(self._draw())
+        for (step, vm), following in zip(steps, [*steps[1:], steps[0]], strict=True):
+            self.log.append(f"{time.monotonic():.2f} {step.__name__} {vm.name}")
+            step(vm)
+            self._stopper.expect(following[1])
+            time.sleep(self._rng.uniform(*STEP_GAP))
+        for thread in self._sending:
+            thread.join()
+        self._stopper.wait()
+
+    def _draw(self):
+        """Yield steps, each with a VM."""
+        kinds = (
+            self._stop,
+            self._stop_twice,
+            self._reload_in_stop,
+            self._stop_after_start,
+        )
+        vm = None
+        for _ in range(STEPS):
+            vm = self._draw_other(vm)
+            yield self._rng.choice(kinds), vm
+        if self._rng.random() < FLEET_SHARE:
+            vm = self._draw_other(vm)
+            yield self._stop_fleet, vm
+        if self._rng.random() < KILL_SHARE:
+            # The last one: it excuses what becomes of requests near it.
+            yield self._kill_in_stop, self._draw_other(vm)
+
+    def _draw_other(self, last):
+        others = [vm for vm in self._fleet.vms.values() if vm is not last]
+        return self._rng.choice(others)
+
+    def _stop(self, vm):
+        self._stopper.stop(vm)
+
+    def _stop_twice(self, vm):
+        self._stop(vm)
+        self._send_later(vm.process, signal.SIGTERM)
+
+    def _reload_in_stop(self, vm):
+        self._stop(vm)
+        self._send_later(vm.process, signal.SIGHUP)
+
+    def _kill_in_stop(self, vm):
+        self._stop(vm)
+        self._send_later(vm.process, signal.SIGKILL)
+
+    def _stop_after_start(self, vm):
+        self._stop(vm)
+        gap = self._rng.uniform(*START_GAP)
+        process = vm.process
+
+        def stop_again():
+            process.wait()
+            wait_for(lambda: vm.process is not process, interval=POLL_SECONDS)
+            time.sleep(gap)
+            self._stop(vm)
+
+        self._start(stop_again)
+
+    def _stop_fleet(self, vm):
+        """Tell a VM to stop, and all others within a second."""
+        vms = [each for each in self._fleet.vms.values() if each is not vm]
+        self._rng.shuffle(vms)
+        for each in [vm, *vms]:
+            self._stop(each)
+            time.sleep(self._rng.uniform(0.0, FLEET_SECONDS / len(self._fleet.vms)))
+
+    def _send_later(self, process, signum):
+        gap = self._rng.uniform(*SIGNAL_GAP)
+
+        def send():
+            time.sleep(gap)
+            if process.poll() is None:
+                if signum is signal.SIGKILL:
+                    self.kills.append(time.monotonic())
+                process.send_signal(signum)
+
+        self._start(send)
+
+    def _start(self, act):
+        thread = threading.Thread(target=act, daemon=True)
+        self._sending.append(thread)
+        thread.start()
+
+
+class PlannedStops:
+    """The clients of a seed that keep connections, and its planned stops.
+
+    :param domains: ``{failure domain: region}``.
+    :param rng: decides what is sent when.
+    """
+
+    def __init__(self, fleet, domains, seed, rng):
+        self._fleet = fleet
+        self._stopper = Stopper(fleet)
+        self._signals = Signals(fleet, self._stopper, rng)
+        self._clients = keeping_clients(fleet, domains, seed, self._stopper)
+        self._thread = threading.Thread(target=self._clients.run, daemon=True)
+        self._began_at = 0.0
+
+    @property
+    def log(self):
+        """Return a line for each signal."""
+        return self._signals.log
+
+    def start_clients(self):
+        """Start sending."""
+        self._thread.start()
+
+    def run(self):
+        """Send the signals; yield a line for each VM that does not come back."""
+        for target in self._fleet.targets:
+            self._fleet.switch_target(
+                target, work_s=WORK_SECONDS, learning_x=LEARNING_FACTOR
+            )
+        time.sleep(LOAD_SECONDS)
+        self._began_at = time.monotonic()
+        try:
+            self._signals.run()
+        except TimeoutError as error:
+            yield str(error)
+
+    def stop_clients(self):
+        """Stop sending and wait for the last answers."""
+        self._clients.stop()
+        self._thread.join(LAST_ANSWERS_SECONDS)
+
+    def check(self, spans):
+        """Yield a line for each broken promise.
+
+        :param spans: ``[attempt id, begin, planned end]`` of every run.
+        """
+        ended = self._ended()
+        if missing := len(self._clients.attempts) - len(ended):
+            yield f"{missing} requests are under way long after their deadline"
+        yield from check_attempts(ended, collect_runs(spans))
+        tally = self._tally(spans)
+        if tally is None:
+            return
+        for attempt in tally.with_outcome(Outcome.GIVEN_UP):
+            stop = tally.stop_of(attempt)
+            after = "-" if stop is None else f"{attempt.sent_at - stop.told_at:.2f} s"
+            yield (
+                f"{attempt.id} at {attempt.vm}, sent {after} after SIGTERM: ran, and "
+                f"ended with {attempt.status or 'no answer'} after "
+                f"{attempt.ended_at - attempt.sent_at:.2f} s"
+            )
+
+    def ends(self, spans):
+        """Return the number of requests near the stops by how they ended."""
+        tally = self._tally(spans)
+        counts = tally.counts() if tally else {}
+        return {f"stops: {each.value}": count for each, count in counts.items()}
+
+    def _tally(self, spans):
+        """Return the :class:`Tally` of the planned stops; ``None`` without any."""
+        stops = [each for each in self._stopper.stops if each.ready_at is not None]
+        if not stops:
+            return None
+        planned = [each for each in self._ended() if each.sent_at >= self._began_at]
+        runs, kills = collect_runs(spans), self._signals.kills
+        return Tally(planned, runs, stops, kills, GRACE_SECONDS)
+
+    def _ended(self):
+        return [each for each in self._clients.attempts if each.ended_at is not None]
+
+
+def check_attempts(attempts, runs):
+    """Yield a line for each promise broken that holds at any time.
+
+    :param attempts: ended ones.
+    :param runs: ``{attempt id: Run}``.
+    """
+    for attempt in attempts:
+        count = runs[attempt.id].count if attempt.id in runs else 0
+        if attempt.kind.once and count > 1:
+            yield f"{attempt.id}: ran {count} times"
+        if attempt.signed and attempt.answer_to != attempt.id:
+            yield f"{attempt.id}: the answer to another request"
+        if attempt.signed or attempt.status is None:
+            continue
+        if attempt.status in PROMISES and count:
+            yield f"{attempt.id}: refused as not run, but ran"
+        if attempt.status not in PROMISES and attempt.status in CLIENT_ERRORS:
+            yield f"{attempt.id} at {attempt.vm}: denied with {attempt.status}"
