--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -92,6 +92,10 @@
         """
         return now >= self.send_by(route, deadline, now)
 
+    def is_short(self, route, now):
+        """Return whether a request of a :class:`Route` that comes now may be cut."""
+        return self.is_too_late(route.name, now + route.timeout, now)
+
     def send_by(self, route, deadline, now):
         """Return the instant until which a request may be sent to a target.
 
