--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -107,7 +107,13 @@
         self.wait_ready()
 
     def start_store(self):
-        """Start the store, empty."""
+        """Start the store, empty.
+
+        :raises RuntimeError: when another fleet has the same addresses: each would
+            work with the other's configuration.
+        """
+        if self._store_answers():
+            raise RuntimeError(f"a store answers at {self.store[0]} already")
         self._spawn("store", "standins.table_store", *map(str, self.store))
         wait_for(self._store_answers)
 
@@ -226,6 +232,10 @@
         """Return ``[request id, path, milliseconds, digest]`` of every run."""
         return [run for each in self.targets for run in self.record(each)["runs"]]
 
+    def spans(self):
+        """Return ``[request id, begin, planned end]`` of every run."""
+        return [span for each in self.targets for span in self.record(each)["spans"]]
+
     def target_host(self, target_id):
         """Return the IP number of a target."""
         number = list(self.targets).index(target_id)
