VMs that know different ends of a request always see that they do

What callers saw: nothing yet, seen by a test. Two VMs that had each seen two ends of the same request did not tell each other, so that the request was not refused although four targets had ended under it.

Cause: VMs compare digests, the XOR of the CRC-32 of each end. Beside that, a VM kept the first 16 ends that it had heard of; where two kept different ones they told each other for as long as the suspect was remembered and never agreed.

Change: 64 bits of BLAKE2b for each end, which is not linear; of more than 16 ends all VMs keep those with the least hash, whatever they heard first.

Why it holds: the least 16 of a union are the least 16 of the unions of the least 16, in whatever order; and sums of 64 bits that are not linear are equal by chance only. The digest of members (membership/members.py) is a sum of CRCs still.

--- a/src/heathercleat/steering/process/quarantine/suspect.py
+++ b/src/heathercleat/steering/process/quarantine/suspect.py
@@ -1,9 +1,12 @@
 """A request under which targets ended, and what VMs tell each other of it."""
 
-from zlib import crc32
+from hashlib import blake2b
+from heapq import nsmallest
 
 #: Ends of targets that are remembered of one request: five times what decides on it.
 MOST_ENDS = 16
+#: 64 bits: two sums of hashes are equal by chance once in 10^19.
+DIGEST_BYTES = 8
 
 
 class SuspectNews:
@@ -49,8 +52,9 @@
 class Suspect:
     """A request under which targets ended.
 
-    Both sets only grow until the suspect is forgotten, so that VMs agree once they have
-    told each other, in whatever order and however often.
+    Both sets are united until the suspect is forgotten, and of too many ends all VMs
+    keep the same, so that they agree once they have told each other, in whatever order
+    and however often.
 
     :param ends: the lives of these targets, the earliest known one first.
     :param cleared: the lives that are not laid to it.
@@ -75,21 +79,33 @@
         """Return a checksum over what is known of it."""
         digest = 0
         for life in self.ends:
-            digest ^= crc32(f"{self.fingerprint} {life}".encode())
+            digest ^= _digest(f"{self.fingerprint} {life}")
         for life in self.cleared:
-            digest ^= crc32(f"{self.fingerprint} {life} cleared".encode())
+            digest ^= _digest(f"{self.fingerprint} {life} cleared")
         return digest
 
     def add(self, lives, cleared=()):
         """Add ends, some of which are not laid to it; return whether any is new."""
-        before = len(self.ends) + len(self.cleared)
+        ends, count = list(self.ends), len(self.cleared)
         for life in lives:
-            if life not in self.ends and len(self.ends) < MOST_ENDS:
+            if life not in self.ends:
                 self.ends.append(life)
+        self._drop_most()
         for life in cleared:
             if life in self.ends and life not in self.cleared:
                 self.cleared.append(life)
-        return len(self.ends) + len(self.cleared) > before
+        return self.ends != ends or len(self.cleared) > count
+
+    def _drop_most(self):
+        """Keep :data:`MOST_ENDS`, the same of the same at all VMs."""
+        if len(self.ends) <= MOST_ENDS:
+            return
+        kept = nsmallest(MOST_ENDS, self.ends, key=self._order)
+        self.ends = [life for life in self.ends if life in kept]
+        self.cleared = [life for life in self.cleared if life in kept]
+
+    def _order(self, life):
+        return _digest(f"{self.fingerprint} {life}")
 
     def news(self, now):
         """Return what to tell of it."""
@@ -98,6 +114,15 @@
         )
 
 
+def _digest(text):
+    """Return 64 bits of a hash that is not linear.
+
+    With a linear one, as a CRC, the sums over names that differ in a digit are equal.
+    """
+    digest = blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def _are_lives(value):
     if not isinstance(value, list) or len(value) > MOST_ENDS:
         return False
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -301,6 +301,29 @@
 TestSpreadMachine = SpreadMachine.TestCase
 
 
+def test_vms_that_know_other_ends_have_another_digest():
+    """Checksums of 1 and 2, and of 0 and 3, came to the same: neither told."""
+    one, other = made(), made()
+    for life in ("i-1", "i-2"):
+        one.ended("f", life)
+    for life in ("i-0", "i-3"):
+        other.ended("f", life)
+    assert one.digest != other.digest
+
+
+def test_vms_that_know_other_ends_of_too_many_agree():
+    """Each kept those that it had learned first, and told the others for ever."""
+    one, other = made(), made()
+    for number in range(MOST_ENDS):
+        one.ended("f", f"i-{number}")
+        other.ended("f", f"j-{number}")
+    tell(one, other)
+    tell(other, one)
+    (here,), (there,) = one.all(), other.all()
+    assert set(here.ends) == set(there.ends)
+    assert len(here.ends) == MOST_ENDS
+
+
 def test_random_order_of_news_comes_to_the_same_digest():
     rng = random.Random(5)
     vms = [made() for _ in range(4)]
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -460,8 +460,8 @@
     Mutation(
         "QUARANTINE-end-counted-once",
         f"{STEERING}/process/quarantine/suspect.py",
-        "if life not in self.ends and len(self.ends) < MOST_ENDS:",
-        "if len(self.ends) < MOST_ENDS:",
+        "            if life not in self.ends:\n",
+        "            if True:\n",
         "tests/test_suspects.py",
     ),
     Mutation(
@@ -482,6 +482,25 @@
         "-k",
         "outlives",
     ),
+    Mutation(
+        "QUARANTINE-same-ends-kept",
+        f"{STEERING}/process/quarantine/suspect.py",
+        "kept = nsmallest(MOST_ENDS, self.ends, key=self._order)",
+        "kept = self.ends[:MOST_ENDS]",
+        "tests/test_suspects.py",
+        "-k",
+        "too_many",
+    ),
+    Mutation(
+        "QUARANTINE-linear-digest",
+        f"{STEERING}/process/quarantine/suspect.py",
+        "    digest = blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()\n"
+        '    return int.from_bytes(digest, "big")',
+        "    import zlib\n    return zlib.crc32(text.encode())",
+        "tests/test_suspects.py",
+        "-k",
+        "another_digest",
+    ),
     Mutation(
         "QUARANTINE-evidence",
         f"{STEERING}/process/capacity/ends.py",
