A caller of another ending request each time is limited

Cause: ends were laid to a request alone, and each such request is a new one.

Change: an end under a request that no target has answered whole (an unproven one) is laid to its sender as well (host, cookie, authorization, on one route to one service), and to the strangers on the route where the service has not answered its sender at this VM. Both are further suspects, in the sets and the news that VMs unite already. From three and six ends on they are refused (2009) for a time that doubles with each more end, then one trial at a time runs. Answers clear a sender of all ends, strangers of one each. A request under suspicion runs alone at one of a quarter of the region's targets, not the last with room; elsewhere where there is none. Quarantines' rows tell the route, the service, the VM and when; each VM that saw an end of the request writes its row, since where no VM saw the third end beside the others there was none.

Test changed: test_each_end_of_a_target_is_logged_with_the_request compared the order of lines over the logs of several VMs, one log after another, which is that of the owners' names; the second target has another owner now. It compares the same lines sorted.

--- a/src/heathercleat/codes.py
+++ b/src/heathercleat/codes.py
@@ -37,6 +37,7 @@
     TARGET_REFUSED = (2006, 503, Run.NOT_RUN, 3, "Repeat after Retry-After.")
     NOT_HOME = (2007, 503, Run.NOT_RUN, 3, "Between VMs: ask the home of the target.")
     QUARANTINED = (2008, 503, Run.NOT_RUN, 3, "Do not repeat it: targets end under it.")
+    GROUP_LIMITED = (2009, 503, Run.NOT_RUN, 3, "Send none like it: targets end.")
     DEADLINE_IN_RUN = (3001, 504, Run.UNKNOWN, 4, "Repeat only if idempotent.")
     ANSWER_LOST = (3002, 502, Run.UNKNOWN, 4, "Repeat only if idempotent.")
     BAD_ANSWER = (3003, 502, Run.UNKNOWN, 4, "Repeat only if idempotent.")
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -8,6 +8,7 @@
 """
 
 from heapq import nlargest
+from math import ceil
 from typing import Protocol
 
 from heathercleat.steering.process.capacity.slots import is_half
@@ -19,8 +20,12 @@
 #: Best targets that are remembered for an object; all are ranked again where none of
 #: them is sound.
 MOST_RANKED = 4
+#: Part of a region's targets that get the requests under which others ended.
+CONFINED_SHARE = 0.25
 #: Objects that are remembered for each service and region: 2,048 take 0.4 MB.
 MOST_OBJECTS = 2048
+#: Stands in for an object where targets are ranked for confined requests.
+_CONFINED = "confined"
 
 
 class SlotSource(Protocol):
@@ -84,13 +89,22 @@
 class RegionTargets:
     """The candidates of one service in one region."""
 
-    __slots__ = ("region", "candidates", "owners", "_ranked", "_summary", "_until")
+    __slots__ = (
+        "region",
+        "candidates",
+        "owners",
+        "_ranked",
+        "_confined",
+        "_summary",
+        "_until",
+    )
 
     def __init__(self, region, candidates):
         self.region = region
         self.candidates = candidates
         self.owners = sorted({each.owner for each in candidates})
         self._ranked = {}
+        self._confined = None
         self._summary = None
         self._until = 0.0
 
@@ -101,6 +115,18 @@
             self._until = now + SUMMARY_LIFE
         return self._summary
 
+    @property
+    def confined(self):
+        """Return the candidates for requests under which others ended.
+
+        They are the same at all VMs that know the same targets.
+        """
+        if self._confined is None:
+            count = ceil(CONFINED_SHARE * len(self.candidates))
+            weight_of = _weight_for(_CONFINED)
+            self._confined = nlargest(count, self.candidates, key=weight_of)
+        return self._confined
+
     def homes(self, affinity, count, usable, now):
         """Return the sound candidates that rank first for an object.
 
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -42,6 +42,7 @@
 from heathercleat.steering.process.repeats import RepeatDetector
 from heathercleat.steering.process.store.tables import Tables
 from heathercleat.steering.process.warm import WarmConnections
+from heathercleat.steering.request.containment import Containment
 from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.forward import ForwardTry
 from heathercleat.steering.request.local import LocalTry
@@ -122,6 +123,7 @@
         self.departure = Departure(self._work_times)
         self._pressure = Pressure()
         self._suspects = Suspects(journal, clock)
+        self._containment = Containment(self._suspects, clock)
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
 
     def _build_store(self):
@@ -142,6 +144,7 @@
             self._tables.new_store(),
             self._tables.new_store(),
             self._tables.is_reader,
+            settings.vm,
             journal,
             clock,
         )
@@ -208,7 +211,7 @@
             self._members,
             self._rooms,
             self._gossip.trip,
-            self._suspects,
+            self._containment,
         )
         self._steering = Steering(
             places,
@@ -218,7 +221,7 @@
             self._work_times,
             self._pressure,
             self.departure,
-            self._suspects,
+            self._containment,
             journal,
             clock,
         )
@@ -431,6 +434,7 @@
             "targets_age": _age(self._tables.targets.read_at, now),
             "suspects": self._suspects.count,
             "quarantined": self._suspects.quarantined,
+            "limited_groups": self._suspects.limited,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
         }
--- a/src/heathercleat/steering/process/quarantine/suspect.py
+++ b/src/heathercleat/steering/process/quarantine/suspect.py
@@ -2,18 +2,21 @@
 
 from hashlib import blake2b
 from heapq import nsmallest
+from typing import NamedTuple
+
+from heathercleat.steering.process.quarantine.rules import DIGEST_BYTES, rule_of
 
 #: Ends of targets that are remembered of one request: five times what decides on it.
 MOST_ENDS = 16
-#: 64 bits: two sums of hashes are equal by chance once in 10^19.
-DIGEST_BYTES = 8
+#: Seconds in which all VMs learn that the ends of a group are cleared.
+CLEARED_SECONDS = 10.0
 
 
 class SuspectNews:
     """What a VM tells of a suspect.
 
-    :param fingerprint: the request; see
-        :mod:`heathercleat.steering.request.fingerprint`.
+    :param fingerprint: the request, see
+        :mod:`heathercleat.steering.request.fingerprint`, or the key of a group.
     :param remaining: seconds for which it is remembered.
     :param ends: the lives of the targets that ended under it.
     :param cleared: those of them that are not laid to it.
@@ -49,8 +52,19 @@
         return news
 
 
+class Added(NamedTuple):
+    """What is new of a suspect.
+
+    :param ends: whether other ends are known than before.
+    :param any: whether ends or clearances are.
+    """
+
+    ends: bool
+    any: bool
+
+
 class Suspect:
-    """A request under which targets ended.
+    """A request, or a group of them, under which targets ended.
 
     Both sets are united until the suspect is forgotten, and of too many ends all VMs
     keep the same, so that they agree once they have told each other, in whatever order
@@ -59,21 +73,75 @@
     :param ends: the lives of these targets, the earliest known one first.
     :param cleared: the lives that are not laid to it.
     :param until: instant from which it is forgotten.
+    :param seen_here: whether this VM saw one of the ends.
+    :param route: name of the route of its requests, ``None`` without an end seen here.
+    :param service: name of the service that ran them, the same.
+    :param ended_at: instant at which the latest end came to be known here.
     """
 
-    __slots__ = ("fingerprint", "ends", "cleared", "until")
+    __slots__ = (
+        "fingerprint",
+        "ends",
+        "cleared",
+        "seen_here",
+        "route",
+        "service",
+        "until",
+        "ended_at",
+    )
 
     def __init__(self, fingerprint):
         self.fingerprint = fingerprint
         self.ends = []
         self.cleared = []
+        self.seen_here = False
+        self.route = None
+        self.service = None
         self.until = 0.0
+        self.ended_at = 0.0
 
     @property
     def count(self):
         """Return the number of ends that are laid to it."""
         return len(self.ends) - len(self.cleared)
 
+    @property
+    def earliest(self):
+        """Return the earliest known life that is laid to it."""
+        return next(each for each in self.ends if each not in self.cleared)
+
+    @property
+    def rule(self):
+        """Return the :class:`Rule` for it."""
+        return rule_of(self.fingerprint)
+
+    @property
+    def is_limited(self):
+        """Return whether it has the ends from which requests are refused."""
+        return self.count >= self.rule.ends
+
+    @property
+    def is_full(self):
+        """Return whether no more ends are remembered of it."""
+        return len(self.ends) >= MOST_ENDS
+
+    @property
+    def memory(self):
+        """Return the seconds for which a group is remembered at most.
+
+        One that is not limited and holds no end, or can take no more, is soon begun
+        anew: ends that were cleared must not make room for others.
+        """
+        is_over = not self.count or (self.is_full and not self.is_limited)
+        return CLEARED_SECONDS if is_over else self.rule.memory
+
+    @property
+    def refused_until(self):
+        """Return the instant until which its requests are refused."""
+        if self.is_full:
+            return self.until
+        return min(self.until, self.ended_at + self.rule.hold(self.count))
+
     @property
     def digest(self):
         """Return a checksum over what is known of it."""
@@ -85,7 +153,7 @@
         return digest
 
     def add(self, lives, cleared=()):
-        """Add ends, some of which are not laid to it; return whether any is new."""
+        """Add ends, some of which are not laid to it; return an :class:`Added`."""
         ends, count = list(self.ends), len(self.cleared)
         for life in lives:
             if life not in self.ends:
@@ -94,7 +162,8 @@
         for life in cleared:
             if life in self.ends and life not in self.cleared:
                 self.cleared.append(life)
-        return self.ends != ends or len(self.cleared) > count
+        has_ends = self.ends != ends
+        return Added(has_ends, has_ends or len(self.cleared) > count)
 
     def _drop_most(self):
         """Keep :data:`MOST_ENDS`, the same of the same at all VMs."""
--- a/src/heathercleat/steering/process/quarantine/suspects.py
+++ b/src/heathercleat/steering/process/quarantine/suspects.py
@@ -10,22 +10,24 @@
 from random import sample
 
 from heathercleat.events import Event
+from heathercleat.steering.process.quarantine.answers import AnswerCredits, AnswerMemory
+from heathercleat.steering.process.quarantine.rules import (
+    REQUEST_RULE,
+    is_group,
+    is_of_strangers,
+)
 from heathercleat.steering.process.quarantine.suspect import Suspect
 
-#: Ends from which a request is quarantined, and from which it is sent to another target
-#: only when its caller comes back: one end may be chance.
-ENDS_TO_QUARANTINE = 3
-ENDS_TO_RETURN = 2
+#: Ends from which a request is quarantined.
+ENDS_TO_QUARANTINE = REQUEST_RULE.ends
 #: Seconds for which ends are laid to a request, and for which it is in quarantine. Each
 #: look whether it still ends targets ends one more.
-SUSPICION_SECONDS = 600.0
-QUARANTINE_SECONDS = 86_400.0
-#: Seconds after a whole answer in which an end is not laid to its request: a request
-#: that many callers send is under way at most targets that end by another cause. Not
-#: longer, since a request may begin to end targets that answered it before.
-ANSWERED_SECONDS = 3.0
-#: Requests with whole answers, and suspects, that are remembered: a few megabytes.
+SUSPICION_SECONDS = REQUEST_RULE.memory
+QUARANTINE_SECONDS = REQUEST_RULE.longest_hold
+#: Requests with whole answers, groups with some, and suspects that are remembered: a
+#: few megabytes.
 MOST_ANSWERED = 8192
+MOST_GROUPS_ANSWERED = 1024
 MOST_SUSPECTS = 10_000
 #: Suspects in one heartbeat: the latest changed, and others that may have been missed.
 LATEST_TOLD = 24
@@ -50,8 +52,9 @@
         self._on_quarantine = []
         # By fingerprint, the latest changed one at the end.
         self._suspects = {}
-        # Instants of whole answers by fingerprint, the latest one at the end.
-        self._answered = {}
+        self._answered = AnswerMemory(MOST_ANSWERED)
+        self._senders_answered = AnswerMemory(MOST_GROUPS_ANSWERED)
+        self._strangers_answered = AnswerCredits(MOST_GROUPS_ANSWERED)
         self._digest = 0
 
     @property
@@ -61,53 +64,83 @@
 
     @property
     def count(self):
-        """Return the number of requests under which targets ended."""
+        """Return the number of requests and groups under which targets ended."""
         return len(self._suspects)
 
     @property
     def quarantined(self):
         """Return the number of requests that are refused."""
-        return sum(each.count >= ENDS_TO_QUARANTINE for each in self.all())
+        return sum(each.is_limited for each in self.all() if not _is_of_group(each))
+
+    @property
+    def limited(self):
+        """Return the number of groups that are limited."""
+        return sum(each.is_limited for each in self.all() if _is_of_group(each))
 
     def all(self):
         """Return a list of every :class:`Suspect`."""
         return list(self._suspects.values())
 
     def on_quarantine(self, callback):
-        """Call ``callback(suspect)`` for one that an end seen here quarantined."""
+        """Call ``callback(suspect)`` for one that is quarantined with an end seen here.
+
+        The third end may be the news of another VM, which saw only that one.
+        """
         self._on_quarantine.append(callback)
 
-    def quarantined_until(self, fingerprint):
-        """Return the instant until which a request is refused, or ``None``."""
-        suspect = self._get(fingerprint)
-        if suspect is None or suspect.count < ENDS_TO_QUARANTINE:
+    def refused_until(self, key):
+        """Return the instant until which requests of a key are refused, or ``None``."""
+        if not self.is_limited(key):
             return None
-        return suspect.until
+        until = self._suspects[key].refused_until
+        return until if until > self._clock.now() else None
+
+    def is_limited(self, key):
+        """Return whether a key has the ends from which its requests are refused."""
+        suspect = self._get(key)
+        return suspect is not None and suspect.is_limited
+
+    def has_ends(self, key):
+        """Return whether any end is laid to a key."""
+        suspect = self._get(key)
+        return suspect is not None and suspect.count > 0
 
-    def may_go_on(self, fingerprint):
+    def was_answered(self, fingerprint):
+        """Return whether a whole answer to a request is remembered."""
+        return fingerprint in self._answered
+
+    def may_go_on(self, key):
         """Return whether a request may be sent to one more target in one attempt."""
-        suspect = self._get(fingerprint)
-        return suspect is None or suspect.count < ENDS_TO_RETURN
+        suspect = self._get(key)
+        return suspect is None or suspect.count < suspect.rule.ends_to_return
 
-    def ended(self, fingerprint, life):
-        """Note that a target ended while it ran a request.
+    def ended(self, fingerprint, life, route=None, service=None):
+        """Note that a target ended while it ran a request, of a group or not.
 
         :param life: see :attr:`TargetEntry.life`.
+        :param route: name of the request's route.
+        :param service: name of the service that ran it.
         """
-        if self._is_answered(fingerprint):
+        if self._is_excused(fingerprint):
             return
         suspect = self._get(fingerprint) or Suspect(fingerprint)
-        if self._take(suspect, [life], [], SUSPICION_SECONDS):
-            for callback in self._on_quarantine:
-                callback(suspect)
+        suspect.seen_here = True
+        suspect.route, suspect.service = route, service
+        self._take(suspect, [life], [], SUSPICION_SECONDS)
 
     def answered(self, fingerprint):
-        """Note a whole answer of a target to a request."""
-        self._answered.pop(fingerprint, None)
-        self._answered[fingerprint] = self._clock.now()
-        if len(self._answered) > MOST_ANSWERED:
-            del self._answered[next(iter(self._answered))]
-        self.lift(fingerprint)
+        """Note a whole answer of a target to a request, of a group or not.
+
+        It speaks for all ends; an answer to a stranger for one end only.
+        """
+        suspect = self._get(fingerprint)
+        has_ends = suspect is not None and suspect.count > 0
+        if has_ends and is_of_strangers(fingerprint):
+            self._take(suspect, [], [suspect.earliest], 0.0)
+            return
+        self._answers(fingerprint).note(fingerprint, self._clock.now())
+        if has_ends:
+            self.lift(fingerprint)
 
     def lift(self, fingerprint):
         """Lay no end that is known now to a request."""
@@ -117,10 +150,11 @@
 
     def told(self, news):
         """Take the :class:`SuspectNews` of another VM."""
-        cleared = news.cleared
-        if self._is_answered(news.fingerprint):
-            cleared = news.ends
         suspect = self._get(news.fingerprint) or Suspect(news.fingerprint)
+        known = {*suspect.ends, *news.cleared}
+        fresh = (life for life in news.ends if life not in known)
+        excused = [life for life in fresh if self._is_excused(news.fingerprint)]
+        cleared = [*news.cleared, *excused]
         seconds = min(news.remaining, QUARANTINE_SECONDS)
         self._take(suspect, news.ends, cleared, seconds)
 
@@ -150,29 +184,43 @@
         yield from sample(others, min(OTHERS_TOLD, rest))
 
     def _take(self, suspect, ends, cleared, seconds):
-        """Add to a suspect; return whether it is quarantined by that.
+        """Add to a suspect.
 
         Only what is new prolongs the time for which it is remembered: VMs that tell
         each other the same again must not keep it for ever.
         """
-        digest, count = suspect.digest, suspect.count
-        if not suspect.add(ends, cleared):
-            return False
-        now = self._clock.now()
-        is_caught = count < ENDS_TO_QUARANTINE <= suspect.count
-        if is_caught:
+        digest, was_limited = suspect.digest, suspect.is_limited
+        added = suspect.add(ends, cleared)
+        if not added.any:
+            return
+        now, is_for_group = self._clock.now(), _is_of_group(suspect)
+        is_caught = suspect.is_limited and not was_limited
+        if is_caught and not is_for_group:
             seconds = max(seconds, QUARANTINE_SECONDS)
-        suspect.until = max(suspect.until, now + seconds)
+        seconds = max(seconds, suspect.until - now)
+        if is_for_group:
+            seconds = min(seconds, suspect.memory)
+        suspect.until = now + seconds
+        if added.ends:
+            suspect.ended_at = now
         self._digest ^= digest ^ suspect.digest
         self._suspects.pop(suspect.fingerprint, None)
         self._suspects[suspect.fingerprint] = suspect
         if len(self._suspects) > MOST_SUSPECTS:
             self._drop(next(iter(self._suspects)))
         if is_caught:
-            self._log(Event.REQUEST_QUARANTINED, suspect)
-        elif suspect.count < ENDS_TO_QUARANTINE <= count:
-            self._log(Event.QUARANTINE_ENDED, suspect)
-        return is_caught
+            self._caught(suspect)
+        elif was_limited and not suspect.is_limited:
+            self._log_end(suspect)
+
+    def _caught(self, suspect):
+        if _is_of_group(suspect):
+            self._log(Event.GROUP_LIMITED, suspect)
+            return
+        self._log(Event.REQUEST_QUARANTINED, suspect)
+        if suspect.seen_here:
+            for callback in self._on_quarantine:
+                callback(suspect)
 
     def _get(self, fingerprint):
         """Return the :class:`Suspect` of a fingerprint, or ``None``."""
@@ -182,23 +230,38 @@
             return None
         return suspect
 
-    def _is_answered(self, fingerprint):
-        answered_at = self._answered.get(fingerprint)
-        if answered_at is None:
-            return False
-        return self._clock.now() - answered_at <= ANSWERED_SECONDS
+    def _is_excused(self, fingerprint):
+        return self._answers(fingerprint).excuse(fingerprint, self._clock.now())
 
     def _drop(self, fingerprint):
         suspect = self._suspects.pop(fingerprint)
         self._digest ^= suspect.digest
-        if suspect.count >= ENDS_TO_QUARANTINE:
-            self._log(Event.QUARANTINE_ENDED, suspect)
+        if suspect.is_limited:
+            self._log_end(suspect)
+
+    def _answers(self, key):
+        if not is_group(key):
+            return self._answered
+        if is_of_strangers(key):
+            return self._strangers_answered
+        return self._senders_answered
+
+    def _log_end(self, suspect):
+        is_for_group = _is_of_group(suspect)
+        event = Event.GROUP_RELEASED if is_for_group else Event.QUARANTINE_ENDED
+        self._log(event, suspect)
 
     def _log(self, event, suspect):
         self._journal.write(
             event,
             fingerprint=suspect.fingerprint,
+            route=suspect.route,
+            service=suspect.service,
             ends=suspect.ends,
             cleared=suspect.cleared,
             seconds=round(suspect.until - self._clock.now(), 1),
         )
+
+
+def _is_of_group(suspect):
+    return is_group(suspect.fingerprint)
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -12,13 +12,13 @@
 from heathercleat.errors import PlatformError
 from heathercleat.events import Event
 from heathercleat.steering.process.quarantine.rows import (
+    QUARANTINE_TABLE,
     decode_quarantine,
     encode_quarantine,
 )
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from heathercleat.steering.process.store.rejections import Rejections
 
-QUARANTINE_TABLE = "heathercleat-quarantines"
 #: Seconds for which a call waits for a change: a quarantine is rare, and is told by
 #: heartbeats first.
 WAIT = 25.0
@@ -40,13 +40,15 @@
     :param reading: a :class:`Store` for reading, one call at a time.
     :param writing: another one for writing.
     :param is_reader: returns whether this VM reads the store.
+    :param vm: name of this VM.
     """
 
-    def __init__(self, suspects, reading, writing, is_reader, journal, clock):
+    def __init__(self, suspects, reading, writing, is_reader, vm, journal, clock):
         self._suspects = suspects
         self._reading = reading
         self._writing = writing
         self._is_reader = is_reader
+        self._vm = vm
         self._journal = journal
         self._clock = clock
         self._rejections = Rejections(journal, clock)
@@ -75,10 +77,10 @@
     async def _write_next(self):
         """Write the row of a quarantine that is not over; return whether it stands."""
         suspect = self._waiting.popleft()
-        until = self._suspects.quarantined_until(suspect.fingerprint)
+        until = self._suspects.refused_until(suspect.fingerprint)
         if until is None:
             return True
-        value = encode_quarantine(suspect, self._clock)
+        value = encode_quarantine(suspect, self._clock, self._vm)
         done = await self._put(suspect.fingerprint, value)
         if not done:
             self._waiting.appendleft(suspect)
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -58,6 +58,12 @@
     :param client_wait: seconds for which its client waits, as the client says.
     :param fingerprint: the same for each attempt of a request; see
         :mod:`heathercleat.steering.request.fingerprint`.
+    :param sender: what tells its sender from others, ``None`` where nothing does or it
+        did not matter; see :mod:`heathercleat.steering.request.fingerprint`.
+    :param groups: keys of the groups that ends under it are laid to, or ``None`` where
+        that is not known yet; see :class:`Containment`.
+    :param confined: whether targets ended under it, or it is the trial of a group: it
+        runs where an end costs least.
     :param tries: a line of text for each try so far, for the log.
     :param trying: the :class:`Place` of the try under way, or ``None``.
     :param trying_since: when that try began.
@@ -82,6 +88,9 @@
         "affinity",
         "client_wait",
         "fingerprint",
+        "sender",
+        "groups",
+        "confined",
         "left",
         "on_leave",
         "stream",
@@ -109,6 +118,9 @@
         self.affinity = None
         self.client_wait = None
         self.fingerprint = ""
+        self.sender = None
+        self.groups = None
+        self.confined = False
         self.tries = []
         self.trying = None
         self.trying_since = 0.0
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -94,7 +94,7 @@
             return LEAVING
         if now >= call.deadline:
             return DEADLINE
-        if self._suspects.quarantined_until(call.fingerprint) is not None:
+        if self._suspects.refused_until(call.fingerprint) is not None:
             return QUARANTINED
         return None
 
@@ -141,7 +141,8 @@
         if not await self._ends.has_ended(entry):
             return
         result.ended = entry.life
-        self._suspects.ended(call.fingerprint, entry.life)
+        where = call.route.name, call.service
+        self._suspects.ended(call.fingerprint, entry.life, *where)
         self._journal.write(
             Event.TARGET_ENDED,
             target=entry.life,
--- a/src/heathercleat/steering/request/places.py
+++ b/src/heathercleat/steering/request/places.py
@@ -68,6 +68,9 @@
     def free(self, call, avoid, avoid_vms):
         """Return the best :class:`Place` with a free slot, or ``None``."""
         choice = self._choice(call, avoid, avoid_vms)
+        confined = self._confined(choice) if call.confined else None
+        if confined is not None:
+            return confined
         home = self._home(choice)
         if home is not None and home.may_have_room(choice.now):
             return self._at_home(home, home.candidate.entry.id)
@@ -80,6 +83,23 @@
             return found
         return self._best_far(choice, self._near_wait(choice))
 
+    def _confined(self, choice):
+        """Return the :class:`Place` for a request that may end its target, or ``None``.
+
+        It is one of a few targets of this region that runs no other request, and not
+        the last one with room. Where there is none the request goes where any does: an
+        end is no proof.
+        """
+        near, now = choice.near, choice.now
+        if near is None:
+            return None
+        free = near.summary(now).free
+        for each in near.confined:
+            slots = each.entry.slots
+            if each.room.free(now) >= slots and free > slots and choice.usable(each):
+                return Place(each.owner, each.entry.id, (each.entry.id,), False)
+        return None
+
     def waiting(self, call, avoid, avoid_vms):
         """Return the :class:`Place` to wait at, or ``None``.
 
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -5,7 +5,6 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.steering.process.quarantine.suspects import QUARANTINE_SECONDS
 from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, QUARANTINED, End
 from heathercleat.steering.request.patience import Patience
 from heathercleat.steering.request.places import LARGE_BODY
@@ -43,7 +42,7 @@
     :param work_times: the :class:`WorkTimes`.
     :param pressure: the :class:`Pressure`.
     :param departure: the :class:`Departure` of this VM.
-    :param suspects: the :class:`Suspects`.
+    :param containment: the :class:`Containment`.
     """
 
     def __init__(
@@ -55,7 +54,7 @@
         work_times,
         pressure,
         departure,
-        suspects,
+        containment,
         journal,
         clock,
     ):
@@ -66,7 +65,7 @@
         self._work_times = work_times
         self._pressure = pressure
         self._departure = departure
-        self._suspects = suspects
+        self._containment = containment
         self._patience = Patience(work_times)
         self._journal = journal
         self._clock = clock
@@ -271,31 +270,22 @@
         call = self._call
         if not call.route.kind.idempotent or self._runs >= call.route.max_attempts:
             return False
-        if not self._steering._suspects.may_go_on(call.fingerprint):
+        if not self._steering._containment.may_go_on(call):
             return False
         work = self._steering._work_times.of(call.route.name)
         return self._steering._clock.now() + work < call.deadline
 
     def _check_quarantine(self):
         """Raise the refusal of a request under which targets end."""
-        suspects = self._steering._suspects
-        if suspects.quarantined_until(self._call.fingerprint) is not None:
-            raise self._quarantined()
+        refusal = self._steering._containment.refusal(self._call)
+        if refusal is not None:
+            raise refusal
 
     def _end_quarantined(self):
         """Return a failed answer that is left, or raise the final refusal."""
         if self._runs:
             return self._give_up()
-        raise self._quarantined()
-
-    def _quarantined(self):
-        suspects = self._steering._suspects
-        until = suspects.quarantined_until(self._call.fingerprint)
-        if until is None:
-            # The owner of the target knows more than this VM.
-            until = self._steering._clock.now() + QUARANTINE_SECONDS
-        message = f"targets ended under the request {self._call.fingerprint}"
-        return RequestError(ResultCode.QUARANTINED, message, retry_at=until)
+        raise self._steering._containment.owners_refusal(self._call)
 
     def _unknown(self, result):
         timed_out = result.end is End.TIMED_OUT
--- a/src/heathercleat/steering/request/tries.py
+++ b/src/heathercleat/steering/request/tries.py
@@ -11,16 +11,16 @@
     :param members: the live VMs.
     :param rooms: the :class:`RoomView`.
     :param trip: returns the round trip to a VM in seconds.
-    :param suspects: the :class:`Suspects`.
+    :param containment: the :class:`Containment`, which learns the results.
     """
 
-    def __init__(self, local, forward, members, rooms, trip, suspects):
+    def __init__(self, local, forward, members, rooms, trip, containment):
         self._local = local
         self._forward = forward
         self._members = members
         self._rooms = rooms
         self._trip = trip
-        self._suspects = suspects
+        self._containment = containment
 
     def is_own(self, place):
         """Return whether a place is at this VM."""
@@ -36,8 +36,15 @@
         :param avoid: ids of targets not to use.
         :param until: instant at which to give up waiting for a slot.
         """
-        if self.is_own(place):
-            return await self._local.run(call, place.preferred, avoid, until)
+        is_own = self.is_own(place)
+        if is_own:
+            result = await self._local.run(call, place.preferred, avoid, until)
+        else:
+            result = await self._forwarded(call, place, avoid, until)
+        self._containment.took(call, result, is_own)
+        return result
+
+    async def _forwarded(self, call, place, avoid, until):
         member = self._members.live(place.vm)
         trip = self._trip(place.vm)
         room = None
@@ -49,16 +56,8 @@
         )
         if room is not None and result.end is not End.NOT_SENT:
             room.give_back()
-        self._note(call, result)
         return result
 
     def note_full(self, call, place, wait):
         """Note that another VM had no slot for a request."""
         self._rooms.full(place.target, place.vm, call.service, wait)
-
-    def _note(self, call, result):
-        """Note what the owner saw; its own news of it takes a heartbeat or more."""
-        if result.ended is not None:
-            self._suspects.ended(call.fingerprint, result.ended)
-        elif result.end is End.ANSWERED:
-            self._suspects.answered(call.fingerprint)
--- /dev/null
+++ b/tests/test_containment.py
@@ -0,0 +1,473 @@
+"""Limits on what requests cost that differ each time.
+
+Another request each time ended two targets each: its fingerprint was new, so that no
+memory of ends held it.
+"""
+
+import random
+import time
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from heathercleat import ResultCode
+from heathercleat.process.logs import Journal
+from heathercleat.steering.process.quarantine.answers import (
+    ANSWERED_SECONDS,
+    MOST_CREDITS,
+)
+from heathercleat.steering.process.quarantine.rules import (
+    SENDER_RULE,
+    STRANGERS_RULE,
+)
+from heathercleat.steering.process.quarantine.suspect import (
+    CLEARED_SECONDS,
+    MOST_ENDS,
+)
+from heathercleat.steering.process.quarantine.suspects import (
+    LEAST_TOLD_SECONDS,
+    MOST_SUSPECTS,
+    Suspects,
+)
+from heathercleat.steering.request.answer import Answer, End, TryResult
+from heathercleat.steering.request.containment import (
+    MOST_SENDERS,
+    MOST_TRIALS,
+    Containment,
+)
+from heathercleat.steering.request.fingerprint import fingerprint, sender
+from tests.fakes import ManualClock
+from tests.steering_parts import call, entry
+from tests.test_crashing_requests import (
+    ATTEMPT_GAP,
+    ATTEMPTS,
+    DOWN_SECONDS,
+    Others,
+    fleet,  # noqa: F401
+)
+from tests.test_steer import Scene
+from tests.test_suspects import tell
+
+HEARTBEATS = 12
+ANSWERED = TryResult(End.ANSWERED, Answer(200, [], b""))
+LIVES = [f"i-{number}" for number in range(MOST_ENDS + 4)]
+
+
+class View:
+    """What one VM knows."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.suspects = Suspects(Journal("vm-1", "north-a"), clock)
+        self.containment = Containment(self.suspects, clock)
+        self._requests = iter(range(1_000_000))
+
+    def call(self, name=None, path=None):
+        """Return a request of a sender, by default another one each time."""
+        made = call(self.clock)
+        path = path or b"/%d-%d" % (id(self), next(self._requests))
+        made.headers = [(b"host", b"a")]
+        if name is not None:
+            made.headers.append((b"cookie", name))
+        made.fingerprint = fingerprint(b"GET", path, made.headers, b"")
+        return made
+
+    def refusal(self, made):
+        return self.containment.refusal(made)
+
+    def is_refused(self, name=None):
+        return self.refusal(self.call(name)) is not None
+
+    def end(self, life, made=None, name=None):
+        """Have a target end under a request that was let through."""
+        made = made or self.call(name)
+        assert self.refusal(made) is None
+        result = TryResult(End.UNKNOWN, target=life)
+        result.ended = life
+        self.containment.took(made, result, False)
+
+    def answer(self, made=None, name=None):
+        """Have a target answer a request that was let through."""
+        made = made or self.call(name)
+        assert self.refusal(made) is None
+        self.containment.took(
+            made, TryResult(End.ANSWERED, Answer(200, [], b"")), False
+        )
+        return made
+
+
+@pytest.fixture
+def view():
+    return View(ManualClock())
+
+
+def limit_sender(view, name=b"k=1"):
+    view.answer(name=name)
+    view.clock.time += ANSWERED_SECONDS + 0.1
+    for life in LIVES[: SENDER_RULE.ends]:
+        view.end(life, name=name)
+
+
+def limit_strangers(view):
+    for life in LIVES[: STRANGERS_RULE.ends]:
+        view.end(life)
+
+
+def test_sender_of_another_ending_request_each_time_is_refused(view):
+    limit_sender(view)
+    refusal = view.refusal(view.call(b"k=1"))
+    assert refusal.code is ResultCode.GROUP_LIMITED
+    assert refusal.retry_at == view.clock.now() + SENDER_RULE.first_hold
+
+
+def test_other_senders_run_on_beside_a_limited_one(view):
+    view.answer(name=b"k=2")
+    limit_sender(view)
+    assert not view.is_refused(b"k=2")
+    assert not view.is_refused(b"k=3")
+
+
+def test_sender_of_one_request_again_and_again_is_known(view):
+    view.answer(view.call(b"k=1", b"/popular"))
+    view.answer(view.call(b"k=1", b"/popular"))
+    limit_strangers(view)
+    assert not view.is_refused(b"k=1")
+
+
+def test_limit_is_for_one_route_and_service(view):
+    limit_sender(view)
+    elsewhere = view.call(b"k=1")
+    elsewhere.service = "s2"
+    assert view.refusal(elsewhere) is None
+
+
+def test_request_that_was_answered_runs_on_whatever_its_sender_sends(view):
+    popular = view.answer(view.call(b"k=1", b"/popular"))
+    limit_sender(view)
+    again = view.call(b"k=1", b"/popular")
+    assert again.fingerprint == popular.fingerprint
+    assert view.refusal(again) is None
+
+
+def test_answer_to_a_popular_request_does_not_clear_its_sender(view):
+    view.answer(view.call(b"k=1", b"/popular"))
+    limit_sender(view)
+    view.answer(view.call(b"k=1", b"/popular"))
+    assert view.is_refused(b"k=1")
+
+
+def test_strangers_are_refused_together_and_known_senders_are_not(view):
+    view.answer(name=b"known")
+    view.clock.time += ANSWERED_SECONDS + 0.1
+    for number, life in enumerate(LIVES[: STRANGERS_RULE.ends]):
+        view.end(life, name=b"new-%d" % number)
+    assert view.is_refused(b"another new one")
+    assert view.is_refused()
+    assert not view.is_refused(b"known")
+
+
+def test_answer_to_a_stranger_speaks_for_one_end(view):
+    for life in LIVES[: STRANGERS_RULE.ends - 1]:
+        view.end(life)
+    view.answer()
+    view.end(LIVES[-1])
+    assert not view.is_refused()
+    view.end(LIVES[-2])
+    assert view.is_refused()
+
+
+def test_answers_to_strangers_speak_for_as_many_ends_at_once_after_them(view):
+    """As where a third of the targets ends at once, beside many new callers."""
+    for _ in range(STRANGERS_RULE.ends):
+        view.answer()
+    limit_strangers(view)
+    assert not view.is_refused()
+    for life in LIVES[STRANGERS_RULE.ends :][: STRANGERS_RULE.ends]:
+        view.end(life)
+    assert view.is_refused()
+
+
+@pytest.mark.parametrize("ends_a_second", [1, 10])
+def test_ends_among_many_answered_strangers_limit_nobody(view, ends_a_second):
+    rng = random.Random(ends_a_second)
+    for number in range(600):
+        view.clock.time += 0.02
+        if rng.random() < 0.02 * ends_a_second:
+            view.end(f"i-{number}")
+        else:
+            view.answer()
+        assert not view.is_refused()
+
+
+def test_one_trial_at_a_time_after_the_hold(view):
+    limit_sender(view)
+    view.clock.time += SENDER_RULE.first_hold + 0.1
+    trial = view.call(b"k=1")
+    assert view.refusal(trial) is None
+    assert view.refusal(trial) is None
+    other = view.call(b"k=1")
+    other.id = trial.id
+    assert view.refusal(other).retry_at == trial.deadline
+
+
+def test_trial_that_ends_its_target_doubles_the_hold(view):
+    limit_sender(view)
+    view.clock.time += SENDER_RULE.first_hold + 0.1
+    view.end(LIVES[-1], name=b"k=1")
+    refusal = view.refusal(view.call(b"k=1"))
+    assert refusal.retry_at == view.clock.now() + 2 * SENDER_RULE.first_hold
+
+
+def test_trial_that_is_answered_releases_its_sender(view):
+    limit_sender(view)
+    view.clock.time += SENDER_RULE.first_hold + 0.1
+    view.answer(name=b"k=1")
+    assert not view.is_refused(b"k=1")
+
+
+def test_trial_that_left_makes_room_for_another(view):
+    limit_sender(view)
+    view.clock.time += SENDER_RULE.first_hold + 0.1
+    trial = view.call(b"k=1")
+    view.refusal(trial)
+    view.clock.time = trial.deadline + 0.1
+    assert not view.is_refused(b"k=1")
+
+
+def test_limit_of_one_vm_holds_at_another():
+    clock = ManualClock()
+    here, there = View(clock), View(clock)
+    limit_sender(here)
+    tell(here.suspects, there.suspects)
+    assert there.is_refused(b"k=1")
+
+
+def test_answers_at_one_vm_clear_strangers_at_another():
+    clock = ManualClock()
+    here, there = View(clock), View(clock)
+    for _ in range(STRANGERS_RULE.ends):
+        there.answer()
+    limit_strangers(here)
+    tell(here.suspects, there.suspects)
+    tell(there.suspects, here.suspects)
+    assert not here.is_refused()
+    assert here.suspects.digest == there.suspects.digest
+
+
+def test_cleared_ends_leave_room_for_others(view):
+    """Answers in between must not use up the memory of ends."""
+    for life in LIVES[:MOST_ENDS]:
+        view.end(life, name=b"k=1")
+        view.answer(name=b"k=1")
+        view.clock.time += ANSWERED_SECONDS + 0.1
+    view.clock.time += CLEARED_SECONDS
+    limit_sender(view)
+    assert view.is_refused(b"k=1")
+
+
+def test_every_limit_has_an_end(view):
+    for life in LIVES:
+        made = view.call(b"k=1")
+        made.groups = None
+        result = TryResult(End.UNKNOWN, target=life)
+        result.ended = life
+        view.refusal(made)
+        view.containment.took(made, result, False)
+    assert view.is_refused(b"k=1")
+    view.clock.time += SENDER_RULE.memory + 0.1
+    assert not view.is_refused(b"k=1")
+
+
+def test_memory_is_bounded_for_an_attacker_with_100_000_requests(view):
+    for number in range(100_000):
+        made = view.call(b"k=%d" % number)
+        view.refusal(made)
+        result = TryResult(End.UNKNOWN, target="t")
+        result.ended = f"i-{number}"
+        view.containment.took(made, result, False)
+        view.containment.took(
+            made, TryResult(End.ANSWERED, Answer(200, [], b"")), False
+        )
+    containment = view.containment
+    assert view.suspects.count <= MOST_SUSPECTS
+    assert len(containment._senders) <= MOST_SENDERS
+    assert len(containment._trials) <= MOST_TRIALS
+
+
+def test_sender_of_a_request_without_names_is_not_known():
+    assert sender([(b"host", b"a")]) is None
+    named = [(b"host", b"a"), (b"cookie", b"k=1")]
+    assert sender(named) == sender([*named, (b"request-id", b"2")])
+    assert sender(named) != sender([(b"host", b"a"), (b"authorization", b"k=1")])
+
+
+def test_suspected_request_runs_alone_at_one_of_few_targets():
+    scene = Scene([], entries=[entry(f"t{number}", slots=2) for number in range(8)])
+    few = scene.view.regions("s1")["north"].confined
+    few = [each.entry.id for each in few]
+    others = {f"t{number}" for number in range(8)} - set(few)
+    assert len(few) == 2
+    made = scene.call()
+    for first in few:
+        made.confined = True
+        assert scene.places.free(made, (), ()).target == first
+        scene.parts.ledger.get(first).take(scene.parts.clock.now())
+    assert scene.places.free(made, (), ()).target in others
+
+
+def test_suspected_request_takes_no_part_of_the_last_target_with_room_on_purpose():
+    scene = Scene([], entries=[entry("t1", slots=2)])
+    made = scene.call()
+    made.confined = True
+    assert scene.places._confined(scene.places._choice(made)) is None
+    assert scene.places.free(made, (), ()).target == "t1"
+
+
+def test_request_whose_target_ended_is_confined_when_it_is_repeated(view):
+    made = view.call()
+    view.end("i-1", made)
+    assert made.confined
+
+
+class LimitMachine(RuleBasedStateMachine):
+    """Several VMs with attackers and sound senders that tell each other, any order."""
+
+    @initialize()
+    def start(self):
+        self.clock = ManualClock()
+        self.views = [View(self.clock) for _ in range(3)]
+        self.lives = iter(range(1_000_000))
+        self.seen = set()
+
+    def attempt(self, view, name, is_fatal):
+        made = view.call(name)
+        if view.refusal(made) is not None:
+            return
+        if is_fatal:
+            life = f"i-{next(self.lives)}"
+            self.seen.add(life)
+            view.end(life, made)
+        else:
+            view.answer(made)
+
+    @rule(vm=st.integers(0, 2), name=st.sampled_from([b"k=1", b"k=2", None]))
+    def end(self, vm, name):
+        self.attempt(self.views[vm], name, is_fatal=True)
+
+    @rule(vm=st.integers(0, 2), name=st.sampled_from([b"k=1", b"sound", None]))
+    def answer(self, vm, name):
+        self.attempt(self.views[vm], name, is_fatal=False)
+
+    @rule(vm=st.integers(0, 2))
+    def popular(self, vm):
+        """What was answered once is never refused, nor is a sender that only is."""
+        view = self.views[vm]
+        made = view.call(b"sound", b"/popular")
+        if not view.suspects.was_answered(made.fingerprint):
+            return self.attempt(view, b"sound", is_fatal=False)
+        assert view.refusal(made) is None
+
+    @rule(sender=st.integers(0, 2), receiver=st.integers(0, 2))
+    def tell(self, sender, receiver):
+        tell(self.views[sender].suspects, self.views[receiver].suspects)
+
+    @rule(vm=st.integers(0, 2))
+    def restart(self, vm):
+        self.views[vm] = View(self.clock)
+
+    @rule(seconds=st.floats(0.1, 20.0))
+    def wait(self, seconds):
+        self.clock.time += seconds
+
+    @invariant()
+    def no_end_is_made_up_or_counted_twice(self):
+        for view in self.views:
+            for suspect in view.suspects.all():
+                assert len(suspect.ends) == len(set(suspect.ends)) <= MOST_ENDS
+                assert set(suspect.cleared) <= set(suspect.ends) <= self.seen
+
+    @invariant()
+    def every_refusal_has_an_end(self):
+        for view in self.views:
+            for suspect in view.suspects.all():
+                assert suspect.refused_until <= suspect.until
+
+    def teardown(self):
+        """The cut heals; then everything is forgotten everywhere."""
+        if not hasattr(self, "views"):
+            return
+        # A heartbeat tells of some suspects only.
+        for _ in range(HEARTBEATS):
+            for sender_view in self.views:
+                for receiver in self.views:
+                    tell(sender_view.suspects, receiver.suspects)
+        known = [_known(view) for view in self.views]
+        told = set().union(*map(_told_for_long, self.views))
+        for key in told.difference(*map(_soon_forgotten, self.views)):
+            assert len({each.get(key) for each in known}) == 1
+        self.clock.time += SENDER_RULE.memory + 1.0
+        for view in self.views:
+            assert not view.is_refused(b"k=1")
+            assert not view.is_refused()
+
+
+def _known(view):
+    return {
+        each.fingerprint: (frozenset(each.ends), frozenset(each.cleared))
+        for each in view.suspects.all()
+    }
+
+
+def _told_for_long(view):
+    """Return the keys of which a VM tells for some seconds more."""
+    least = view.clock.now() + LEAST_TOLD_SECONDS + 3.0
+    return {each.fingerprint for each in view.suspects.all() if each.until > least}
+
+
+def _soon_forgotten(view):
+    """Return the keys of which a VM still knows what it does not tell any more."""
+    least = view.clock.now() + LEAST_TOLD_SECONDS + 1.0
+    return {each.fingerprint for each in view.suspects.all() if each.until <= least}
+
+
+LimitMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
+TestLimitMachine = LimitMachine.TestCase
+
+
+def test_credits_of_answers_are_bounded(view):
+    for _ in range(3 * MOST_CREDITS):
+        view.answer()
+    for number in range(MOST_CREDITS + STRANGERS_RULE.ends):
+        view.end(f"i-{number}")
+    assert view.is_refused()
+
+
+#: Ends that the attempts may cost: those up to the limit of strangers, as many while
+#: VMs tell each other, and two for a trial at each VM; without a limit two for each.
+MOST_RUNS = 2 * STRANGERS_RULE.ends + 2 * 6
+SERVED_SHARE = 0.95
+#: Seconds in which the other callers become known to all VMs.
+WARM_UP_SECONDS = 3.0
+
+
+@pytest.mark.parametrize("is_known", [True, False], ids=["sender", "strangers"])
+def test_another_ending_request_each_time_ends_a_bounded_number_of_targets(
+    fleet,  # noqa: F811
+    is_known,
+):
+    paths = [f"/one/two/fatal-{number}" for number in range(ATTEMPTS)]
+    fleet.set_fatal(paths, DOWN_SECONDS)
+    vms = list(fleet.vms.values())
+    with Others(fleet, named=True) as others:
+        time.sleep(WARM_UP_SECONDS)
+        for number, path in enumerate(paths):
+            name = "same" if is_known else f"new-{number}"
+            vm, cookie = vms[number % len(vms)], f"Affinity-Key={name}"
+            fleet.send(vm, "GET", path, f"q{number}", Cookie=cookie)
+            time.sleep(ATTEMPT_GAP)
+    assert len(fleet.ends()) <= MOST_RUNS
+    assert others.statuses.count(200) / len(others.statuses) >= SERVED_SHARE
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -29,8 +29,8 @@
 from heathercleat.steering.process.capacity.admission import Admission
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
+from heathercleat.steering.process.quarantine.rows import QUARANTINE_TABLE
 from heathercleat.steering.process.quarantine.suspects import Suspects
-from heathercleat.steering.process.quarantine.table import QUARANTINE_TABLE
 from heathercleat.steering.request.answer import QUARANTINED, End, TryResult
 from heathercleat.steering.request.fingerprint import fingerprint
 from heathercleat.steering.request.local import LocalTry
@@ -78,10 +78,14 @@
 
 
 class Others:
-    """Callers that send another request of the same route without pause."""
+    """Callers that send another request of the same route without pause.
 
-    def __init__(self, fleet):
+    :param named: whether their requests tell who sends them.
+    """
+
+    def __init__(self, fleet, named=False):
         self._fleet = fleet
+        self._named = named
         self._stopping = threading.Event()
         self._threads = [
             threading.Thread(target=self._run, args=(number,))
@@ -103,11 +107,13 @@
         """Send a popular request and one of its own in turn."""
         rng = random.Random(number)
         vms = list(self._fleet.vms.values())
+        headers = {"Cookie": f"Affinity-Key=o{number}"} if self._named else {}
         for count in itertools.count():
             if self._stopping.is_set():
                 return
             path = f"/one/two/{number}-{count}" if count % 2 else "/one/two/x"
-            answer = self._fleet.send(rng.choice(vms), "GET", path, f"o{number}")
+            vm = rng.choice(vms)
+            answer = self._fleet.send(vm, "GET", path, f"o{number}", **headers)
             self.statuses.append(answer[0])
 
 
@@ -144,7 +150,8 @@
     send_again_and_again(fleet, "POST", "/one/fatal", attempts=2)
     lines = [line for vm in fleet.vms.values() for line in fleet.log(vm)]
     ended = [line for line in lines if line["name"] == "target_ended"]
-    assert [line["request"] for line in ended] == ["q0", "q1"]
+    # The logs of all VMs, one after another: the owners of the targets wrote them.
+    assert sorted(line["request"] for line in ended) == ["q0", "q1"]
     assert len({line["target"] for line in ended}) == 2
     assert len({line["fingerprint"] for line in ended}) == 1
 
@@ -289,7 +296,7 @@
     place = Place("vm-2", None, (), remote=False)
     scene.parts.members.heard(beat("vm-2"))
     run(tries.run, scene.call(), place, (), scene.parts.clock.now() + 1.0)
-    assert scene.suspects.quarantined_until("") is not None
+    assert scene.suspects.refused_until("") is not None
 
 
 @pytest.mark.parametrize(
--- a/tests/test_quarantine_spread.py
+++ b/tests/test_quarantine_spread.py
@@ -22,7 +22,7 @@
 def seconds_until_all_refuse(network, limit=10.0):
     began = network.clock.time
     while network.clock.time < began + limit:
-        if all(vm.suspects.quarantined_until("f") for vm in network.running()):
+        if all(vm.suspects.refused_until("f") for vm in network.running()):
             return network.clock.time - began
         network.run(0.05)
     return limit
@@ -54,7 +54,7 @@
     for number in range(3):
         network.running()[0].suspects.ended("f", f"i-{number}")
     network.run(5.0)
-    assert alone.suspects.quarantined_until("f") is None
+    assert alone.suspects.refused_until("f") is None
     network.is_cut = lambda sender, receiver: False
     assert seconds_until_all_refuse(network) <= STABLE_SECONDS
 
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -14,6 +14,7 @@
 from heathercleat.steering.process.departure import Departure
 from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, Answer, End, TryResult
+from heathercleat.steering.request.containment import Containment
 from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.places import LARGE_BODY, Places
 from heathercleat.steering.request.steer import (
@@ -78,7 +79,7 @@
         self.pressure = pressure = Pressure()
         self.departure = Departure(self.work_times)
         parts = self.parts
-        view = TargetView(
+        self.view = view = TargetView(
             members, parts.registry, parts.owners, parts.ledger, self.rooms
         )
         estimates = Estimates(
@@ -94,13 +95,14 @@
             view, members, estimates, losses, self.shift, clock
         )
         self.suspects = Suspects(parts.journal, clock)
+        self.containment = Containment(self.suspects, clock)
         tries = Tries(
             self.local,
             self.forward,
             members,
             self.rooms,
             lambda vm: 0.11,
-            self.suspects,
+            self.containment,
         )
         self.steering = Steering(
             places,
@@ -110,7 +112,7 @@
             self.work_times,
             pressure,
             self.departure,
-            self.suspects,
+            self.containment,
             self.parts.journal,
             clock,
         )
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -12,6 +12,7 @@
 )
 
 from heathercleat.process.logs import Journal
+from heathercleat.steering.process.quarantine.answers import ANSWERED_SECONDS
 from heathercleat.steering.process.quarantine.rows import (
     ROW_MARGIN,
     decode_quarantine,
@@ -19,7 +20,6 @@
 )
 from heathercleat.steering.process.quarantine.suspect import MOST_ENDS, SuspectNews
 from heathercleat.steering.process.quarantine.suspects import (
-    ANSWERED_SECONDS,
     ENDS_TO_QUARANTINE,
     LEAST_TOLD_SECONDS,
     MOST_ENDS_TOLD,
@@ -52,8 +52,8 @@
 def test_third_end_quarantines_a_request(ends, refused):
     suspects = made()
     end(suspects, ends)
-    assert (suspects.quarantined_until("f") is not None) is refused
-    assert suspects.quarantined_until("another") is None
+    assert (suspects.refused_until("f") is not None) is refused
+    assert suspects.refused_until("another") is None
 
 
 def test_one_end_counts_once_however_often_it_is_told():
@@ -62,8 +62,8 @@
         suspects.ended("f", "i-1")
         tell(suspects, other)
         tell(other, suspects)
-    assert suspects.quarantined_until("f") is None
-    assert other.quarantined_until("f") is None
+    assert suspects.refused_until("f") is None
+    assert other.refused_until("f") is None
 
 
 def test_ends_seen_by_three_vms_are_united():
@@ -72,7 +72,7 @@
         vm.ended("f", life)
     for vm in vms[1:]:
         tell(vm, vms[0])
-    assert vms[0].quarantined_until("f") is not None
+    assert vms[0].refused_until("f") is not None
 
 
 def test_whole_answer_clears_a_request_everywhere():
@@ -81,7 +81,7 @@
     tell(one, other)
     other.answered("f")
     tell(other, one)
-    assert one.quarantined_until("f") is None
+    assert one.refused_until("f") is None
     assert one.digest == other.digest
 
 
@@ -94,9 +94,9 @@
     clock.time += ANSWERED_SECONDS / 2
     end(other if told else suspects, ENDS_TO_QUARANTINE)
     tell(other, suspects)
-    assert suspects.quarantined_until("f") is None
+    assert suspects.refused_until("f") is None
     tell(suspects, other)
-    assert other.quarantined_until("f") is None
+    assert other.refused_until("f") is None
 
 
 def test_old_answer_does_not_speak_for_a_request():
@@ -105,7 +105,7 @@
     suspects.answered("f")
     clock.time += ANSWERED_SECONDS + 0.1
     end(suspects, ENDS_TO_QUARANTINE)
-    assert suspects.quarantined_until("f") is not None
+    assert suspects.refused_until("f") is not None
 
 
 @pytest.mark.parametrize(
@@ -122,7 +122,7 @@
     suspects.expire()
     assert suspects.count == 0
     assert suspects.digest == 0
-    assert suspects.quarantined_until("f") is None
+    assert suspects.refused_until("f") is None
 
 
 def test_vms_do_not_keep_a_suspect_alive_by_telling_each_other():
@@ -176,6 +176,21 @@
     assert [each.fingerprint for each in caught] == ["f"]
 
 
+def test_quarantine_by_ends_of_several_vms_is_reported_by_each():
+    """None wrote its row where no VM saw the third end beside the others."""
+    caught = []
+    one, other, third = made(), made(), made()
+    for each in (one, other, third):
+        each.on_quarantine(caught.append)
+    one.ended("f", "i-1", "two", "s1")
+    other.ended("f", "i-2", "two", "s1")
+    other.ended("f", "i-3", "two", "s1")
+    tell(one, other)
+    tell(other, one)
+    tell(other, third)
+    assert [(each.route, each.service) for each in caught] == [("two", "s1")] * 2
+
+
 @pytest.mark.parametrize(
     "fields",
     [
@@ -199,7 +214,7 @@
     clock = ManualClock()
     suspects = made(clock)
     suspects.told(SuspectNews("f", float("inf"), LIVES[:3], []))
-    assert suspects.quarantined_until("f") == clock.now() + QUARANTINE_SECONDS
+    assert suspects.refused_until("f") == clock.now() + QUARANTINE_SECONDS
 
 
 def test_quarantine_is_the_same_after_its_way_through_the_store():
@@ -217,7 +232,17 @@
 
 @pytest.mark.parametrize(
     "fields",
-    [None, 1, [], ["soon", ["i-1"]], [1.0, "i-1"], [1.0, [1]], [1.0, ["i-1"], 0]],
+    [
+        None,
+        1,
+        [],
+        ["soon", ["i-1"]],
+        [1.0, "i-1"],
+        [1.0, [1]],
+        [1.0, ["i-1"], 0],
+        [1.0, ["i-1"], 0, "s1", "vm-1", 1.0],
+        [1.0, ["i-1"], "one", "s1", "vm-1", "then"],
+    ],
 )
 def test_row_of_another_writer_is_an_error(fields):
     row = StoreRow("f", msgpack.packb(fields), 1)
@@ -285,7 +310,7 @@
                 for receiver in self.vms:
                     tell(sender, receiver)
         assert len({vm.digest for vm in self.vms}) == 1
-        verdicts = {vm.quarantined_until("f") is None for vm in self.vms}
+        verdicts = {vm.refused_until("f") is None for vm in self.vms}
         assert len(verdicts) == 1
         if len(self.seen) >= ENDS_TO_QUARANTINE and not self.answered:
             assert verdicts == {False}
