heathercleat quarantine list | show | lift

Operators could see quarantines in logs only, and lifted one by removing a row of the platform's store by hand. The command reads and removes those rows with a VM's settings file: route, service, the targets that ended, since when and until when, and the VM that wrote the row. An unknown fingerprint is error 5006 (status 2), a store that does not answer 5004 (status 3); a row that cannot be read is listed with the reason and can be lifted.

test_start listed the commands by a name with a space after it; the help puts a long name on a line of its own. It compares the first words of the lines that list commands.

--- a/src/heathercleat/cli/_main.py
+++ b/src/heathercleat/cli/_main.py
@@ -12,6 +12,7 @@
   heathercleat serve --settings vm.jsonc
   heathercleat steer --settings node.yaml
   heathercleat trace 9c41d07be2a35f68 *.log
+  heathercleat quarantine list --settings node.yaml
   heathercleat check text.jsonc
   heathercleat apply text.jsonc --settings vm.jsonc
   heathercleat drain plan d1 failure_domain north-a --dry-run --settings vm.jsonc
@@ -64,9 +65,11 @@
     from heathercleat.cli._drain import add_drain
     from heathercleat.cli._edit import add_edits
     from heathercleat.cli._inspect import add_inspections
+    from heathercleat.cli._quarantine import add_quarantine
     from heathercleat.cli._trace import add_trace
 
     add_edits(commands)
     add_drain(commands)
     add_inspections(commands)
+    add_quarantine(commands)
     add_trace(commands)
--- /dev/null
+++ b/tests/test_quarantine_command.py
@@ -0,0 +1,73 @@
+"""What operators see and do with ``heathercleat quarantine``."""
+
+import json
+import time
+
+import msgpack
+import pytest
+
+from heathercleat.cli import main
+from heathercleat.cli._quarantine import _described, _list_lines, _unpacked
+from heathercleat.steering.process.quarantine.rows import QuarantineRow
+from heathercleat.steering.process.store.protocol import StoreRow
+from tests.platform_samples import SETTINGS
+from tests.test_crashing_requests import (
+    DOWN_SECONDS,
+    STABLE_SECONDS,
+    fleet,  # noqa: F401
+    send_again_and_again,
+)
+
+#: Seconds in which the VM that saw the third end has written the row.
+WRITTEN_SECONDS = 2.0
+
+
+def told(capsys, *words):
+    """Run the command and return the JSON that it prints."""
+    main(["quarantine", *words, "--json"])
+    return json.loads(capsys.readouterr().out)
+
+
+def test_operators_list_show_and_lift_a_quarantine(fleet, capsys):  # noqa: F811
+    fleet.set_fatal(["/one/fatal"], DOWN_SECONDS)
+    send_again_and_again(fleet, "POST", "/one/fatal", attempts=8)
+    time.sleep(WRITTEN_SECONDS)
+    fleet.set_fatal([], DOWN_SECONDS)
+    settings = "--settings", next(iter(fleet.vms.values())).settings
+    (listed,) = told(capsys, "list", *settings)
+    assert (listed["route"], listed["service"]) == ("one", "s1")
+    assert listed["seen_by"] in fleet.vms
+    assert len(listed["ends"]) >= 3
+    fingerprint = listed["fingerprint"]
+    assert told(capsys, "show", fingerprint, *settings) == listed
+    assert told(capsys, "lift", fingerprint, *settings) == {"lifted": fingerprint}
+    time.sleep(STABLE_SECONDS)
+    statuses = send_again_and_again(fleet, "POST", "/one/fatal", attempts=6)
+    assert set(statuses) == {200}
+    assert told(capsys, "list", *settings) == []
+    with pytest.raises(SystemExit) as caught:
+        main(["quarantine", "lift", fingerprint, *settings])
+    assert caught.value.code == 2
+    assert fingerprint in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("words", [["list"], ["show", "f"], ["lift", "f"]])
+def test_store_that_does_not_answer_is_named(words, tmp_path, capsys):
+    path = tmp_path / "node.json"
+    platform = {"address": "127.0.9.250:9"}
+    path.write_text(json.dumps({**SETTINGS, "platform": platform}))
+    with pytest.raises(SystemExit) as caught:
+        main(["quarantine", *words, "--settings", str(path)])
+    assert caught.value.code == 3
+    assert "error 5004" in capsys.readouterr().err
+
+
+def test_row_that_cannot_be_read_is_listed_as_such():
+    damaged = _unpacked(StoreRow("f", b"\xc1", 1))
+    lines = list(_list_lines([_described("f", damaged)]))
+    assert "cannot be read" in lines[1]
+
+
+def test_row_without_the_fields_for_operators_is_read():
+    row = QuarantineRow.unpack(msgpack.packb([1.0, ["i-1"]]))
+    assert (row.until, row.ends, row.route, row.vm) == (1.0, ["i-1"], None, None)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -51,8 +51,11 @@
 @pytest.mark.parametrize("command", ["check", "apply", "trace", "--help", None])
 def test_every_command_is_listed_where_no_vm_is_started(command):
     text = build_parser(command).format_help()
-    for name in ("serve", "steer", "check", "drain", "status", "trace"):
-        assert f"    {name} " in text
+    listed = {
+        line[4:].split(" ")[0] for line in text.splitlines() if line[:4] == "    "
+    }
+    assert {"serve", "steer", "check", "drain", "status", "quarantine"} <= listed
+    assert "trace" in listed
 
 
 def test_settings_are_read_from_json(tmp_path):
