New owners learn at once which slots are taken, in large fleets too

In a large fleet targets were pushed past their slots after a stop: dividing targets evenly moves some between two VMs that stay, which learned of the change some heartbeats apart and do not report to each other. Simulated with 72 VMs, 144 targets, all slots in use, one VM leaving: 22 slot seconds over the slots (65 without telling of held slots at all).

A VM whose stage changes tells all of its failure domain at once, and one that loses targets tells those that take them over. Where the owner before has not reported within two heartbeats, the new one takes all slots to be in use until it is told, for two heartbeats at most; older reports count no more. What a VM told is forgotten with it.

Not covered: a VM that starts in a large fleet before it has heard of all others.

--- a/src/heathercleat/steering/process/capacity/held.py
+++ b/src/heathercleat/steering/process/capacity/held.py
@@ -1,5 +1,11 @@
 """Slots of targets that are still taken by requests of VMs that owned them before."""
 
+#: Seconds in which the VM that owned a target before tells what it still has there: two
+#: heartbeats, the first of which may come before it has learned of the change.
+TELL_SECONDS = 0.3
+#: Stands for all slots of a target.
+_ALL = 1 << 20
+
 
 class Hold:
     """What one other VM has at a target.
@@ -49,15 +55,21 @@
         for target_id, count, seconds in held:
             self._put(target_id, vm, Hold(count, now + seconds))
 
-    def expect(self, target_id):
+    def expect(self, target_id, former):
         """Begin to count for a target that this VM owns from now on.
 
         The owner before it may not know yet. Until it tells what it still has there,
-        its last report as the owner counts.
+        its last report as the owner counts. Where it has not reported of late all slots
+        are taken to be in use until it tells, for :data:`TELL_SECONDS` at most.
+
+        :param former: name of that owner, or ``None``.
         """
         now = self._clock.now()
+        if former is not None and self._rooms.told_at(former) < now - TELL_SECONDS:
+            self._put(target_id, former, Hold(_ALL, now + TELL_SECONDS))
         for vm in self._rooms.owners():
-            self._expect_of(target_id, vm, now)
+            if self._rooms.told_at(vm) >= now - TELL_SECONDS:
+                self._expect_of(target_id, vm, now)
 
     def count(self, target_id, now):
         """Return the slots of a target that other VMs' requests take."""
@@ -70,6 +82,12 @@
             if now < hold.until and self._runs(vm)
         )
 
+    def keep(self, vms):
+        """Forget all VMs but these."""
+        for vm in self._targets.keys() - vms:
+            self._drop(vm)
+            del self._incarnations[vm]
+
     def _expect_of(self, target_id, vm, now):
         room = self._rooms.reported(target_id, vm)
         if room is not None and now < room.valid_until:
--- a/src/heathercleat/steering/process/capacity/owners.py
+++ b/src/heathercleat/steering/process/capacity/owners.py
@@ -30,6 +30,7 @@
         self._registry = registry
         self._members = members
         self._owner = {}
+        self._before = {}
         self._divided = {}
         self._stale = True
         registry.on_change(self._mark_stale)
@@ -46,6 +47,10 @@
             self._rebuild()
         return self._owner.get(target_id)
 
+    def before(self, target_id):
+        """Return the VM that owned a target before the last change, or ``None``."""
+        return self._before.get(target_id)
+
     def owned(self):
         """Return the ids of the targets that this VM owns."""
         if self._stale:
@@ -62,7 +67,7 @@
         self._stale = False
         owners = self._members.owners()
         before, self._divided = self._divided, {}
-        self._owner = {}
+        self._before, self._owner = self._owner, {}
         for failure_domain, services in self._group().items():
             candidates = self._candidates(failure_domain, owners)
             for service, targets in services.items():
--- a/src/heathercleat/steering/process/capacity/rooms.py
+++ b/src/heathercleat/steering/process/capacity/rooms.py
@@ -1,5 +1,6 @@
 """What this VM believes of the free slots at targets that others own."""
 
+from heathercleat.process.clock import NEVER
 from heathercleat.steering.process.capacity.queue import Waits
 
 #: Seconds after which a report of room is no longer believed.
@@ -9,12 +10,13 @@
 class Report:
     """What one owner said last: rooms by target, waits and losses by service."""
 
-    __slots__ = ("rooms", "waits", "losses", "valid_until")
+    __slots__ = ("rooms", "waits", "losses", "told_at", "valid_until")
 
     def __init__(self):
         self.rooms = {}
         self.waits = {}
         self.losses = {}
+        self.told_at = NEVER
         self.valid_until = 0.0
 
 
@@ -99,8 +101,10 @@
             there, one in time and one that is late; ``None`` without a slot.
         :param losses: ``(service, part)`` of their worth that its clients lose.
         """
-        valid_until = self._clock.now() + REPORT_LIFE
+        now = self._clock.now()
+        valid_until = now + REPORT_LIFE
         report = self._report(owner)
+        report.told_at = now
         for room in report.rooms.values():
             room.expire()
         for target_id, free, limit, used in rooms:
@@ -129,6 +133,10 @@
         """Return the names of the VMs that have reported."""
         return list(self._reports)
 
+    def told_at(self, owner):
+        """Return the instant of an owner's last report."""
+        return self._report(owner).told_at
+
     def reported(self, target_id, owner):
         """Return the :class:`Room` at a target of an owner, ``None`` if it has none."""
         return self._report(owner).rooms.get(target_id)
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -161,6 +161,7 @@
         # Targets owned earlier: one that comes back, as it does when many targets come
         # and go, still has its requests under way and its rate while cold.
         self._former = {}
+        self._successors = set()
         self._by_service = {}
         self._stale = True
         owners.on_change(self._mark_stale)
@@ -202,6 +203,12 @@
         """Return the names of the VMs that own targets with requests from here."""
         return {owner for _, owner, _, _ in self.handed_over()}
 
+    def take_successors(self):
+        """Return the names of the VMs that took targets over since the last call."""
+        self._refresh()
+        successors, self._successors = self._successors, set()
+        return successors
+
     def release(self, use):
         """Free the slot of a use."""
         if use in use.target.uses:
@@ -237,11 +244,12 @@
             if entry is not None:
                 owned[target_id] = self._keep(entry)
         for target_id in owned.keys() - self._owned.keys():
-            self._held.expect(target_id)
+            self._held.expect(target_id, self._owners.before(target_id))
             self._journal.write(Event.HOME_ADOPTED, target=target_id)
         for target_id in self._owned.keys() - owned.keys():
             self._journal.write(Event.HOME_HANDED_OVER, target=target_id)
             self._former[target_id] = self._owned[target_id]
+            self._successors.add(self._owners.of(target_id))
         self._former = {
             target_id: target
             for target_id, target in self._former.items()
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -78,6 +78,8 @@
     :param rooms: the :class:`RoomView` that takes reports.
     :param held: the :class:`HeldSlots` that take them.
     :param heirs: returns the names of the VMs that own targets with requests from here.
+    :param successors: returns the names of the VMs that took targets over from this one
+        since its last call.
     :param suspects: the :class:`Suspects`.
     :param on_beat: a coroutine function that is called after each heartbeat.
     """
@@ -89,6 +91,7 @@
         rooms,
         held,
         heirs,
+        successors,
         suspects,
         compose,
         on_beat,
@@ -100,6 +103,7 @@
         self._rooms = rooms
         self._held = held
         self._heirs = heirs
+        self._successors = successors
         self._suspects = suspects
         self._compose = compose
         self._on_beat = on_beat
@@ -116,6 +120,7 @@
         self._bad = 0
         self._last_digest = None
         self._differs_for = 0
+        self._notified_stage = members.own.stage
 
     def trip(self, vm):
         """Return the round trip to a VM in seconds, or the usual one to its region."""
@@ -206,6 +211,21 @@
         for seed in self._unknown_seeds() if to_all else ():
             await self._send_to(seed, self._pack(_KIND_FOR_SEEDS), None)
 
+    async def notify(self):
+        """Send what some VMs need sooner than with the next heartbeat.
+
+        All of the failure domain work its owners out anew when this VM's stage changes,
+        and should do so together; a new owner has to know which slots are taken.
+        """
+        live = self._members.live_others()
+        notified = self._successors()
+        own = self._members.own
+        if own.stage != self._notified_stage:
+            self._notified_stage = own.stage
+            near = (each for each in live if each.failure_domain == own.failure_domain)
+            notified.update(each.vm for each in near)
+        await self._send_all(each for each in live if each.vm in notified)
+
     async def _send_all(self, members):
         """Send a heartbeat to some members, composed once for all that get the same.
 
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -171,6 +171,7 @@
             self._rooms,
             self._held,
             self._ledger.heirs,
+            self._ledger.take_successors,
             self._suspects,
             composer.compose,
             self._tables.notice,
@@ -338,6 +339,7 @@
                 await self._peer_pool.sweep()
             self._registry.expire()
             await self._admission.pump_all()
+            await self._gossip.notify()
             has_work = self._ledger.all() or self._registry.lapsing()
             await sleep(UPKEEP_INTERVAL if has_work else IDLE_UPKEEP_INTERVAL)
 
@@ -435,7 +437,9 @@
 
     def _forget_rooms(self):
         """Drop the reports of VMs that are gone for good."""
-        self._rooms.keep({member.vm for member in self._members.others()})
+        known = {member.vm for member in self._members.others()}
+        self._rooms.keep(known)
+        self._held.keep(known)
 
     def _beliefs(self):
         """Return figures on what this VM knows and how old it is."""
--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -326,6 +326,9 @@
     def heirs(self):
         return self.ledger.heirs()
 
+    def successors(self):
+        return self.ledger.take_successors()
+
     def leave(self):
         """Leave as the process does: all partners are told at once."""
         self.members.leave()
@@ -338,6 +341,7 @@
 
     def work(self, rng):
         """End and begin requests, as many as there seem to be slots."""
+        drive(self.gossip.notify())
         now = self.network.clock.now()
         for use in [each for each in self.uses if each.ends_by <= now]:
             self.uses.remove(use)
@@ -422,11 +426,13 @@
         return most
 
 
-@pytest.mark.parametrize(("count", "targets"), [(9, 12), (72, 24)])
-def test_vm_that_leaves_hands_its_slots_over(count, targets):
+@pytest.mark.parametrize(
+    ("count", "targets", "stops"), [(9, 12, 4), (72, 24, 4), (72, 144, 1)]
+)
+def test_vm_that_leaves_hands_its_slots_over(count, targets, stops):
     fleet = Fleet(count, targets)
     fleet.run(1.0)
-    for vm in fleet.vms[:4]:
+    for vm in fleet.vms[:stops]:
         vm.leave()
         fleet.run(0.4)
     fleet.run(LONGEST_RUN)
@@ -460,6 +466,32 @@
         assert held == count
 
 
+def test_whole_failure_domain_is_told_at_once_that_a_vm_leaves():
+    fleet = Fleet(72, 24)
+    vm = fleet.vms[0]
+    vm.members.leave()
+    drive(vm.gossip.notify())
+    near = [each for each in fleet.vms[1:] if each.domain == vm.domain]
+    assert len(near) > NEAR_PICKS
+    assert all(each.members.live(vm.name).stage == LEAVING for each in near)
+
+
+def test_successor_is_told_at_once_that_a_target_is_free():
+    fleet = Fleet(72, 24)
+    vm = next(each for each in fleet.vms if each.ledger.all())
+    (target,) = vm.ledger.all()
+    vm.members.leave()
+    name = vm.owners.of(target.entry.id)
+    successor = next(each for each in fleet.vms if each.name == name)
+    now = fleet.network.clock.now()
+    successor.held.expect(target.entry.id, vm.name)
+    assert successor.held.count(target.entry.id, now) >= target.entry.slots
+    # What is left is the successor's alone, not that of its failure domain.
+    vm.gossip._notified_stage = LEAVING
+    drive(vm.gossip.notify())
+    assert successor.held.count(target.entry.id, now) == 0
+
+
 @pytest.mark.parametrize("count", [9, 72])
 def test_vm_that_leaves_goes_on_hearing_reports(count):
     fleet = Fleet(count, 12)
@@ -516,6 +548,19 @@
         assert vm.held.count(target.entry.id, now) == 0
 
 
+def test_what_a_vm_told_is_forgotten_with_it():
+    parts = Parts([entry("t1", slots=4)])
+    for vm in ("vm-2", "vm-3"):
+        parts.members.heard(beat(vm, stage=LEAVING))
+        parts.held.report(vm, [["t1", 1, 60.0]])
+    parts.held.keep({"vm-3"})
+    assert parts.held.count("t1", parts.clock.now()) == 1
+    parts.held.keep(set())
+    assert not parts.held._holds
+    assert not parts.held._targets
+    assert not parts.held._incarnations
+
+
 class HoldsMachine(RuleBasedStateMachine):
     """Two VMs tell one what they still have at its target; heartbeats get lost."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -121,6 +121,7 @@
             self.rooms,
             self.held,
             lambda: self.heirs(),
+            lambda: self.successors(),
             self.suspects,
             self.compose,
             nothing_to_do,
@@ -142,6 +143,10 @@
         """Return the names of the VMs that own targets with requests from here."""
         return set()
 
+    def successors(self):
+        """Return the names of the VMs that took targets over from this one."""
+        return set()
+
     def meet_all(self):
         """Learn from the store which VMs there are."""
         for vm in self.network.vms.values():
