--- a/standins/stops/__main__.py
+++ b/standins/stops/__main__.py
@@ -22,7 +22,7 @@
 from standins.stops.report import Report, count_refusals
 from standins.stops.tally import Tally, collect_runs
 
-SUBNET = 44
+SUBNET = 12
 #: Seconds of load in which targets learn objects at no cost, as if they knew them
 #: long since; those from then to the first stop; and those after the last one.
 LEARNING_SECONDS = 4.0
