--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -25,6 +25,7 @@
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.rests import RestLimit
 from heathercleat.steering.process.capacity.rooms import RoomView
+from heathercleat.steering.process.capacity.run_times import RunTimes
 from heathercleat.steering.process.capacity.shift import ShiftLimit
 from heathercleat.steering.process.capacity.slots import SlotLedger
 from heathercleat.steering.process.capacity.view import TargetView
@@ -44,6 +45,7 @@
 from heathercleat.steering.process.repeats import RepeatDetector
 from heathercleat.steering.process.store.tables import Tables
 from heathercleat.steering.process.warm import WarmConnections
+from heathercleat.steering.request.containment import Containment
 from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.forward import ForwardTry
 from heathercleat.steering.request.local import LocalTry
@@ -122,9 +124,10 @@
         self._handover = Handover(self._members, self._owners, self._is_short)
         self._admission = Admission(self._ledger, self._members.region_of, clock)
         self._work_times = WorkTimes()
-        self.departure = Departure(self._work_times)
+        self.departure = Departure(RunTimes(clock))
         self._pressure = Pressure()
         self._suspects = Suspects(journal, clock)
+        self._containment = Containment(self._suspects, clock)
         self._shift = ShiftLimit(settings.bounds.shift_share, clock)
 
     def _build_store(self):
@@ -145,6 +148,7 @@
             self._tables.new_store(),
             self._tables.new_store(),
             self._tables.is_reader,
+            settings.vm,
             journal,
             clock,
         )
@@ -213,7 +217,7 @@
             self._members,
             self._rooms,
             self._gossip.trip,
-            self._suspects,
+            self._containment,
         )
         self._steering = Steering(
             places,
@@ -223,7 +227,7 @@
             self._work_times,
             self._pressure,
             self.departure,
-            self._suspects,
+            self._containment,
             journal,
             clock,
         )
@@ -416,6 +420,7 @@
             before=self._table.version if self._table else None,
         )
         self._table = table
+        self.departure.runs.keep({route.name for route in table.routes})
         self._splitters = {}
         self._update_serving()
 
@@ -451,6 +456,7 @@
             "targets_age": _age(self._tables.targets.read_at, now),
             "suspects": self._suspects.count,
             "quarantined": self._suspects.quarantined,
+            "limited_groups": self._suspects.limited,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
         }
--- a/src/heathercleat/steering/process/quarantine/suspect.py
+++ b/src/heathercleat/steering/process/quarantine/suspect.py
@@ -1,16 +1,22 @@
 """A request under which targets ended, and what VMs tell each other of it."""
 
-from zlib import crc32
+from hashlib import blake2b
+from heapq import nsmallest
+from typing import NamedTuple
+
+from heathercleat.steering.process.quarantine.rules import DIGEST_BYTES, rule_of
 
 #: Ends of targets that are remembered of one request: five times what decides on it.
 MOST_ENDS = 16
+#: Seconds in which all VMs learn that the ends of a group are cleared.
+CLEARED_SECONDS = 10.0
 
 
 class SuspectNews:
     """What a VM tells of a suspect.
 
-    :param fingerprint: the request; see
-        :mod:`heathercleat.steering.request.fingerprint`.
+    :param fingerprint: the request, see
+        :mod:`heathercleat.steering.request.fingerprint`, or the key of a group.
     :param remaining: seconds for which it is remembered.
     :param ends: the lives of the targets that ended under it.
     :param cleared: those of them that are not laid to it.
@@ -46,50 +52,129 @@
         return news
 
 
+class Added(NamedTuple):
+    """What is new of a suspect.
+
+    :param ends: whether other ends are known than before.
+    :param any: whether ends or clearances are.
+    """
+
+    ends: bool
+    any: bool
+
+
 class Suspect:
-    """A request under which targets ended.
+    """A request, or a group of them, under which targets ended.
 
-    Both sets only grow until the suspect is forgotten, so that VMs agree once they have
-    told each other, in whatever order and however often.
+    Both sets are united until the suspect is forgotten, and of too many ends all VMs
+    keep the same, so that they agree once they have told each other, in whatever order
+    and however often.
 
     :param ends: the lives of these targets, the earliest known one first.
     :param cleared: the lives that are not laid to it.
     :param until: instant from which it is forgotten.
+    :param seen_here: whether this VM saw one of the ends.
+    :param route: name of the route of its requests, ``None`` without an end seen here.
+    :param service: name of the service that ran them, the same.
+    :param ended_at: instant at which the latest end came to be known here.
     """
 
-    __slots__ = ("fingerprint", "ends", "cleared", "until")
+    __slots__ = (
+        "fingerprint",
+        "ends",
+        "cleared",
+        "seen_here",
+        "route",
+        "service",
+        "until",
+        "ended_at",
+    )
 
     def __init__(self, fingerprint):
         self.fingerprint = fingerprint
         self.ends = []
         self.cleared = []
+        self.seen_here = False
+        self.route = None
+        self.service = None
         self.until = 0.0
+        self.ended_at = 0.0
 
     @property
     def count(self):
         """Return the number of ends that are laid to it."""
         return len(self.ends) - len(self.cleared)
 
+    @property
+    def earliest(self):
+        """Return the earliest known life that is laid to it."""
+        return next(each for each in self.ends if each not in self.cleared)
+
+    @property
+    def rule(self):
+        """Return the :class:`Rule` for it."""
+        return rule_of(self.fingerprint)
+
+    @property
+    def is_limited(self):
+        """Return whether it has the ends from which requests are refused."""
+        return self.count >= self.rule.ends
+
+    @property
+    def is_full(self):
+        """Return whether no more ends are remembered of it."""
+        return len(self.ends) >= MOST_ENDS
+
+    @property
+    def memory(self):
+        """Return the seconds for which a group is remembered at most.
+
+        One that is not limited and holds no end, or can take no more, is soon begun
+        anew: ends that were cleared must not make room for others.
+        """
+        is_over = not self.count or (self.is_full and not self.is_limited)
+        return CLEARED_SECONDS if is_over else self.rule.memory
+
+    @property
+    def refused_until(self):
+        """Return the instant until which its requests are refused."""
+        if self.is_full:
+            return self.until
+        return min(self.until, self.ended_at + self.rule.hold(self.count))
+
     @property
     def digest(self):
         """Return a checksum over what is known of it."""
         digest = 0
         for life in self.ends:
-            digest ^= crc32(f"{self.fingerprint} {life}".encode())
+            digest ^= _digest(f"{self.fingerprint} {life}")
         for life in self.cleared:
-            digest ^= crc32(f"{self.fingerprint} {life} cleared".encode())
+            digest ^= _digest(f"{self.fingerprint} {life} cleared")
         return digest
 
     def add(self, lives, cleared=()):
-        """Add ends, some of which are not laid to it; return whether any is new."""
-        before = len(self.ends) + len(self.cleared)
+        """Add ends, some of which are not laid to it; return an :class:`Added`."""
+        ends, count = list(self.ends), len(self.cleared)
         for life in lives:
-            if life not in self.ends and len(self.ends) < MOST_ENDS:
+            if life not in self.ends:
                 self.ends.append(life)
+        self._drop_most()
         for life in cleared:
             if life in self.ends and life not in self.cleared:
                 self.cleared.append(life)
-        return len(self.ends) + len(self.cleared) > before
+        has_ends = self.ends != ends
+        return Added(has_ends, has_ends or len(self.cleared) > count)
+
+    def _drop_most(self):
+        """Keep :data:`MOST_ENDS`, the same of the same at all VMs."""
+        if len(self.ends) <= MOST_ENDS:
+            return
+        kept = nsmallest(MOST_ENDS, self.ends, key=self._order)
+        self.ends = [life for life in self.ends if life in kept]
+        self.cleared = [life for life in self.cleared if life in kept]
+
+    def _order(self, life):
+        return _digest(f"{self.fingerprint} {life}")
 
     def news(self, now):
         """Return what to tell of it."""
@@ -98,6 +183,15 @@
         )
 
 
+def _digest(text):
+    """Return 64 bits of a hash that is not linear.
+
+    With a linear one, as a CRC, the sums over names that differ in a digit are equal.
+    """
+    digest = blake2b(text.encode(), digest_size=DIGEST_BYTES).digest()
+    return int.from_bytes(digest, "big")
+
+
 def _are_lives(value):
     if not isinstance(value, list) or len(value) > MOST_ENDS:
         return False
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -5,7 +5,6 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.steering.process.quarantine.suspects import QUARANTINE_SECONDS
 from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, QUARANTINED, End
 from heathercleat.steering.request.patience import Patience
 from heathercleat.steering.request.places import LARGE_BODY
@@ -30,7 +29,6 @@
 LEAST_RETURN = 0.05
 #: Part of the client's remaining time up to which it honours the advice.
 RETURN_SHARE = 0.3
-_SERVER_ERROR = 500
 
 
 class Steering:
@@ -43,7 +41,7 @@
     :param work_times: the :class:`WorkTimes`.
     :param pressure: the :class:`Pressure`.
     :param departure: the :class:`Departure` of this VM.
-    :param suspects: the :class:`Suspects`.
+    :param containment: the :class:`Containment`.
     """
 
     def __init__(
@@ -55,7 +53,7 @@
         work_times,
         pressure,
         departure,
-        suspects,
+        containment,
         journal,
         clock,
     ):
@@ -66,7 +64,7 @@
         self._work_times = work_times
         self._pressure = pressure
         self._departure = departure
-        self._suspects = suspects
+        self._containment = containment
         self._patience = Patience(work_times)
         self._journal = journal
         self._clock = clock
@@ -105,20 +103,16 @@
                 raise CallerLeftError
             now = clock.now()
             if not self._runs:
-                self._steering._departure.check(call.route.name, call.deadline, now)
+                self._steering._departure.check(call, now)
                 self._check_quarantine()
-            elif self._steering._departure.is_too_late(
-                call.route.name, call.deadline, now
-            ):
+            elif self._steering._departure.is_too_late(call, now):
                 return self._give_up()
             place = self._next_place(now)
             if place is None:
                 return self._give_up()
             if self._sends and not self._spend_repeat(now):
                 return self._give_up()
-            call.send_by = self._steering._departure.send_by(
-                call.route.name, call.deadline, now
-            )
+            call.send_by = self._steering._departure.send_by(call)
             until = min(self._until(place, now), call.deadline, call.send_by)
             call.trying, call.trying_since = place, now
             result = await self._try(place, until)
@@ -135,8 +129,10 @@
         trying = steering._tries.run(call, place, self._avoid, until)
         if steering._tries.is_own(place):
             return await trying
-        with steering._work_times.running(call.route.name, call.trying_since):
-            return await trying
+        with steering._departure.runs.watch(call) as run:
+            result = await trying
+            run.take(result)
+            return result
 
     def _next_place(self, now):
         """Return where to try next, or ``None`` when it is time to give up."""
@@ -236,7 +232,7 @@
             self._observe(place, result)
             late = self._steering._clock.now() > self._call.aim_at
             self._steering._pressure.answered(self._call.service, late)
-            if result.answer.status < _SERVER_ERROR or not self._may_run_again():
+            if result.succeeded or not self._may_run_again():
                 return result.answer
             self._failed_answer = result.answer
             return None
@@ -287,31 +283,22 @@
         call = self._call
         if not call.route.kind.idempotent or self._runs >= call.route.max_attempts:
             return False
-        if not self._steering._suspects.may_go_on(call.fingerprint):
+        if not self._steering._containment.may_go_on(call):
             return False
         work = self._steering._work_times.of(call.route.name)
         return self._steering._clock.now() + work < call.deadline
 
     def _check_quarantine(self):
         """Raise the refusal of a request under which targets end."""
-        suspects = self._steering._suspects
-        if suspects.quarantined_until(self._call.fingerprint) is not None:
-            raise self._quarantined()
+        refusal = self._steering._containment.refusal(self._call)
+        if refusal is not None:
+            raise refusal
 
     def _end_quarantined(self):
         """Return a failed answer that is left, or raise the final refusal."""
         if self._runs:
             return self._give_up()
-        raise self._quarantined()
-
-    def _quarantined(self):
-        suspects = self._steering._suspects
-        until = suspects.quarantined_until(self._call.fingerprint)
-        if until is None:
-            # The owner of the target knows more than this VM.
-            until = self._steering._clock.now() + QUARANTINE_SECONDS
-        message = f"targets ended under the request {self._call.fingerprint}"
-        return RequestError(ResultCode.QUARANTINED, message, retry_at=until)
+        raise self._steering._containment.owners_refusal(self._call)
 
     def _unknown(self, result):
         timed_out = result.end is End.TIMED_OUT
