--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,22 +1,11 @@
 """Heartbeats of many VMs in one process, over a network that loses and cuts."""
 
 import random
-from collections import Counter
 
-import msgpack
 import pytest
 
-from heathercleat.platform.settings import decode_node_settings
-from heathercleat.process.logs import Journal
-from heathercleat.steering.process.capacity.rooms import RoomView
 from heathercleat.steering.process.membership.beat import Beat
-from heathercleat.steering.process.membership.gossip import (
-    IDLE_INTERVAL,
-    INTERVAL,
-    Gossip,
-)
-from heathercleat.steering.process.membership.member import news_of
-from heathercleat.steering.process.membership.members import Members
+from heathercleat.steering.process.membership.gossip import IDLE_INTERVAL, INTERVAL
 from heathercleat.steering.process.membership.topology import (
     FAR_PICKS,
     IDLE_FAR_PICKS,
@@ -24,15 +13,16 @@
     MOST_IN_MESH,
     NEAR_PICKS,
 )
-from heathercleat.steering.process.quarantine.suspects import Suspects
-from tests.fakes import ManualClock
-from tests.platform_samples import SETTINGS
+from standins.membership_simulation import (
+    Network,
+    SimulatedVm,
+    drive,
+    first_object,
+)
 
-REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south", "east-a": "east"}
 SMALL, LARGE = 8, 60
 #: VMs of a fleet that are strong enough to carry requests, and the others.
 STRONG, WEAK = 21, 63
-STEP = 0.01
 #: Seconds for a fleet to find itself, and to agree on a death or a return.
 START_SECONDS = 4.0
 AGREE_SECONDS = 4.0
@@ -48,140 +38,6 @@
     random.seed(5)
 
 
-async def nothing_to_do():
-    """Stand for what a VM does after each heartbeat."""
-
-
-class Network:
-    """Carries datagrams at once, but for those that are lost or cut.
-
-    :param loss: share of datagrams that get lost.
-    """
-
-    def __init__(self, loss=0.0, seed=1):
-        self.clock = ManualClock()
-        self.vms = {}
-        self.loss = loss
-        self.sent = Counter()
-        self.told = Counter()
-        self.suspects_told = 0
-        self.is_cut = lambda sender, receiver: False
-        self._rng = random.Random(seed)
-
-    def send(self, sender, ip, data):
-        self.sent[sender.name] += 1
-        self.datagram = data
-        beat = Beat.of(first_object(data))
-        self.suspects_told += len(beat.suspects)
-        for news in beat.told():
-            self.told[news.vm] += 1
-        receiver = self.vms.get(ip)
-        if receiver is None or not receiver.running or self.is_cut(sender, receiver):
-            return
-        if self._rng.random() >= self.loss:
-            receiver.gossip.take(data)
-
-    def run(self, seconds):
-        """Let time pass."""
-        end = self.clock.time + seconds
-        while self.clock.time < end:
-            self.clock.time += STEP
-            for vm in list(self.vms.values()):
-                vm.step()
-
-    def running(self):
-        return [vm for vm in self.vms.values() if vm.running]
-
-
-class SimulatedVm:
-    """The membership of one VM, with the network in the place of its socket."""
-
-    def __init__(self, network, number, incarnation=1, strength=1.0, alone=False):
-        self.network = network
-        self.number = number
-        self.name = f"vm-{number}"
-        self.domain = list(REGIONS)[number % len(REGIONS)]
-        self.ip = f"10.0.{number // 200}.{number % 200 + 1}"
-        self.running = True
-        self.next_at = network.clock.time + random.Random(number).uniform(0.0, 0.2)
-        settings = decode_node_settings(SETTINGS)
-        settings.vm, settings.ip, settings.seeds = self.name, self.ip, []
-        settings.failure_domain = self.domain
-        settings.region, settings.regions = REGIONS[self.domain], REGIONS
-        journal = Journal(self.name, self.domain)
-        self.members = Members(settings, journal, network.clock, incarnation)
-        self.members.own.strength = strength
-        self.rooms = RoomView(network.clock)
-        self.suspects = Suspects(journal, network.clock)
-        self.gossip = Gossip(
-            settings,
-            self.members,
-            self.rooms,
-            self.suspects,
-            self.compose,
-            nothing_to_do,
-            journal,
-            network.clock,
-        )
-        self.gossip._sock = self
-        network.vms[self.ip] = self
-        if not alone:
-            self.meet_all()
-        self.members.set_serving(True)
-
-    @property
-    def known(self):
-        """Return the names of the VMs that this one takes as serving."""
-        return {each.vm for each in self.members.serving()}
-
-    def meet_all(self):
-        """Learn from the store which VMs there are."""
-        for vm in self.network.vms.values():
-            if vm is not self:
-                region = REGIONS[vm.domain]
-                self.members.introduce(vm.name, vm.ip, vm.domain, region)
-
-    async def sendto(self, data, address):
-        self.network.send(self, address[0], data)
-
-    def step(self):
-        if self.running and self.network.clock.time >= self.next_at:
-            self.next_at = self.network.clock.time + drive(self.gossip.round())
-
-    def compose(self, interval):
-        own = self.members.own
-        return Beat(
-            news_of(own),
-            interval,
-            0,
-            0,
-            False,
-            self.members.digest,
-            self.members.news(interval),
-            [],
-            [],
-            [],
-            self.suspects.digest,
-            [],
-        )
-
-
-def first_object(data):
-    """Return what the heartbeat in a datagram was packed from."""
-    unpacker = msgpack.Unpacker()
-    unpacker.feed(data)
-    return unpacker.unpack()
-
-
-def drive(coroutine):
-    """Return the value of a coroutine that waits for nothing."""
-    try:
-        coroutine.send(None)
-    except StopIteration as stop:
-        return stop.value
-    raise AssertionError("it waits")
-
-
 def start(count, loss=0.0):
     network = Network(loss)
     for number in range(count):
--- a/tests/test_quarantine_spread.py
+++ b/tests/test_quarantine_spread.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.test_membership import Network, SimulatedVm
+from standins.membership_simulation import Network, SimulatedVm
 
 #: Seconds in which every VM that runs undisturbed has to know, on the deployment with
 #: the shortest bound, and half of it for what the simulation leaves out.
