--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -234,7 +234,11 @@
             clock,
         )
         self._directory = Directory(
-            self._members, settings.front.port, settings.bounds.lookup_ttl
+            self._members,
+            settings.regions,
+            settings.front.port,
+            settings.bounds.lookup_ttl,
+            clock,
         )
         self._metrics = SteeringMetrics(self._beliefs)
         self.record = RequestRecord(self._metrics, journal, clock)
