A VM that starts in a large fleet greets a part of it at a time, and is not silent for long

A VM that starts sent a heartbeat to every VM of the store's table at once and then none until it could have sent as many at its usual rate: 1.6 s in a fleet of 195, 16.7 s with 2,000 rows of the table, a minute with 7,500.

Now it greets 300 in a round and sends the next heartbeat after 0.9 s at the latest; of the rest partners tell it. So what a start sends is the same at 2,000 and at 4,000 VMs.

--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -40,6 +40,8 @@
 #: VMs that start together agree as soon as with 0.15 s, after 4.5 s, with a fifth fewer
 #: bytes between regions (simulated, one run each).
 START_INTERVAL = 0.45
+#: VMs that were not heard yet which a starting VM greets with one round.
+MOST_GREETED = 300
 #: Seconds after the stop signal in which a VM tells all at the usual rate that it
 #: leaves: a lost datagram must not keep it in the look-ups of others.
 LEAVE_SECONDS = 0.4
@@ -287,7 +289,8 @@
         if self._is_starting():
             unheard = sum(each.heard_at is None for each in self._members.others())
             least = INTERVAL if self._members.topology.is_mesh else START_INTERVAL
-            return max(least, unheard / MOST_PER_SECOND)
+            # Others take a VM that is silent for longer for dead.
+            return max(least, min(unheard / MOST_PER_SECOND, IDLE_INTERVAL))
         if self._members.own not in active and not self._is_leaving():
             return IDLE_INTERVAL
         return max(INTERVAL, len(self._regular(active)) / MOST_PER_SECOND)
@@ -351,13 +354,14 @@
         rest = [each for each in members.others() if each not in regular]
         if members.topology.is_mesh:
             tells = own in members.active() or self._is_leaving()
-            return [
+            unheard = [each for each in rest if each.heard_at is None]
+            heard = [
                 each
                 for each in rest
-                if tells
-                or each.failure_domain == own.failure_domain
-                or each.heard_at is None
+                if each.heard_at is not None
+                and (tells or each.failure_domain == own.failure_domain)
             ]
+            return [*heard, *sample(unheard, min(MOST_GREETED, len(unheard)))]
         partners = [each for each in rest if self._is_partner(each)]
         silent = [each for each in rest if members.live(each.vm) is None]
         told_live = [each for each in silent if each.told_live]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from heathercleat.steering.process.membership import gossip
 from heathercleat.steering.process.membership.beat import Beat
 from heathercleat.steering.process.membership.gossip import IDLE_INTERVAL, INTERVAL
+from heathercleat.steering.process.membership.member import SILENCE
+from heathercleat.steering.process.membership.members import PAUSE
 from heathercleat.steering.process.membership.topology import (
     FAR_PICKS,
     IDLE_FAR_PICKS,
@@ -21,6 +24,8 @@
 )
 
 SMALL, LARGE = 8, 60
+#: VMs of which a VM that starts greets some only.
+HUGE = 2000
 #: VMs of a fleet that are strong enough to carry requests, and the others.
 STRONG, WEAK = 21, 63
 #: Seconds for a fleet to find itself, and to agree on a death or a return.
@@ -169,6 +174,38 @@
     assert max(network.sent.values()) < most
 
 
+def start_alone(rows):
+    """Start a VM that learns from the store of VMs none of which answers."""
+    network = Network()
+    vm = SimulatedVm(network, 0, alone=True)
+    for number in range(1, rows):
+        vm.members.introduce(f"vm-{number}", f"10.9.{number}", "south-a", "south")
+    return vm
+
+
+def test_vm_that_starts_in_a_large_fleet_is_not_silent_for_long():
+    # Others take it for dead, and it takes itself for paused.
+    assert drive(start_alone(HUGE).gossip.round()) < min(SILENCE, PAUSE)
+
+
+def test_greetings_of_a_vm_that_starts_do_not_grow_with_the_fleet():
+    sent = []
+    for rows in (HUGE, 2 * HUGE):
+        vm = start_alone(rows)
+        vm.network.run(START_SECONDS)
+        sent.append(vm.network.sent[vm.name])
+    assert sent[0] == sent[1]
+
+
+def test_vm_that_greets_some_others_only_is_told_of_the_rest(monkeypatch):
+    network = start(LARGE)
+    monkeypatch.setattr(gossip, "MOST_GREETED", 2)
+    newcomer = SimulatedVm(network, LARGE)
+    network.run(START_SECONDS)
+    assert newcomer.known == {vm.name for vm in network.running()}
+    assert disagreeing(network) == []
+
+
 def test_vm_that_carries_no_requests_takes_no_owner_for_known():
     network = Network()
     weak = SimulatedVm(network, 0, strength=0.01)
