What a planned stop costs is counted, and its rows are read by few VMs in a large fleet

The simulation of stops counts messages, news, calls to the store and ranked targets. The bounds in the tests name no number of VMs.

One term grew with the fleet: every VM read the members' table each 60 s, so each row that a stop or a start changes was read by every VM, and the whole table where the store's history is shorter. In a large fleet only readers go on with it (one to three a region); they greet whom they find, and tell the others.

--- a/bench/run.py
+++ b/bench/run.py
@@ -25,6 +25,7 @@
     bench_surge,
     bench_takeover,
 )
+from bench.stops import bench_stops
 
 BENCHES = {
     "slots": bench_slots,
@@ -39,6 +40,7 @@
     "takeover": bench_takeover,
     "places": bench_places,
     "quarantine": bench_quarantine,
+    "stops": bench_stops,
     "log": bench_log,
     "text": bench_text,
 }
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -87,7 +87,7 @@
             self._take_members,
             lambda _: 0,
             lambda: 0,
-            is_reader=lambda: True,
+            is_reader=self.reads_members,
         )
 
     @property
@@ -192,6 +192,14 @@
         regions = len(set(self._settings.regions.values()))
         return own.vm in ranked("reader", names)[: ceil(READERS / regions)]
 
+    def reads_members(self):
+        """Return whether this VM goes on reading the members' table after its start.
+
+        In a large fleet readers do, and tell the others whom they hear by it: else each
+        row that a stop or a start changes would be read by every VM.
+        """
+        return self._members.topology.is_mesh or self.is_reader()
+
     def _is_answered_elsewhere(self):
         return any(each.store_answers for each in self._members.live_others())
 
--- a/standins/stop_simulation.py
+++ b/standins/stop_simulation.py
@@ -18,7 +18,7 @@
 from standins.membership_simulation import STEP, Network, SimulatedVm, drive
 
 #: Regions, and failure domains of each, by the number of VMs.
-LAYOUTS = {9: (1, 3), 24: (1, 3), 72: (3, 2), 195: (3, 5), 300: (3, 4)}
+LAYOUTS = {9: (1, 3), 30: (1, 3), 72: (3, 2), 195: (3, 5), 300: (3, 4)}
 SERVICES = ("s1", "s2")
 TARGETS_OF_SERVICE = 4
 #: Seconds from the start of a process to its first row and to serving.
--- a/tests/test_look_ups.py
+++ b/tests/test_look_ups.py
@@ -126,7 +126,7 @@
 
 
 def test_clients_of_a_failure_domain_that_returns_are_spread():
-    fleet = settled(24, loss=0.1)
+    fleet = settled(30, loss=0.1)
     clients = SimulatedClients(fleet, 60)
     clients.run(KEPT_SECONDS)
     seconds = return_one_by_one(fleet)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -365,6 +365,15 @@
         "-k",
         "short",
     ),
+    Mutation(
+        "SIZE-members-read-by-all",
+        f"{STEERING}/process/store/tables.py",
+        "is_mesh or self.is_reader()",
+        "is_mesh or True",
+        "tests/test_fleet_stops.py",
+        "-k",
+        "rows",
+    ),
     Mutation(
         "SIZE-silent-start",
         f"{STEERING}/process/membership/gossip.py",
