--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -41,6 +41,11 @@
 #: VMs that start together agree as soon as with 0.15 s, after 4.5 s, with a fifth fewer
 #: bytes between regions (simulated, one run each).
 START_INTERVAL = 0.45
+#: VMs that were not heard yet which a starting VM greets with one round.
+MOST_GREETED = 300
+#: Seconds after the stop signal in which a VM tells all at the usual rate that it
+#: leaves: a lost datagram must not keep it in the look-ups of others.
+LEAVE_SECONDS = 0.4
 MAX_DATAGRAM = 8192
 #: VMs of which is told again at once where partners believe otherwise, and looks (0.9 s
 #: apart) that find so before that while news still comes.
@@ -55,19 +60,19 @@
     """What VMs get the same heartbeat.
 
     :param full: whether it has reports.
-    :param is_far: whether it is for VMs that get fewer of those.
+    :param interval: seconds until the next one.
     :param is_partner: whether it is for partners.
     :param tells_suspects: whether it is for partners that know other suspects: what was
         lost on its way is told again until both know the same.
     """
 
     full: bool
-    is_far: bool
+    interval: float
     is_partner: bool
     tells_suspects: bool
 
 
-_KIND_FOR_SEEDS = BeatKind(False, False, False, False)
+_KIND_FOR_SEEDS = BeatKind(False, IDLE_INTERVAL, False, False)
 
 
 class Gossip:
@@ -116,7 +121,8 @@
         self._answer_until = {}
         self._idle_at = 0.0
         self._round = 0
-        self._started_at = clock.now()
+        self._starting_until = clock.now() + START_SECONDS
+        self._leaving_until = clock.now()
         self._bad = 0
         self._last_digest = None
         self._differs_for = 0
@@ -158,7 +164,10 @@
             await self._on_beat()
 
     def take(self, data):
-        """Take one datagram; return the :class:`Member` if it was not live before.
+        """Take one datagram; return the :class:`Member` if its process was not live.
+
+        The one before it may still be taken for live: a VM that is stopped and started
+        again knows nobody all the same.
 
         :raises ValueError: when it does not decode, as do the other errors of msgpack.
         """
@@ -166,7 +175,8 @@
         unpacker.feed(data)
         beat = Beat.of(unpacker.unpack())
         sent_at, echoed, held, asks = unpacker.unpack()
-        is_new = self._members.live(beat.own.vm) is None
+        before = self._members.live(beat.own.vm)
+        is_new = before is None or before.incarnation != beat.own.incarnation
         member = self._members.heard(beat)
         if member is None:
             return None
@@ -194,7 +204,7 @@
         """Send the heartbeats that are due, and return the seconds to the next ones."""
         self._members.check()
         now = self._clock.now()
-        to_all = now >= self._idle_at or self._is_starting()
+        to_all = now >= self._idle_at or self._is_starting() or self._is_leaving()
         self._round += 1
         if to_all:
             self._idle_at = now + IDLE_INTERVAL
@@ -202,6 +212,11 @@
         await self.send(to_all)
         return self._interval()
 
+    async def leave(self):
+        """Tell all that this VM leaves, at once and with the next rounds."""
+        self._leaving_until = self._clock.now() + LEAVE_SECONDS
+        await self.send()
+
     async def send(self, to_all=True):
         """Send one heartbeat to the VMs that carry requests.
 
@@ -234,30 +249,33 @@
         other took 155 MB between regions within 8 s, and filled the links of the weaker
         ones.
         """
-        traffic = self._members.traffic()
+        traffic, usual = self._members.traffic(), self._interval()
         packed = {}
         for member in members:
-            kind = self._kind(member, traffic)
+            kind = self._kind(member, traffic, usual)
             if kind not in packed:
                 packed[kind] = self._pack(kind)
             await self._send_to(member.ip, packed[kind], member.vm)
 
-    def _kind(self, member, traffic):
-        """Return the :class:`BeatKind` of the heartbeat to a VM."""
+    def _kind(self, member, traffic, usual):
+        """Return the :class:`BeatKind` of the heartbeat to a VM.
+
+        :param usual: seconds between two heartbeats to VMs that carry requests.
+        """
         takes_part = member in traffic or member.stage == Stage.STARTING
         full = self._members.own in traffic and takes_part
         is_partner = self._is_partner(member)
         differs = member.suspects_digest != self._suspects.digest
-        is_far = full and self._is_far(member)
-        return BeatKind(full, is_far, is_partner, is_partner and differs)
+        interval = usual if full or self._is_passing(member) else IDLE_INTERVAL
+        if full and self._is_far(member):
+            interval = FAR_ROUNDS * usual
+        return BeatKind(full, interval, is_partner, is_partner and differs)
 
     def _pack(self, kind):
         """Return the bytes of a heartbeat of a :class:`BeatKind`."""
-        if kind.full:
-            rounds = FAR_ROUNDS if kind.is_far else 1
-            beat = self._compose(rounds * self._interval())
-        else:
-            beat = self._compose(IDLE_INTERVAL).without_reports()
+        beat = self._compose(kind.interval)
+        if not kind.full:
+            beat = beat.without_reports()
         if not kind.is_partner:
             beat = beat.without_news()
         if kind.tells_suspects:
@@ -313,13 +331,17 @@
         if self._is_starting():
             unheard = sum(each.heard_at is None for each in self._members.others())
             least = INTERVAL if self._members.topology.is_mesh else START_INTERVAL
-            return max(least, unheard / MOST_PER_SECOND)
-        if self._members.own not in traffic:
+            # Others take a VM that is silent for longer for dead.
+            return max(least, min(unheard / MOST_PER_SECOND, IDLE_INTERVAL))
+        if self._members.own not in traffic and not self._is_leaving():
             return IDLE_INTERVAL
         return max(INTERVAL, len(self._regular(traffic)) / MOST_PER_SECOND)
 
     def _is_starting(self):
-        return self._clock.now() < self._started_at + START_SECONDS
+        return self._clock.now() < self._starting_until
+
+    def _is_leaving(self):
+        return self._clock.now() < self._leaving_until
 
     def _regular(self, members):
         """Return those of some VMs that get each heartbeat."""
@@ -335,6 +357,16 @@
             return True
         return self._answer_until.get(member.vm, 0.0) > self._clock.now()
 
+    def _is_passing(self, member):
+        """Return whether a VM that starts or leaves gets each heartbeat.
+
+        It answers look-ups as well: it has to hear of others that leave with it. In a
+        small fleet those tell it themselves.
+        """
+        if member.serving or self._members.topology.is_mesh:
+            return False
+        return self._is_partner(member)
+
     def _asks(self, vm):
         """Return whether a VM that gets a heartbeat has to answer it."""
         members, topology = self._members, self._members.topology
@@ -347,10 +379,12 @@
             receivers = [*receivers, *self._rare(receivers)]
         elif self._round % FAR_ROUNDS:
             receivers = [each for each in receivers if not self._is_far(each)]
-        return [
-            *receivers,
-            *(each for each in self._live_heirs() if each not in receivers),
-        ]
+        more = [*self._passing(), *self._live_heirs()]
+        return list(dict.fromkeys([*receivers, *more]))
+
+    def _passing(self):
+        """Return the VMs that start or leave and get each heartbeat."""
+        return [each for each in self._members.live_others() if self._is_passing(each)]
 
     def _live_heirs(self):
         """Return the VMs that have to know how many slots are taken from here."""
@@ -368,14 +402,15 @@
         members, own = self._members, self._members.own
         rest = [each for each in members.others() if each not in regular]
         if members.topology.is_mesh:
-            carries = own in members.traffic()
-            return [
+            tells = own in members.traffic() or self._is_leaving()
+            unheard = [each for each in rest if each.heard_at is None]
+            heard = [
                 each
                 for each in rest
-                if carries
-                or each.failure_domain == own.failure_domain
-                or each.heard_at is None
+                if each.heard_at is not None
+                and (tells or each.failure_domain == own.failure_domain)
             ]
+            return [*heard, *sample(unheard, min(MOST_GREETED, len(unheard)))]
         partners = [each for each in rest if self._is_partner(each)]
         silent = [each for each in rest if members.live(each.vm) is None]
         told_live = [each for each in silent if each.told_live]
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -244,7 +244,11 @@
             clock,
         )
         self._directory = Directory(
-            self._members, settings.front.port, settings.bounds.lookup_ttl
+            self._members,
+            settings.regions,
+            settings.front.port,
+            settings.bounds.lookup_ttl,
+            clock,
         )
         self._metrics = SteeringMetrics(self._beliefs)
         self.record = RequestRecord(self._metrics, journal, clock)
@@ -363,7 +367,7 @@
             self.departure.ends_at,
         )
         self._journal.write(Event.VM_LEAVING, requests=self.leavers.count)
-        await self._gossip.send()
+        await self._gossip.leave()
         await spawn(self._tables.deregister, daemon=True)
         await self._finish_requests()
         await self._listeners.give_up_blocking()
--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -16,15 +16,15 @@
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.rooms import REPORT_LIFE
 from heathercleat.steering.process.capacity.slots import SlotLedger
-from heathercleat.steering.process.directory import LEAVING_TTL, Directory
+from heathercleat.steering.process.directory import SHORT_TTL, START_SECONDS, Directory
 from heathercleat.steering.process.handover import Handover
 from heathercleat.steering.process.membership.composer import BeatComposer
 from heathercleat.steering.process.membership.gossip import INTERVAL
 from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.membership.topology import FAR_PICKS, NEAR_PICKS
+from standins.membership_simulation import REGIONS, Network, SimulatedVm, drive
 from tests.steering_parts import Parts, beat, entry
-from tests.test_membership import REGIONS, Network, SimulatedVm, drive
 
 LEAVING, FINISHING = Stage.LEAVING, Stage.FINISHING
 TARGETS = [entry(f"t{number}") for number in range(8)]
@@ -113,7 +113,10 @@
 
 
 def lookup(parts):
-    found = Directory(parts.members, 80, 5.0).lookup("north", "north-a")
+    regions = {"north-a": "north", "north-b": "north"}
+    directory = Directory(parts.members, regions, 80, 5.0, parts.clock)
+    parts.clock.time += START_SECONDS
+    found = directory.lookup("north", "north-a")
     return found, [each.partition(":")[0] for each in found.addresses]
 
 
@@ -122,11 +125,11 @@
     parts.members.heard(beat("vm-2", *FAR, stage=LEAVING))
     found, addresses = lookup(parts)
     assert addresses == [parts.settings.ip]
-    assert found.ttl > LEAVING_TTL
+    assert found.ttl > SHORT_TTL
     parts.members.leave()
     found, addresses = lookup(parts)
     assert addresses == [parts.settings.ip]
-    assert found.ttl == LEAVING_TTL
+    assert found.ttl == SHORT_TTL
 
 
 @pytest.mark.parametrize("stage", [Stage.STARTING, FINISHING])
@@ -332,7 +335,7 @@
     def leave(self):
         """Leave as the process does: all partners are told at once."""
         self.members.leave()
-        drive(self.gossip.send())
+        drive(self.gossip.leave())
 
     def stop(self):
         """End: the requests under way end with the process."""
