VMs that know different others see that they do

VMs compare digests of what is told of all live VMs, an XOR of CRCs. A CRC is linear: knowing i-1 and i-2, and knowing i-0 and i-3, gave the same one, so that two VMs would not tell each other what they miss. Rendezvous weights of 64 bits take its place. test_membership, see that they differ: fails without. While VMs of both versions run, they tell each other a little more.

--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -1,11 +1,10 @@
 """The VMs that take part: heard from their heartbeats, or from what others tell."""
 
-from zlib import crc32
-
 from heathercleat.events import Event
 from heathercleat.steering.process.membership.member import Member, Stage, news_of
 from heathercleat.steering.process.membership.rumours import Rumours
 from heathercleat.steering.process.membership.topology import Topology
+from heathercleat.version.hashing import weight
 
 #: Seconds without a check after which this process itself was paused; it checks at each
 #: heartbeat that it sends, every 0.9 s at the most.
@@ -73,7 +72,7 @@
             self._digest = 0
             for member in self._members.values():
                 if member.told_live:
-                    self._digest ^= crc32(f"{member.vm} {member.stamp}".encode())
+                    self._digest ^= weight(member.vm, member.stamp)
         return self._digest
 
     @property
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -22,6 +22,7 @@
     drive,
     first_object,
 )
+from tests.steering_parts import Parts, beat
 
 SMALL, LARGE = 8, 60
 #: VMs of which a VM that starts greets some only.
@@ -105,6 +106,18 @@
     assert disagreeing(network) == []
 
 
+def test_vms_that_know_different_ones_see_that_they_differ():
+    """A sum over CRCs is the same for both."""
+
+    def digest(*vms):
+        parts = Parts()
+        for vm in vms:
+            parts.members.heard(beat(vm, incarnation=7))
+        return parts.members.digest
+
+    assert digest("i-1", "i-2") != digest("i-0", "i-3")
+
+
 @pytest.mark.parametrize("count", [SMALL, LARGE])
 def test_vm_that_leaves_is_known_to_leave(count):
     network = start(count)
