A stop counts from its signal, not from when it is read

A loop that is busy reads a signal later, and took the kill to come as much later as well: half a second of it is more than the 0.35 s that are left at the end. The instant is taken as the signal comes.

--- a/src/heathercleat/process/signals.py
+++ b/src/heathercleat/process/signals.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+from collections import deque
 
 from curio.io import Socket
 
@@ -12,24 +13,35 @@
     A task that looked for them every 0.05 s was a quarter of the wake-ups of a process
     without requests (20 of 85 a second, counted over 30 s).
 
+    :param clock: source of instants.
     :param numbers: the signals to take.
     """
 
-    def __init__(self, *numbers):
+    def __init__(self, clock, *numbers):
+        self._clock = clock
+        self._instants = deque()
+        self._came_at = None
         reader, self._writer = socket.socketpair()
         self._reader = Socket(reader)
         self._writer.setblocking(False)
         for number in numbers:
             signal.signal(number, self._on_signal)
 
+    @property
+    def came_at(self):
+        """Return the instant at which the last signal came that was returned."""
+        return self._came_at
+
     async def next(self):
         """Wait for a signal and return its number."""
         received = await self._reader.recv(1)
+        self._came_at = self._instants.popleft()
         return signal.Signals(received[0])
 
     def _on_signal(self, number, _):
         try:
             self._writer.send(bytes([number]))
+            self._instants.append(self._clock.now())
         except BlockingIOError:
             # Hundreds of signals wait to be read; the task has enough to tell it.
             pass
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -311,7 +311,7 @@
     async def serve(self):
         """Run until a graceful shutdown has ended."""
         self._journal.write(Event.VM_STARTED, incarnation=self._members.own.incarnation)
-        signals = SignalWatch(SIGTERM, SIGINT, SIGHUP)
+        signals = SignalWatch(self.clock, SIGTERM, SIGINT, SIGHUP)
         await self._gossip.open()
         async with TaskGroup(wait=any) as group:
             await group.spawn(self._shut_down, signals)
@@ -360,7 +360,8 @@
         """Wait for a stop signal, then leave without cutting any request."""
         while await signals.next() is SIGHUP:
             self._reload()
-        self.departure.begin(self.clock.now(), self._settings.bounds.stop_grace)
+        # A busy loop reads the signal later, and the kill does not wait for it.
+        self.departure.begin(signals.came_at, self._settings.bounds.stop_grace)
         self._leaving = True
         self._members.leave()
         self._handover.begin(
