A request whose target is slow to connect is looked at again before it is sent

To connect may take 0.4 s; what stood in the way of a request was asked before it only. Now the end of this VM and of the one that asked, the deadline and the quarantine are asked after it as well as whether the client has left. test_departure, slow to connect: fails without it.

--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -116,9 +116,11 @@
             if not isinstance(error, TimeoutError) or self._clock.now() < call.deadline:
                 self._rest(target, began_at, f"connect: {error!r}")
             return TryResult(End.NOT_SENT, target=entry.id, reason=repr(error))
-        if call.left:
+        # To connect takes time as well.
+        obstacle = self._obstacle(call)
+        if obstacle is not None:
             await self._pool.give_back(entry.host, entry.port, stream)
-            return TryResult(End.NOT_SENT, reason=CLIENT_LEFT)
+            return TryResult(End.NOT_SENT, reason=obstacle)
         exchange = TargetExchange(stream, call, entry, self._clock)
         # To cut the connection does not undo what runs, which may run once only.
         call.on_leave = StreamCut(stream) if call.route.kind.idempotent else None
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -238,6 +238,20 @@
     assert len(scene.local.tried) == 1
 
 
+class SlowPool:
+    """Connects after half a second."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self.given_back = 0
+
+    async def checkout(self, host, port, max_age):
+        self._clock.time += 0.5
+
+    async def give_back(self, host, port, stream):
+        self.given_back += 1
+
+
 class Owner:
     """The owner of one target that has one slot."""
 
@@ -246,11 +260,12 @@
         self.runs = RunTimes(parts.clock)
         self.departure = Departure(self.runs, lambda: True)
         self.admission = Admission(parts.ledger, parts.members.region_of, parts.clock)
+        self.pool = SlowPool(parts.clock)
         self.local = LocalTry(
             self.admission,
             parts.ledger,
             parts.registry,
-            None,
+            self.pool,
             WorkTimes(),
             self.departure,
             None,
@@ -302,6 +317,16 @@
     assert (result.end, result.reason) == (End.NOT_SENT, LEAVING)
 
 
+def test_request_whose_target_is_slow_to_connect_is_not_sent_too_late():
+    owner = Owner()
+    request = owner.call()
+    request.send_by = owner.parts.clock.now() + 0.4
+    until = owner.parts.clock.now() + FAR
+    result = run(owner.local.run, request, (), (), until)
+    assert (result.end, result.reason) == (End.NOT_SENT, LEAVING)
+    assert owner.pool.given_back == 1
+
+
 @pytest.mark.parametrize(("send_in", "expected"), [(2.0, 1.9), (NO_END, NO_END)])
 def test_owner_is_told_until_when_it_may_send(send_in, expected):
     parts = Parts([entry("t1")])
