--- a/src/heathercleat/steering/request/answer.py
+++ b/src/heathercleat/steering/request/answer.py
@@ -114,7 +114,7 @@
     @property
     def may_have_run(self):
         """Return whether a target may have begun to run the request."""
-        return self.end not in (End.NOT_SENT, End.REFUSED)
+        return not self.end.not_run
 
     @property
     def succeeded(self):
