--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest -q -n 4
+	$(BIN)/python -m pytest -q -n 4 -rxX
 
 # Fresh examples for the state machines, some rounds, each with a seed that it prints.
 SEED ?= $(shell date +%s)
