--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -137,24 +137,22 @@
         assert stop.is_too_late(1.4)
 
 
-@pytest.mark.parametrize("end", [End.UNKNOWN, End.TIMED_OUT])
-def test_long_runs_without_an_answer_count_when_they_are_over(end):
-    stop = Stop(0.3)
-    with stop.departure.runs.watch(call(stop.clock)) as each:
-        stop.clock.time += 5.0
-        each.take(ended(end))
-    stop.departure.begin(stop.clock.now(), GRACE)
-    assert stop.is_too_late(0.0)
-
-
-@pytest.mark.parametrize("end", [End.NOT_SENT, End.REFUSED])
-def test_waits_for_a_slot_are_no_runs(end):
+@pytest.mark.parametrize(
+    ("end", "too_late"),
+    [
+        (End.UNKNOWN, True),
+        (End.TIMED_OUT, True),
+        (End.NOT_SENT, False),
+        (End.REFUSED, False),
+    ],
+)
+def test_long_runs_without_an_answer_count_and_waits_do_not(end, too_late):
     stop = Stop(0.3)
     with stop.departure.runs.watch(call(stop.clock)) as each:
         stop.clock.time += 5.0
         each.take(ended(end))
     stop.departure.begin(stop.clock.now(), GRACE)
-    assert not stop.is_too_late(0.0)
+    assert stop.is_too_late(0.0) is too_late
 
 
 def test_quick_failures_do_not_hide_long_runs():
