A request served alone is the last one only while it is served

The pipeline kept the last request that was served alone until another one began, so that in a stop the refusal of a head that could not be read, after such a request, did not tell the client to close. It is kept for the time of a block now. test_pipelining, head that cannot be read: fails without it. A doc comment that told a measurement is shorter.

--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -86,8 +86,8 @@
             return False
         turn = Turn(self._stream, head, self._clock.now())
         if not _may_overlap(head):
-            await self._pipeline.wait_alone(turn)
-            await self._serve(turn)
+            async with self._pipeline.alone(turn):
+                await self._serve(turn)
             return await self._follow()
         turn.body = await read_body(self._stream, 0)
         goes_on = await self._follow()
--- a/src/heathercleat/steering/connection/pipeline.py
+++ b/src/heathercleat/steering/connection/pipeline.py
@@ -1,6 +1,7 @@
 """Requests of one connection that are served at the same time and answered in order."""
 
 from collections import deque
+from contextlib import asynccontextmanager
 
 from curio import CancelledError, spawn
 from curio import Event as Signal
@@ -102,7 +103,6 @@
 
         :param serve: a coroutine that serves the :class:`Turn` to its end.
         """
-        self._alone = None
         turn.before = self._turns[-1] if self._turns else None
         self._turns.append(turn)
         turn.task = await spawn(self._run, turn, serve, daemon=True)
@@ -112,10 +112,15 @@
         while len(self._turns) >= self._most:
             await self._turns[0].over.wait()
 
-    async def wait_alone(self, turn):
-        """Wait until a request that was read may be served, with none beside it."""
+    @asynccontextmanager
+    async def alone(self, turn):
+        """Wait for the others, and serve a request that was read in the block."""
         self._alone = turn
-        await self.drain()
+        try:
+            await self.drain()
+            yield
+        finally:
+            self._alone = None
 
     async def drain(self):
         """Wait until every request was answered or failed."""
@@ -125,8 +130,7 @@
     async def give_up_blocking(self):
         """Give up the requests whose answers are waited for by others that are ready.
 
-        A process that ends would lose the ready ones with them: a request whose target
-        had answered 2.6 s before was cut (on one drawn day).
+        A process that ends would lose the ready ones with them.
         """
         turns = list(self._turns)
         while turns and not turns[-1].ready:
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -297,6 +297,16 @@
     assert line.closed
 
 
+def test_head_that_cannot_be_read_after_a_request_alone_closes_in_a_stop(line):
+    line.send("POST")
+    line.answer("q0")
+    line.node.leaving = True
+    line.client.sendall(b"\x00 bad\r\n\r\n")
+    line.settle()
+    assert line.connection._closed
+    assert line.closed
+
+
 def test_end_of_the_process_sends_no_answer_in_the_place_of_another(line):
     """Seen once in eight plays of a day: the answer that was ready went first."""
     line.send()
