--- a/src/heathercleat/process/signals.py
+++ b/src/heathercleat/process/signals.py
@@ -10,8 +10,7 @@
 class SignalWatch:
     """Tells of signals as they come.
 
-    A task that looked for them every 0.05 s was a quarter of the wake-ups of a process
-    without requests (20 of 85 a second, counted over 30 s).
+    Nothing wakes up to look for them: a process without requests rests.
 
     :param clock: source of instants.
     :param numbers: the signals to take.
--- a/src/heathercleat/steering/process/capacity/run_times.py
+++ b/src/heathercleat/steering/process/capacity/run_times.py
@@ -33,7 +33,7 @@
     def take(self, result):
         """Take the :class:`TryResult`; without one, the run was broken off."""
         self.seconds = result.work
-        self.may_have_run = result.may_have_run
+        self.may_have_run = not result.end.not_run
         self.succeeded = result.succeeded
 
 
--- a/src/heathercleat/steering/process/departure.py
+++ b/src/heathercleat/steering/process/departure.py
@@ -1,9 +1,8 @@
 """When a leaving VM ends, and which requests it can still finish."""
 
-from random import uniform
-
 from heathercleat.codes import ResultCode
 from heathercleat.errors import RequestError
+from heathercleat.steering.process.returns import return_at
 
 #: The instant of an end that does not come.
 NO_END = float("inf")
@@ -19,8 +18,6 @@
 KEEP_SECONDS = 2.5
 #: Seconds after which one of the VMs that stop together may serve again.
 RESTART_SECONDS = 1.0
-#: Part of a client's remaining time up to which it honours when to come back.
-RETURN_SHARE = 0.3
 #: Why a request was given back.
 LEAVING = "the VM is leaving"
 
@@ -102,8 +99,9 @@
             another VM, or later where none serves.
         """
         if self.is_too_late(call, now):
-            wait = 0.0 if self._others_serve() else _return_after(call, now)
-            raise RequestError(ResultCode.NO_ROOM, LEAVING, retry_at=now + wait)
+            mean = 0.0 if self._others_serve() else RESTART_SECONDS
+            retry_at = return_at(call, mean, now)
+            raise RequestError(ResultCode.NO_ROOM, LEAVING, retry_at)
 
     def is_too_late(self, call, now):
         """Return whether a request sent to a target now might be cut."""
@@ -135,9 +133,3 @@
             return None
         needed = min(call.deadline - now, self._runs.bound(call))
         return StopEstimate(self.elapsed(now), needed, self._runs.count(call))
-
-
-def _return_after(call, now):
-    """Return the seconds after which a VM may serve again, as a client honours them."""
-    longest = RETURN_SHARE * max(0.0, call.deadline - now)
-    return min(longest, uniform(0.5, 1.5) * RESTART_SECONDS)
--- a/src/heathercleat/steering/process/handover.py
+++ b/src/heathercleat/steering/process/handover.py
@@ -3,7 +3,7 @@
 from heathercleat.version.hashing import ranked
 
 #: Seconds without a request of its own clients after which a VM that leaves gives the
-#: targets that it keeps to others that leave.
+#: targets that it keeps to others that leave, and without any after which it ends.
 QUIET_SECONDS = 0.4
 #: Seconds by which another VM has to have been told to stop later than this one to have
 #: more time: three heartbeats, so that no two VMs take each other for the later one.
@@ -30,7 +30,7 @@
         self._members = members
         self._owners = owners
         self._is_short = is_short
-        self._linger_until = 0.0
+        self._keeps_until = 0.0
         self._last_start_at = 0.0
         self._quiet_since = 0.0
 
@@ -39,15 +39,15 @@
         """Return whether this VM owns nothing any more."""
         return not self._owners.owned()
 
-    def begin(self, now, linger_until, ends_at):
+    def begin(self, now, keeps_until, ends_at):
         """Start to leave.
 
-        :param linger_until: instant until which clients may still come that looked this
+        :param keeps_until: instant until which clients may still come that looked this
             VM up.
         :param ends_at: instant at which this process ends.
         """
         self._quiet_since = now
-        self._linger_until = linger_until
+        self._keeps_until = keeps_until
         self._last_start_at = ends_at - LEAST_RUN
 
     def check(self, now, has_clients):
@@ -77,4 +77,4 @@
 
     def _may_go(self, now):
         is_quiet = now - self._quiet_since >= QUIET_SECONDS
-        return is_quiet and now >= self._linger_until
+        return is_quiet and now >= self._keeps_until
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -245,9 +245,8 @@
         """Send a heartbeat to some members, composed once for all that get the same.
 
         It has reports where both VMs carry requests, or the other one is about to. Only
-        partners are told news: told to all, what 195 VMs that start together tell each
-        other took 155 MB between regions within 8 s, and filled the links of the weaker
-        ones.
+        partners are told news: it passes from VM to VM, and told to all it would fill
+        the links of the weaker ones.
         """
         traffic, usual = self._members.traffic(), self._interval()
         packed = {}
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -32,11 +32,12 @@
 from heathercleat.steering.process.capacity.work import WorkTimes
 from heathercleat.steering.process.departure import Departure
 from heathercleat.steering.process.directory import Directory
-from heathercleat.steering.process.handover import Handover
+from heathercleat.steering.process.handover import QUIET_SECONDS, Handover
 from heathercleat.steering.process.leavers import Leavers
 from heathercleat.steering.process.listeners import Listeners
 from heathercleat.steering.process.membership.composer import BeatComposer
 from heathercleat.steering.process.membership.gossip import Gossip
+from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.membership.members import Members
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.quarantine.suspects import Suspects
@@ -71,8 +72,6 @@
 RESTART_PAUSE = 0.05
 #: Seconds between two looks whether a leaving VM has finished its requests.
 LEAVING_INTERVAL = 0.05
-#: Seconds without a request under way after which a leaving VM ends.
-QUIET_SECONDS = 0.4
 
 
 class SteeringNode:
@@ -91,7 +90,6 @@
         self._table = None
         self._splitters = {}
         self._budgets = {}
-        self._leaving = False
         self.repeats = RepeatDetector()
         self.leavers = Leavers()
         self.bodies = BodyMemory(settings.memory)
@@ -285,7 +283,7 @@
     @property
     def leaving(self):
         """Return whether this VM takes no new clients."""
-        return self._leaving
+        return self._members.own.stops
 
     @property
     def started(self):
@@ -362,7 +360,6 @@
             self._reload()
         # A busy loop reads the signal later, and the kill does not wait for it.
         self.departure.begin(signals.came_at, self._settings.bounds.stop_grace)
-        self._leaving = True
         self._members.leave()
         self._handover.begin(
             self.clock.now(),
@@ -416,7 +413,7 @@
         return bool(self.leavers.count) or self._listeners.busy
 
     def _update_serving(self):
-        if self.started and not self._leaving and not self._members.own.serving:
+        if self.started and self._members.own.stage == Stage.STARTING:
             self._members.set_serving(True)
 
     def _adopt(self, table):
--- a/src/heathercleat/steering/request/answer.py
+++ b/src/heathercleat/steering/request/answer.py
@@ -61,8 +61,7 @@
 QUARANTINED = "quarantined"
 
 
-#: The first status of the failures of a target.
-SERVER_ERROR = 500
+_SERVER_ERROR = 500
 
 
 class End(Enum):
@@ -111,12 +110,7 @@
         self.reason = reason
         self.ended = None
 
-    @property
-    def may_have_run(self):
-        """Return whether a target may have begun to run the request."""
-        return not self.end.not_run
-
     @property
     def succeeded(self):
         """Return whether a target answered, and not with a failure of its own."""
-        return self.end is End.ANSWERED and self.answer.status < SERVER_ERROR
+        return self.end is End.ANSWERED and self.answer.status < _SERVER_ERROR
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -1,11 +1,9 @@
 """Steering a request: places, tries, repeats and the final answer."""
 
-from random import uniform
-
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerLeftError, RequestError
 from heathercleat.events import Event
-from heathercleat.steering.process.departure import RETURN_SHARE
+from heathercleat.steering.process.returns import return_at
 from heathercleat.steering.request.answer import NO_SLOT_IN_TIME, QUARANTINED, End
 from heathercleat.steering.request.patience import Patience
 from heathercleat.steering.request.places import LARGE_BODY
@@ -320,8 +318,6 @@
 
     def _return_after(self):
         """Return the instant from which the client is welcome again."""
-        now = self._steering._clock.now()
         expected = self._steering._places.expected_wait(self._call) or 0.0
         mean = max(LEAST_RETURN, expected)
-        longest = RETURN_SHARE * max(0.0, self._call.deadline - now)
-        return now + min(longest, uniform(0.5, 1.5) * mean)
+        return return_at(self._call, mean, self._steering._clock.now())
