Log the limits that targets name in their responses

Nothing said whether, when and at which VM a target named a limit of its requests per second, so the hypotheses of the incident could be told apart by arrivals only. The header is decoded in the platform's package; the owner of the target records it and writes event 331 when it changes. Steering does not change: the events of the responses of another incarnation at the address are left out, and so is its load.

--- a/src/heathercleat/platform/headers.py
+++ b/src/heathercleat/platform/headers.py
@@ -1,10 +1,13 @@
 """HTTP headers that the platform defines for clients and targets."""
 
+from math import isfinite
+
 from heathercleat.platform.wire_names import (
     AFFINITY_COOKIE,
     DEADLINE_MS,
     EXPECTED_INSTANCE,
     NOT_EXECUTED,
+    RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
     RETRY_AFTER,
@@ -85,6 +88,8 @@
             head.is_encoded = True
         elif name == TARGET_LOAD:
             head.running_count, head.waiting_count = _parse_load(value)
+        elif name == RATE_LIMIT:
+            head.rate_limit = _parse_amount(value)
         elif name == b"keep-alive":
             head.keep_alive_seconds = _parse_keep_alive_timeout(value)
     if status == _MISDIRECTED_STATUS:
@@ -128,6 +133,15 @@
         return None, None
 
 
+def _parse_amount(value):
+    """Return a decimal number of 0 or more, or ``None`` if malformed."""
+    try:
+        amount = float(value)
+    except ValueError:
+        return None
+    return amount if isfinite(amount) and amount >= 0 else None
+
+
 def _parse_keep_alive_timeout(value):
     """Return the idle timeout of the target's connection in seconds, or ``None``."""
     for part in value.split(b","):
--- a/src/heathercleat/platform/wire_names.py
+++ b/src/heathercleat/platform/wire_names.py
@@ -14,6 +14,8 @@
 TARGET_LOAD = b"server-load"
 #: Present when the target has not executed the request.
 NOT_EXECUTED = b"not-executed"
+#: Requests per second that a target accepts from all callers together.
+RATE_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 #: Key by which a client identifies its workspace.
 WORKSPACE_KEY = b"x-api-key"
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -83,6 +83,10 @@
         """Return whether there is an entry of a target, usable or not."""
         return target_id in self._targets
 
+    def incarnations(self):
+        """Return the incarnation ids of all targets with an entry."""
+        return {entry.incarnation_id for entry in self._targets.values()}
+
     def usable(self):
         """Yield every usable target."""
         for entries in self._by_service.values():
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -58,11 +58,13 @@
     :param cold_limit: maximum number of requests per window while the target is cold,
         or ``None``.
     :param held_slots: the :class:`HeldSlots`.
+    :param notices: the :class:`Notices`.
     """
 
     __slots__ = (
         "entry",
         "_held_slots",
+        "_notices",
         "health",
         "uses",
         "cold_limit",
@@ -73,9 +75,10 @@
         "_other_load_until",
     )
 
-    def __init__(self, entry, cold_limit, cold_until, held_slots):
+    def __init__(self, entry, cold_limit, cold_until, held_slots, notices):
         self.entry = entry
         self._held_slots = held_slots
+        self._notices = notices
         self.health = TargetHealth()
         self.uses = []
         self.cold_limit = cold_limit
@@ -118,6 +121,17 @@
         self._other_load = max(0, running + waiting - len(self.uses))
         self._other_load_until = now + LOAD_REPORT_TTL_SECONDS
 
+    def record_response(self, head, now):
+        """Record the headers of a response.
+
+        :param head: its :class:`TargetResponseHead`.
+        """
+        if head.is_other_incarnation:
+            return
+        self._notices.record_response(self.entry, head)
+        if head.running_count is not None:
+            self.record_reported_load(head.running_count, head.waiting_count, now)
+
     def limit(self, now):
         """Return the maximum number of concurrent requests at the target now."""
         if now < self.health.ejected_until:
@@ -149,14 +163,26 @@
     :param services: returns the :class:`Service` of a name, or ``None``.
     :param bounds: the operators' :class:`Bounds`.
     :param held_slots: the :class:`HeldSlots`.
+    :param notices: the :class:`Notices`.
     """
 
-    def __init__(self, owners, registry, services, bounds, held_slots, journal, clock):
+    def __init__(
+        self,
+        owners,
+        registry,
+        services,
+        bounds,
+        held_slots,
+        notices,
+        journal,
+        clock,
+    ):
         self._owners = owners
         self._registry = registry
         self._services = services
         self._bounds = bounds
         self._held_slots = held_slots
+        self._notices = notices
         self._journal = journal
         self._clock = clock
         self._owned = {}
@@ -283,7 +309,9 @@
         target = self._owned.get(entry.id) or self._former_targets.get(entry.id)
         if target is None or not target.entry.is_same_incarnation(entry):
             limit = self._cold_limit(entry)
-            return OwnedTarget(entry, limit, cold_until, self._held_slots)
+            return OwnedTarget(
+                entry, limit, cold_until, self._held_slots, self._notices
+            )
         target.entry = entry
         target.cold_until = max(target.cold_until, cold_until)
         return target
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -22,6 +22,7 @@
 from heathercleat.steering.process.capacity.ejection_limit import EjectionLimit
 from heathercleat.steering.process.capacity.held_slots import HeldSlots
 from heathercleat.steering.process.capacity.loss_rates import LossRates
+from heathercleat.steering.process.capacity.notices import Notices
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.region_loss_rates import RegionLossRates
 from heathercleat.steering.process.capacity.region_shift import RegionShiftLimit
@@ -129,12 +130,14 @@
         self._owners = Owners(self._registry, self._members)
         self._capacity_reports = CapacityReports(clock)
         self._held_slots = HeldSlots(self._members, self._capacity_reports, clock)
+        self._notices = Notices(self._registry, journal, clock)
         self._ledger = SlotLedger(
             self._owners,
             self._registry,
             self._service,
             settings.bounds,
             self._held_slots,
+            self._notices,
             journal,
             clock,
         )
@@ -393,6 +396,7 @@
                 next_infrequent_checks_at = now + INFREQUENT_CHECK_SECONDS
                 self._ledger.update_slow_targets()
                 self._suspects.expire()
+                self._notices.expire()
                 self._freshness_monitor.check()
                 await self._target_pool.sweep()
                 await self._peer_pool.sweep()
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -16,6 +16,8 @@
     :param is_encoded: whether a content encoding was applied to the body.
     :param running_count: number of requests running at the target, or ``None``.
     :param waiting_count: number of requests queued at the target, or ``None``.
+    :param rate_limit: requests per second that the target accepts from all VMs
+        together, or ``None``.
     :param keep_alive_seconds: keep-alive timeout of the connection, or ``None``.
     """
 
@@ -28,6 +30,7 @@
         "is_encoded",
         "running_count",
         "waiting_count",
+        "rate_limit",
         "keep_alive_seconds",
     )
 
@@ -40,8 +43,14 @@
         self.is_encoded = False
         self.running_count = None
         self.waiting_count = None
+        self.rate_limit = None
         self.keep_alive_seconds = None
 
+    @property
+    def has_notice(self):
+        """Return whether the target asks something of its callers."""
+        return self.rate_limit is not None
+
 
 class TargetResponse:
     """A complete response; ``headers`` are pairs of bytes, without hop-by-hop ones."""
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -183,8 +183,8 @@
 
     def _record_result(self, call, slot_use, head, result, is_affinity_target):
         target, now = slot_use.target, self._clock.now()
-        if head is not None and head.running_count is not None:
-            target.record_reported_load(head.running_count, head.waiting_count, now)
+        if head is not None:
+            target.record_response(head, now)
         if call.is_disconnected:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -6,6 +6,7 @@
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.capacity.capacity_reports import CapacityReports
 from heathercleat.steering.process.capacity.held_slots import HeldSlots
+from heathercleat.steering.process.capacity.notices import Notices
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.slots import SlotLedger
@@ -119,12 +120,14 @@
         self.owners = Owners(self.registry, self.members)
         self.capacity_reports = CapacityReports(self.clock)
         self.held = HeldSlots(self.members, self.capacity_reports, self.clock)
+        self.notices = Notices(self.registry, self.journal, self.clock)
         self.ledger = SlotLedger(
             self.owners,
             self.registry,
             lambda name: Service(name, COLD_REQUESTS_PER_SECOND),
             self.settings.bounds,
             self.held,
+            self.notices,
             self.journal,
             self.clock,
         )
