Test that a limited target gets no more requests than it named; it fails

Stand-in targets name a limit on request, and record when each request arrives and from which VM. The bound is that of the users' rule.

--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -9,9 +9,12 @@
 ``GET /record`` returns ``runs``, ``spans`` (request id, start and planned end of each
 run), ``identities`` (request id, workspace names and keys that each run received),
 ``most`` (the highest number of requests in flight), ``shed`` (number of requests
-refused) and ``ends`` (instant and path of each request that crashed the target).
+refused), ``arrivals`` (request id, instant and IP address of the sender of each
+request) and ``ends`` (instant and path of each request that crashed the target).
 Instants are seconds of ``time.monotonic()``.
 
+``limit`` is named in each response as the requests per second that the target accepts.
+
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
 ``entry`` under its new id to the table store at ``store`` (host and port). ``end``
@@ -41,6 +44,7 @@
     DEADLINE_MS,
     EXPECTED_INSTANCE,
     NOT_EXECUTED,
+    RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
     TARGET_LOAD,
@@ -66,6 +70,7 @@
         self._spans = []
         self._identities = []
         self._shed = 0
+        self._arrivals = []
         self._switches = {
             "id": instance,
             "work_s": 0.02,
@@ -78,6 +83,7 @@
             "lose": False,
             "learning_x": 1.0,
             "remembers": 24,
+            "limit": None,
             "fatal": [],
             "down_s": 2.0,
             "store": None,
@@ -120,12 +126,12 @@
         """Serve requests on one connection."""
         stream = HttpStream(sock, h11.SERVER)
         try:
-            while await self._serve_one(stream):
+            while await self._serve_one(stream, address[0]):
                 pass
         except CONNECTION_ERRORS:
             return
 
-    async def _serve_one(self, stream):
+    async def _serve_one(self, stream, sender):
         head = await stream.next_event()
         if not isinstance(head, h11.Request):
             return False
@@ -144,23 +150,26 @@
                 "identities": self._identities,
                 "most": self._peak,
                 "shed": self._shed,
+                "arrivals": self._arrivals,
                 "ends": self._crashes,
             }
             await self._send(stream, 200, [], json.dumps(record).encode())
         else:
-            await self._serve_request(stream, head, body)
+            await self._serve_request(stream, head, body, sender)
         return stream.next_cycle()
 
-    async def _serve_request(self, stream, head, body):
+    async def _serve_request(self, stream, head, body, sender):
         headers = dict(head.headers)
         id_header = [(REQUEST_ID, headers.get(REQUEST_ID, b""))]
         instance = self._switches["id"].encode()
         if headers.get(EXPECTED_INSTANCE, instance) != instance:
             await self._send(stream, 421, id_header, b"")
             return
+        self._arrivals.append([headers[REQUEST_ID].decode(), time.monotonic(), sender])
         if self._must_shed():
             self._shed += 1
-            await self._send(stream, 503, [*id_header, (NOT_EXECUTED, b"1")], b"")
+            refusal = [*id_header, (NOT_EXECUTED, b"1"), *self._notices()]
+            await self._send(stream, 503, refusal, b"")
             return
         self._running += 1
         self._peak = max(self._peak, self._running)
@@ -208,9 +217,15 @@
         total = len(self._runs) + self._shed + 1
         return self._running >= self._slots or self._shed < share * total
 
+    def _notices(self):
+        """Yield the headers that ask something of the callers."""
+        limit = self._switches["limit"]
+        if limit is not None:
+            yield RATE_LIMIT, str(limit).encode()
+
     async def _respond(self, stream, id_header, body):
         load = f"{self._running},0,{self._slots}".encode()
-        headers = [*id_header, (TARGET_LOAD, load)]
+        headers = [*id_header, (TARGET_LOAD, load), *self._notices()]
         if not self._switches["unsigned"]:
             headers.append((RESPONSE_SIGNATURE, b"signed"))
         if self._switches["encoded"]:
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -248,6 +248,10 @@
         """Return ``[request id, start, planned end]`` of every run."""
         return [span for each in self.targets for span in self.record(each)["spans"]]
 
+    def arrivals(self, target_id):
+        """Return ``[request id, instant, sender]`` of every request at a target."""
+        return self.record(target_id)["arrivals"]
+
     def identities(self):
         """Return ``[request id, workspace names, keys]`` as every run received them."""
         return [run for each in self.targets for run in self.record(each)["identities"]]
--- /dev/null
+++ b/tests/test_target_notices.py
@@ -0,0 +1,95 @@
+"""Targets that ask their callers for less in the headers of their responses."""
+
+import threading
+import time
+
+import pytest
+
+from standins.steering_fleet import SteeringFleet
+from tests.platform_samples import config
+
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+#: The first one receives the notices.
+TARGETS = {
+    "i-1": ("s1", "north-a", 4),
+    "i-2": ("s1", "north-a", 4),
+    "i-3": ("s1", "north-b", 4),
+    "i-4": ("s1", "south-a", 4),
+}
+VMS = {"north-a": 2, "north-b": 1, "south-a": 1}
+#: Requests per second that the target accepts.
+RATE_LIMIT = 5.0
+#: Seconds from the first response with a limit until the limit has to be kept.
+ADOPTION_SECONDS = 3.0
+WINDOW_SECONDS = 4.0
+#: Requests that a limit allows in a window.
+MOST_IN_WINDOW = 1.5 * RATE_LIMIT * WINDOW_SECONDS + 5
+CLIENTS = 10
+
+
+@pytest.fixture
+def fleet():
+    with SteeringFleet(config(), DOMAINS, VMS, TARGETS, subnet=30) as started:
+        for each in TARGETS:
+            started.switch_target(each, work_s=0.05)
+        yield started
+
+
+class Load:
+    """Clients that send safe requests through all VMs without pause.
+
+    :ivar sent: request id to the instant at which it was sent.
+    :ivar statuses: the status of each response, in order.
+    """
+
+    def __init__(self, fleet, vms):
+        self._fleet = fleet
+        self._vms = vms
+        self._ends_at = 0.0
+        self.sent = {}
+        self.statuses = []
+
+    def run(self, seconds):
+        """Send requests for some seconds."""
+        self._ends_at = time.monotonic() + seconds
+        clients = [
+            threading.Thread(target=self._send, args=(n,)) for n in range(CLIENTS)
+        ]
+        for each in clients:
+            each.start()
+        for each in clients:
+            each.join()
+
+    def _send(self, client):
+        number = 0
+        while (now := time.monotonic()) < self._ends_at:
+            number += 1
+            request_id = f"q{client}.{number}.{self._ends_at}"
+            self.sent[request_id] = now
+            vm = self._vms[(client + number) % len(self._vms)]
+            response = self._fleet.send(vm, "GET", "/one/two/x", request_id)
+            self.statuses.append(response[0])
+
+
+def most_in_window(instants):
+    """Return the highest number of instants in any window."""
+    instants = sorted(instants)
+    return max(
+        sum(first <= each < first + WINDOW_SECONDS for each in instants)
+        for first in instants
+    )
+
+
+def arrivals_since(fleet, target_id, instant):
+    return [at for _, at, _ in fleet.arrivals(target_id) if at >= instant]
+
+
+def test_limited_target_gets_no_more_than_its_limit(fleet):
+    fleet.switch_target("i-1", limit=RATE_LIMIT)
+    begin = time.monotonic()
+    load = Load(fleet, list(fleet.vms.values()))
+    load.run(ADOPTION_SECONDS + 2 * WINDOW_SECONDS)
+    arrivals = arrivals_since(fleet, "i-1", begin + ADOPTION_SECONDS)
+    assert most_in_window(arrivals) <= MOST_IN_WINDOW
+    assert len(arrivals) >= RATE_LIMIT * WINDOW_SECONDS, "the target is hardly used"
+    assert set(load.statuses) == {200}, "other targets have free slots"
