Pace the requests to a target by the limit that it names

Cause: slots were the only measure of what a target takes. A limit in its responses was not read, and no part of admission knew of rates but for cold targets.

Change: the owner of a target keeps a token bucket that follows the limit which the last response named, with a burst of a quarter of a second. Without a token the target has no free slot and its limit is 0, so that other VMs and requests with affinity to it take another target at once. Expected waits follow the rate: what can be served in time waits, the rest is refused with the time of the next token. A limit of 0 is probed each 4 s, since only a response shows its end.

Why it holds: only the owner sends to a target, each request takes a token as it takes its slot, and in 4 s the bucket yields 4 times the limit and a burst; the rule allows 6 times the limit and 5.

--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -52,7 +52,8 @@
         targets = self._ledger.of_service(service)
         if not queue.on_time_count(now) and any(target.free(now) for target in targets):
             return WaitEstimate(0.0, 0.0)
-        slots = sum(target.limit(now) for target in targets)
+        hold_seconds = queue.mean_hold_seconds
+        slots = sum(target.usable_slots(hold_seconds, now) for target in targets)
         if not slots:
             return None
         return queue.wait_estimate(
@@ -73,6 +74,8 @@
         :param wait_until: instant at which the wait ends.
         """
         queue = self._queue(call.service)
+        if preferred and not self._accepts_requests(preferred):
+            call.affinity_until = min(call.affinity_until, self._clock.now())
         waiter = Waiter(call, preferred, avoid, self._region_of)
         if not queue.waiters:
             use = self._claim_free_slot(waiter)
@@ -132,6 +135,12 @@
             or self._clock.now() + wait > call.give_up_at + WAIT_TOLERANCE_SECONDS
         )
 
+    def _accepts_requests(self, target_ids):
+        """Return whether one of some targets is owned and accepts requests now."""
+        now = self._clock.now()
+        owned = filter(None, map(self._ledger.get, target_ids))
+        return any(target.limit(now) for target in owned)
+
     async def _assign_free_slots(self, queue, target):
         """Assign the free slots of a target to waiters."""
         now = self._clock.now()
--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -44,6 +44,11 @@
         self._clock = clock
         self._notices = {}
 
+    def rate(self, incarnation):
+        """Return the requests per second that a target accepts, or ``None``."""
+        notice = self._notices.get(incarnation)
+        return notice and notice.rate
+
     def record_response(self, entry, head):
         """Record what a response of a target asks for.
 
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -6,6 +6,7 @@
 from heathercleat.events import Event
 from heathercleat.process.clock import DISTANT_PAST
 from heathercleat.steering.process.capacity.health import TargetHealth
+from heathercleat.steering.process.capacity.pacer import Pacer
 
 #: Seconds for which a target's own report of its load is valid.
 LOAD_REPORT_TTL_SECONDS = 0.4
@@ -65,6 +66,7 @@
         "entry",
         "_held_slots",
         "_notices",
+        "_pacer",
         "health",
         "uses",
         "cold_limit",
@@ -79,6 +81,7 @@
         self.entry = entry
         self._held_slots = held_slots
         self._notices = notices
+        self._pacer = Pacer()
         self.health = TargetHealth()
         self.uses = []
         self.cold_limit = cold_limit
@@ -88,6 +91,11 @@
         self._other_load = 0
         self._other_load_until = 0.0
 
+    @property
+    def rate(self):
+        """Return the requests per second that the target accepts, or ``None``."""
+        return self._notices.rate(self.entry.incarnation_id)
+
     def is_known(self, now):
         """Return ``True``: the slots are counted here."""
         return True
@@ -100,6 +108,8 @@
         free = self.limit(now) - len(self.uses) - other_load
         if now < self.cold_until and self.cold_limit is not None:
             free = min(free, self.cold_limit - self._count_recent_claims(now))
+        if self.rate is not None:
+            free = min(free, self._pacer.available(self.rate, now))
         return max(0, free)
 
     def claim(self, now, deadline=DISTANT_PAST):
@@ -111,6 +121,8 @@
         self.uses.append(use)
         self._recent_claims.append(now)
         self._count_recent_claims(now)
+        if self.rate is not None:
+            self._pacer.withdraw(self.rate, now)
         return use
 
     def record_reported_load(self, running, waiting, now):
@@ -134,6 +146,20 @@
 
     def limit(self, now):
         """Return the maximum number of concurrent requests at the target now."""
+        if self.rate is not None and not self._pacer.available(self.rate, now):
+            return 0
+        return self._slot_limit(now)
+
+    def usable_slots(self, hold_seconds, now):
+        """Return how many slots requests can use on average; may be a fraction.
+
+        :param hold_seconds: mean time for which a request holds a slot.
+        """
+        slots = self._slot_limit(now)
+        return slots if self.rate is None else min(slots, self.rate * hold_seconds)
+
+    def _slot_limit(self, now):
+        """Return the maximum number of concurrent requests without a rate limit."""
         if now < self.health.ejected_until:
             return 0
         if self.uses and self.health.is_unresponsive(now, self.uses[0].started_at):
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,131 @@
+"""Requests to a target that limits their rate."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from heathercleat.platform.headers import parse_response_head
+from heathercleat.steering.process.capacity.admission import Admission
+from heathercleat.steering.process.capacity.pacer import Pacer
+from heathercleat.steering.request.attempt_result import TargetResponseHead
+from tests.steering_parts import Parts, call, entry
+from tests.test_queueing import acquire
+
+WINDOW_SECONDS = 4.0
+
+
+def name_limit(parts, target_id, rate):
+    """Record a response in which a target names a limit; ``None`` for no limit."""
+    head = TargetResponseHead()
+    head.rate_limit = rate
+    parts.ledger.get(target_id).record_response(head, parts.clock.now())
+
+
+def make_admission(parts):
+    return Admission(parts.ledger, parts.members.region_of, parts.clock)
+
+
+@pytest.mark.parametrize(
+    ("value", "rate"),
+    [
+        (b"8.4", 8.4),
+        (b"0", 0.0),
+        (b"-1", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"many", None),
+        (b"", None),
+    ],
+)
+def test_malformed_limit_is_none(value, rate):
+    assert parse_response_head(200, [(b"server-limit", value)]).rate_limit == rate
+
+
+@given(
+    rate=st.floats(0.0, 100.0),
+    pauses=st.lists(st.floats(0.0, 3.0), min_size=1, max_size=200),
+)
+def test_pacer_allows_no_more_than_the_limit_in_any_window(rate, pauses):
+    pacer, now, sent = Pacer(), 0.0, []
+    for pause in pauses:
+        now += pause
+        for _ in range(pacer.available(rate, now)):
+            pacer.withdraw(rate, now)
+            sent.append(now)
+    allowed = 1.5 * rate * WINDOW_SECONDS + 5
+    for first in sent:
+        assert sum(first <= at <= first + WINDOW_SECONDS for at in sent) <= allowed
+
+
+def test_limited_target_is_used_at_its_rate():
+    parts = Parts([entry("t1", slots=10)])
+    name_limit(parts, "t1", 5.0)
+    target = parts.ledger.get("t1")
+    sent = 0
+    for _ in range(200):
+        parts.clock.time += 0.05
+        while target.free(parts.clock.now()):
+            parts.ledger.release(target.claim(parts.clock.now()))
+            sent += 1
+    assert sent == pytest.approx(50, abs=2)
+
+
+def test_target_that_allows_nothing_is_probed():
+    parts = Parts([entry("t1", slots=10)])
+    name_limit(parts, "t1", 0.0)
+    target = parts.ledger.get("t1")
+    assert target.free(parts.clock.now()) == 1
+    parts.ledger.release(target.claim(parts.clock.now()))
+    parts.clock.time += 3.0
+    assert target.free(parts.clock.now()) == 0
+    parts.clock.time += 2.0
+    assert target.free(parts.clock.now()) == 1
+
+
+def test_limit_ends_with_a_response_that_does_not_name_it():
+    parts = Parts([entry("t1", slots=4)])
+    name_limit(parts, "t1", 0.5)
+    name_limit(parts, "t1", None)
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 4
+
+
+def test_response_of_another_incarnation_limits_nothing():
+    parts = Parts([entry("t1", slots=4)])
+    head = parse_response_head(421, [(b"server-limit", b"0.5")])
+    parts.ledger.get("t1").record_response(head, parts.clock.now())
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 4
+
+
+def test_restarted_target_is_not_limited():
+    parts = Parts([entry("t1", slots=4, started_ms=1)])
+    name_limit(parts, "t1", 0.5)
+    parts.registry.update([entry("t1", slots=4, started_ms=2)], ())
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 4
+
+
+def test_request_does_not_wait_for_an_affinity_target_at_its_limit():
+    parts = Parts([entry("t1", slots=4), entry("t2", slots=4)])
+    name_limit(parts, "t1", 0.5)
+    parts.ledger.get("t1").claim(parts.clock.now())
+    request = call(parts.clock)
+    request.affinity_until = parts.clock.now() + 0.5
+    use = acquire(make_admission(parts), request, preferred=("t1",))
+    assert use.target.entry.id == "t2"
+
+
+@pytest.mark.parametrize(("rate", "seconds"), [(2.0, 0.5), (0.5, 2.0)])
+def test_expected_wait_follows_the_limit(rate, seconds):
+    parts = Parts([entry("t1", slots=10)])
+    name_limit(parts, "t1", rate)
+    parts.ledger.get("t1").claim(parts.clock.now())
+    wait = make_admission(parts).wait_estimate("s1")
+    assert wait.on_time == pytest.approx(seconds)
+
+
+def test_request_that_no_limited_target_can_serve_in_time_is_refused_at_once():
+    parts = Parts([entry("t1", slots=10)])
+    name_limit(parts, "t1", 0.5)
+    parts.ledger.get("t1").claim(parts.clock.now())
+    admission, request = make_admission(parts), call(parts.clock)
+    assert acquire(admission, request, patience=0.3) is None
+    assert admission.is_wait_too_long(request)
