Pass the limits of targets on to the VMs that may own them next

Cause: only the VM that got a response knew of the limit. A VM that took the target over, or started again, sent to it as before until a first response came back; with a small limit or one of 0 that first batch alone is more than the target takes.

Change: heartbeats to VMs of the target's region carry changes of limits for 2 s, each VM that learns of one in its turn, and all limits to a process that is new. They follow the other messages of a datagram, so that earlier builds ignore them. The newest response decides; a limit that has ended is passed on like any other change. Without changes the heartbeats are as long as before.

Why it holds: whoever owns the target next is of its failure domain or region, and has heard of the limit before it owns it or is told as it starts.

--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -1,45 +1,109 @@
 """What targets ask of their callers in responses.
 
-The owner of a target learns it from each response. A notice applies to one incarnation
-of a target.
+The owner of a target learns it from each response and passes changes on to the VMs of
+the target's region, so that they also hold at the next owner. A notice applies to one
+incarnation of a target. If it is outdated, the next response of the target corrects it.
 """
 
+from heapq import nsmallest
+from math import isfinite
+from operator import attrgetter
+
+import msgpack
+
 from heathercleat.events import Event
 from heathercleat.process.clock import DISTANT_PAST
 
+#: Seconds for which a VM passes a change on after it learned of it.
+SPREAD_SECONDS = 2.0
 #: Seconds for which the notice of a target without an entry is kept; the entry may have
 #: lapsed and return.
 RETENTION_SECONDS = 60.0
+#: Minimum seconds by which a response seen by another VM must be newer than that seen
+#: here; covers the time for which the message was on its way.
+MIN_NEWER_SECONDS = 0.5
+#: Maximum notices in a message; those with the latest responses are included.
+MAX_REPORTED = 32
+
+
+class NoticeUpdate:
+    """A notice as passed on between VMs; the order of the slots is the wire format.
+
+    :param incarnation: see :attr:`TargetEntry.incarnation_id`.
+    :param failure_domain: that of the target.
+    :param age: seconds since the latest response.
+    :param rate: requests per second that the target accepts, ``None`` without a limit.
+    """
+
+    __slots__ = ("incarnation", "failure_domain", "age", "rate")
+
+    def __init__(self, incarnation, failure_domain, age, rate):
+        self.incarnation = incarnation
+        self.failure_domain = failure_domain
+        self.age = age
+        self.rate = rate
+
+    def fields(self):
+        """Return the values in the order of the slots."""
+        return [getattr(self, name) for name in self.__slots__]
+
+    @classmethod
+    def from_fields(cls, fields):
+        """Return the update with decoded fields.
+
+        :raises ValueError: if the fields are malformed.
+        """
+        if not isinstance(fields, list) or len(fields) != len(cls.__slots__):
+            raise ValueError(f"{fields!r} is not a list of the fields of a notice")
+        update = cls(*fields)
+        for text in (update.incarnation, update.failure_domain):
+            if not isinstance(text, str):
+                raise ValueError(f"{text!r} is not the name of a target or its domain")
+        if not _is_amount(update.age):
+            raise ValueError(f"{update.age!r} is not a number of seconds, 0 or more")
+        if update.rate is not None and not _is_amount(update.rate):
+            raise ValueError(f"{update.rate!r} is not a rate, 0 or more")
+        return update
 
 
 class Notice:
     """What one incarnation of a target asks for.
 
-    :param seen_at: instant of its latest response.
+    :param failure_domain: that of the target.
+    :param seen_at: instant of its latest response, as far as this VM knows.
     :param rate: requests per second that it accepts from all VMs together, ``None``
         without a limit.
+    :param changed_at: when this VM learned of the last change.
     """
 
-    __slots__ = ("seen_at", "rate")
+    __slots__ = ("failure_domain", "seen_at", "rate", "changed_at")
 
-    def __init__(self):
+    def __init__(self, failure_domain):
+        self.failure_domain = failure_domain
         self.seen_at = DISTANT_PAST
         self.rate = None
+        self.changed_at = DISTANT_PAST
 
     def is_in_force(self):
         """Return whether the target asks for anything."""
         return self.rate is not None
 
+    def is_spreading(self, now):
+        """Return whether the last change is passed on."""
+        return now < self.changed_at + SPREAD_SECONDS
+
 
 class Notices:
     """The notices of all targets, by incarnation id.
 
     :param registry: the :class:`TargetRegistry`.
+    :param region_of: returns the region of a failure domain.
     :param journal: where changes are logged.
     """
 
-    def __init__(self, registry, journal, clock):
+    def __init__(self, registry, region_of, journal, clock):
         self._registry = registry
+        self._region_of = region_of
         self._journal = journal
         self._clock = clock
         self._notices = {}
@@ -58,10 +122,43 @@
         incarnation = entry.incarnation_id
         if not head.has_notice and incarnation not in self._notices:
             return
-        notice = self._notices.setdefault(incarnation, Notice())
+        notice = self._notice(incarnation, entry.failure_domain)
         notice.seen_at = self._clock.now()
         self._set_rate(incarnation, notice, head.rate_limit)
 
+    def merge(self, update):
+        """Record a :class:`NoticeUpdate` of another VM."""
+        notice = self._notice(update.incarnation, update.failure_domain)
+        seen_at = self._clock.now() - update.age
+        if seen_at > notice.seen_at + MIN_NEWER_SECONDS:
+            notice.seen_at = seen_at
+            self._set_rate(update.incarnation, notice, update.rate)
+
+    def updates(self, region, changes_only=True):
+        """Return the :class:`NoticeUpdate` objects for a VM.
+
+        :param region: the region of the VM.
+        :param changes_only: whether the VM should have the earlier changes.
+        """
+        now = self._clock.now()
+        updates = [
+            NoticeUpdate(
+                incarnation,
+                notice.failure_domain,
+                round(now - notice.seen_at, 2),
+                notice.rate,
+            )
+            for incarnation, notice in self._notices.items()
+            if self._region_of(notice.failure_domain) == region
+            and (notice.is_spreading(now) or not changes_only)
+        ]
+        return nsmallest(MAX_REPORTED, updates, key=attrgetter("age"))
+
+    def pack(self, region, changes_only=True):
+        """Return the encoded :meth:`updates`, empty if there are none."""
+        fields = [each.fields() for each in self.updates(region, changes_only)]
+        return msgpack.packb(fields) if fields else b""
+
     def expire(self):
         """Drop the notices that are not in force, and those of removed targets."""
         if not self._notices:
@@ -71,16 +168,26 @@
         self._notices = {
             incarnation: notice
             for incarnation, notice in self._notices.items()
-            if notice.is_in_force()
-            and (
-                incarnation in incarnations or now < notice.seen_at + RETENTION_SECONDS
-            )
+            if notice.is_spreading(now)
+            or (notice.is_in_force() and incarnation in incarnations)
+            or (notice.is_in_force() and now < notice.seen_at + RETENTION_SECONDS)
         }
 
+    def _notice(self, incarnation, failure_domain):
+        notice = self._notices.get(incarnation)
+        if notice is None:
+            notice = self._notices[incarnation] = Notice(failure_domain)
+        return notice
+
     def _set_rate(self, incarnation, notice, rate):
         if rate == notice.rate:
             return
         before, notice.rate = notice.rate, rate
+        notice.changed_at = self._clock.now()
         self._journal.write(
             Event.TARGET_LIMITED, target=incarnation, rate=rate, before=before
         )
+
+
+def _is_amount(value):
+    return isinstance(value, int | float) and isfinite(value) and value >= 0
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -9,6 +9,7 @@
 from msgpack.exceptions import UnpackException
 
 from heathercleat.events import Event
+from heathercleat.steering.process.capacity.notices import NoticeUpdate
 from heathercleat.steering.process.membership.heartbeat import Heartbeat
 from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.moving_average import update_moving_average
@@ -86,6 +87,7 @@
         targets of this VM since the last call.
     :param suspects: the :class:`Suspects`.
     :param workspace_reports: the :class:`WorkspaceReports`.
+    :param notices: the :class:`Notices`.
     :param compose: returns a new :class:`Heartbeat` for an interval.
     :param on_heartbeat: a coroutine function that is called after each heartbeat.
     """
@@ -100,6 +102,7 @@
         pop_new_owners,
         suspects,
         workspace_reports,
+        notices,
         compose,
         on_heartbeat,
         journal,
@@ -113,6 +116,7 @@
         self._pop_new_owners = pop_new_owners
         self._suspects = suspects
         self._workspace_reports = workspace_reports
+        self._notices = notices
         self._compose = compose
         self._on_heartbeat = on_heartbeat
         self._journal = journal
@@ -167,7 +171,7 @@
                 self._log_malformed(address, error)
                 continue
             if newcomer is not None:
-                await self._send_all([newcomer])
+                await self.welcome(newcomer)
             await self._on_heartbeat()
 
     def receive(self, data):
@@ -184,6 +188,7 @@
         heartbeat = Heartbeat.from_fields(unpacker.unpack())
         sent_at, echoed_sent_at, echo_delay, asks_for_replies = unpacker.unpack()
         workspace_fields = _unpack_next(unpacker)
+        notices = _unpack_next(unpacker) or ()
         before = self._members.find_live(heartbeat.own.vm)
         is_new = before is None or before.incarnation != heartbeat.own.incarnation
         member = self._members.record_heartbeat(heartbeat)
@@ -208,8 +213,14 @@
             self._workspace_reports.merge(
                 heartbeat.own, workspace_fields, echoed_sent_at, echo_delay
             )
+        for fields in notices:
+            self._notices.merge(NoticeUpdate.from_fields(fields))
         return member if is_new else None
 
+    async def welcome(self, newcomer):
+        """Send a heartbeat and all notices of targets to a new process."""
+        await self._send_all([newcomer], are_newcomers=True)
+
     async def run(self):
         """Send heartbeats until cancelled."""
         while True:
@@ -262,9 +273,11 @@
             notified.update(each.vm for each in in_domain)
         await self._send_all(each for each in live if each.vm in notified)
 
-    async def _send_all(self, members):
+    async def _send_all(self, members, are_newcomers=False):
         """Send a heartbeat to some members, encoded once per :class:`HeartbeatKind`.
 
+        :param are_newcomers: whether they are new processes, which know no notices yet.
+
         It has reports if this VM handles requests and the receiver does too or is
         starting. Only partners get updates, to limit the traffic of weaker VMs;
         partners pass the updates on.
@@ -278,7 +291,7 @@
             kind = self._kind(member, request_handling_vms, usual_interval)
             if kind not in packed:
                 packed[kind] = self._pack(kind)
-            await self._send_to(member.ip, packed[kind], member.vm)
+            await self._send_to(member.ip, packed[kind], member.vm, are_newcomers)
 
     def _kind(self, member, request_handling_vms, usual_interval):
         """Return the :class:`HeartbeatKind` of the heartbeat to a VM.
@@ -325,12 +338,14 @@
             return False
         return member.region != self._settings.region
 
-    async def _send_to(self, ip, body, vm):
+    async def _send_to(self, ip, body, vm, is_newcomer=False):
         # One instant for all times in the message, since the process may be paused.
         now = self._clock.now()
         trailer = [now, *self._echo(vm, now), self._asks_for_replies(vm)]
         member = self._members.find_live(vm)
         end = msgpack.packb(trailer) + self._workspace_reports.pack(member, now)
+        if member is not None:
+            end += self._notices.pack(member.region, not is_newcomer)
         address = ip, self._settings.gossip_port
         try:
             await self._sock.sendto(body + end, address)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -130,7 +130,7 @@
         self._owners = Owners(self._registry, self._members)
         self._capacity_reports = CapacityReports(clock)
         self._held_slots = HeldSlots(self._members, self._capacity_reports, clock)
-        self._notices = Notices(self._registry, journal, clock)
+        self._notices = Notices(self._registry, self._members.region_of, journal, clock)
         self._ledger = SlotLedger(
             self._owners,
             self._registry,
@@ -210,6 +210,7 @@
             WorkspaceReports(
                 self._freshness, lambda: self._configuration_version, usage_exchange
             ),
+            self._notices,
             composer.compose,
             self._tables.fetch_if_behind,
             journal,
--- a/standins/membership_simulation.py
+++ b/standins/membership_simulation.py
@@ -9,6 +9,8 @@
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.capacity.capacity_reports import CapacityReports
 from heathercleat.steering.process.capacity.held_slots import HeldSlots
+from heathercleat.steering.process.capacity.notices import Notices
+from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.configuration_freshness import (
     ConfigurationFreshness,
 )
@@ -125,6 +127,8 @@
         self.workspace_reports = WorkspaceReports(
             self.freshness, lambda: self.configuration_version, exchange
         )
+        registry = TargetRegistry(journal, clock)
+        self.notices = Notices(registry, self.members.region_of, journal, clock)
         self.gossip = Gossip(
             settings,
             self.members,
@@ -134,6 +138,7 @@
             lambda: self.successors(),
             self.suspects,
             self.workspace_reports,
+            self.notices,
             self.compose,
             do_nothing,
             journal,
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -120,7 +120,9 @@
         self.owners = Owners(self.registry, self.members)
         self.capacity_reports = CapacityReports(self.clock)
         self.held = HeldSlots(self.members, self.capacity_reports, self.clock)
-        self.notices = Notices(self.registry, self.journal, self.clock)
+        self.notices = Notices(
+            self.registry, self.members.region_of, self.journal, self.clock
+        )
         self.ledger = SlotLedger(
             self.owners,
             self.registry,
--- a/tests/test_handing_over.py
+++ b/tests/test_handing_over.py
@@ -13,7 +13,6 @@
 from heathercleat.steering.process.capacity.capacity_reports import REPORT_TTL_SECONDS
 from heathercleat.steering.process.capacity.held_slots import HeldSlots
 from heathercleat.steering.process.capacity.loss_rates import LossRates
-from heathercleat.steering.process.capacity.notices import Notices
 from heathercleat.steering.process.capacity.owners import Owners
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.slots import SlotLedger
@@ -329,7 +328,7 @@
             lambda name: None,
             Parts().settings.bounds,
             self.held,
-            Notices(self.registry, journal, clock),
+            self.notices,
             journal,
             clock,
         )
