--- a/src/heathercleat/platform/headers.py
+++ b/src/heathercleat/platform/headers.py
@@ -6,6 +6,7 @@
     AFFINITY_COOKIE,
     DEADLINE_MS,
     EXPECTED_INSTANCE,
+    LEAVING,
     NOT_EXECUTED,
     RATE_LIMIT,
     REQUEST_ID,
@@ -90,6 +91,8 @@
             head.running_count, head.waiting_count = _parse_load(value)
         elif name == RATE_LIMIT:
             head.rate_limit = _parse_amount(value)
+        elif name == LEAVING:
+            head.is_leaving = value == b"1"
         elif name == b"keep-alive":
             head.keep_alive_seconds = _parse_keep_alive_timeout(value)
     if status == _MISDIRECTED_STATUS:
--- a/src/heathercleat/platform/wire_names.py
+++ b/src/heathercleat/platform/wire_names.py
@@ -16,6 +16,8 @@
 NOT_EXECUTED = b"not-executed"
 #: Requests per second that a target accepts from all callers together.
 RATE_LIMIT = b"server-limit"
+#: ``1`` in all responses of a target that shuts down soon.
+LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 #: Key by which a client identifies its workspace.
 WORKSPACE_KEY = b"x-api-key"
--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -73,20 +73,22 @@
     :param seen_at: instant of its latest response, as far as this VM knows.
     :param rate: requests per second that it accepts from all VMs together, ``None``
         without a limit.
+    :param is_leaving: whether it shuts down soon; never reverted.
     :param changed_at: when this VM learned of the last change.
     """
 
-    __slots__ = ("failure_domain", "seen_at", "rate", "changed_at")
+    __slots__ = ("failure_domain", "seen_at", "rate", "is_leaving", "changed_at")
 
     def __init__(self, failure_domain):
         self.failure_domain = failure_domain
         self.seen_at = DISTANT_PAST
         self.rate = None
+        self.is_leaving = False
         self.changed_at = DISTANT_PAST
 
     def is_in_force(self):
         """Return whether the target asks for anything."""
-        return self.rate is not None
+        return self.rate is not None or self.is_leaving
 
     def is_spreading(self, now):
         """Return whether the last change is passed on."""
@@ -125,6 +127,8 @@
         notice = self._notice(incarnation, entry.failure_domain)
         notice.seen_at = self._clock.now()
         self._set_rate(incarnation, notice, head.rate_limit)
+        if head.is_leaving:
+            self._set_leaving(incarnation, notice)
 
     def merge(self, update):
         """Record a :class:`NoticeUpdate` of another VM."""
@@ -188,6 +192,15 @@
             Event.TARGET_LIMITED, target=incarnation, rate=rate, before=before
         )
 
+    def _set_leaving(self, incarnation, notice):
+        if notice.is_leaving:
+            return
+        notice.is_leaving = True
+        notice.changed_at = self._clock.now()
+        self._journal.write(
+            Event.TARGET_DRAINING, target=incarnation, reason="response"
+        )
+
 
 def _is_amount(value):
     return isinstance(value, int | float) and isfinite(value) and value >= 0
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -18,6 +18,7 @@
     :param waiting_count: number of requests queued at the target, or ``None``.
     :param rate_limit: requests per second that the target accepts from all VMs
         together, or ``None``.
+    :param is_leaving: whether the target shuts down soon and accepts no new requests.
     :param keep_alive_seconds: keep-alive timeout of the connection, or ``None``.
     """
 
@@ -31,6 +32,7 @@
         "running_count",
         "waiting_count",
         "rate_limit",
+        "is_leaving",
         "keep_alive_seconds",
     )
 
@@ -44,12 +46,13 @@
         self.running_count = None
         self.waiting_count = None
         self.rate_limit = None
+        self.is_leaving = False
         self.keep_alive_seconds = None
 
     @property
     def has_notice(self):
         """Return whether the target asks something of its callers."""
-        return self.rate_limit is not None
+        return self.rate_limit is not None or self.is_leaving
 
 
 class TargetResponse:
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -25,9 +25,10 @@
             run_nonblocking(self.gossip.welcome(newcomer))
 
 
-def make_head(rate=None):
+def make_head(rate=None, leaving=False):
     head = TargetResponseHead()
     head.rate_limit = rate
+    head.is_leaving = leaving
     return head
 
 
