Test that a leaving target gets no requests while the store is down; it fails

Stand-in targets say in their responses that they leave on request. Four VMs, ten clients, the store silent: 136 requests sent 2 to 5 s after the target began to say so were run by it. The bound is the users' drain time of 2 s.

--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -14,6 +14,7 @@
 Instants are seconds of ``time.monotonic()``.
 
 ``limit`` is named in each response as the requests per second that the target accepts.
+``leaving`` makes each response say that the target shuts down soon.
 
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
@@ -43,6 +44,7 @@
 from heathercleat.platform.wire_names import (
     DEADLINE_MS,
     EXPECTED_INSTANCE,
+    LEAVING,
     NOT_EXECUTED,
     RATE_LIMIT,
     REQUEST_ID,
@@ -84,6 +86,7 @@
             "learning_x": 1.0,
             "remembers": 24,
             "limit": None,
+            "leaving": False,
             "fatal": [],
             "down_s": 2.0,
             "store": None,
@@ -222,6 +225,8 @@
         limit = self._switches["limit"]
         if limit is not None:
             yield RATE_LIMIT, str(limit).encode()
+        if self._switches["leaving"]:
+            yield LEAVING, b"1"
 
     async def _respond(self, stream, id_header, body):
         load = f"{self._running},0,{self._slots}".encode()
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -24,6 +24,9 @@
 WINDOW_SECONDS = 4.0
 #: Requests that a limit allows in a window.
 MOST_IN_WINDOW = 1.5 * RATE_LIMIT * WINDOW_SECONDS + 5
+#: Seconds after a response that says that the target leaves in which it may still get
+#: requests.
+DRAIN_SECONDS = 2.0
 CLIENTS = 10
 
 
@@ -93,3 +96,16 @@
     assert most_in_window(arrivals) <= MOST_IN_WINDOW
     assert len(arrivals) >= RATE_LIMIT * WINDOW_SECONDS, "the target is hardly used"
     assert set(load.statuses) == {200}, "other targets have free slots"
+
+
+def test_target_that_leaves_gets_no_requests_while_the_store_is_down(fleet):
+    fleet.switch_store(down="silent")
+    fleet.switch_target("i-1", leaving=True)
+    begin = time.monotonic()
+    load = Load(fleet, list(fleet.vms.values()))
+    load.run(DRAIN_SECONDS + 3.0)
+    arrivals = fleet.arrivals("i-1")
+    late = [each for each, _, _ in arrivals if load.sent[each] > begin + DRAIN_SECONDS]
+    assert arrivals, "no request reached the target"
+    assert late == []
+    assert set(load.statuses) == {200}, "other targets have free slots"
