Send nothing to a target after a response said that it leaves

What callers saw: with the store away, a target went on getting requests for up to 12 s after it had said in its responses that it leaves, until it ended under them.

Cause: only the target's entry in the store marked it as draining. Its own responses, which the owner reads anyway, were not read for it, so that an outage of the store, a lost write or a delayed one kept a leaving target in use.

Change: the first such response closes the target for good at its owner: it has no slot and no share in expected waits, requests with affinity to it go elsewhere, and one that is connecting is not sent but takes another target. The notice travels with heartbeats like a limit. No entry and no later response reverts it; a new incarnation starts without it.

Why it holds: the VM that sends is the one that got the response, it checks at the slot and again after connecting, and what it knows needs no store.

--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -33,15 +33,17 @@
     :param failure_domain: that of the target.
     :param age: seconds since the latest response.
     :param rate: requests per second that the target accepts, ``None`` without a limit.
+    :param is_leaving: whether it shuts down soon.
     """
 
-    __slots__ = ("incarnation", "failure_domain", "age", "rate")
+    __slots__ = ("incarnation", "failure_domain", "age", "rate", "is_leaving")
 
-    def __init__(self, incarnation, failure_domain, age, rate):
+    def __init__(self, incarnation, failure_domain, age, rate, is_leaving):
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.age = age
         self.rate = rate
+        self.is_leaving = is_leaving
 
     def fields(self):
         """Return the values in the order of the slots."""
@@ -63,6 +65,8 @@
             raise ValueError(f"{update.age!r} is not a number of seconds, 0 or more")
         if update.rate is not None and not _is_amount(update.rate):
             raise ValueError(f"{update.rate!r} is not a rate, 0 or more")
+        if not isinstance(update.is_leaving, bool):
+            raise ValueError(f"{update.is_leaving!r} is not a boolean: leaving")
         return update
 
 
@@ -115,6 +119,11 @@
         notice = self._notices.get(incarnation)
         return notice and notice.rate
 
+    def is_leaving(self, incarnation):
+        """Return whether a target said that it shuts down soon."""
+        notice = self._notices.get(incarnation)
+        return notice is not None and notice.is_leaving
+
     def record_response(self, entry, head):
         """Record what a response of a target asks for.
 
@@ -137,6 +146,8 @@
         if seen_at > notice.seen_at + MIN_NEWER_SECONDS:
             notice.seen_at = seen_at
             self._set_rate(update.incarnation, notice, update.rate)
+        if update.is_leaving:
+            self._set_leaving(update.incarnation, notice)
 
     def updates(self, region, changes_only=True):
         """Return the :class:`NoticeUpdate` objects for a VM.
@@ -151,6 +162,7 @@
                 notice.failure_domain,
                 round(now - notice.seen_at, 2),
                 notice.rate,
+                notice.is_leaving,
             )
             for incarnation, notice in self._notices.items()
             if self._region_of(notice.failure_domain) == region
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -144,6 +144,10 @@
         if head.running_count is not None:
             self.record_reported_load(head.running_count, head.waiting_count, now)
 
+    def accepts_requests(self):
+        """Return whether the target has not asked for no more requests."""
+        return not self._notices.is_leaving(self.entry.incarnation_id)
+
     def limit(self, now):
         """Return the maximum number of concurrent requests at the target now."""
         if self.rate is not None and not self._pacer.available(self.rate, now):
@@ -160,6 +164,8 @@
 
     def _slot_limit(self, now):
         """Return the maximum number of concurrent requests without a rate limit."""
+        if not self.accepts_requests():
+            return 0
         if now < self.health.ejected_until:
             return 0
         if self.uses and self.health.is_unresponsive(now, self.uses[0].started_at):
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -72,6 +72,8 @@
 CLIENT_LEFT_REASON = "client left"
 #: Reason of an attempt that was not sent or not completed before the deadline.
 DEADLINE_REASON = "deadline"
+#: Reason of an unsent attempt: the target asked for no more requests meanwhile.
+CLOSED_REASON = "target closed"
 #: Reason of an unsent attempt: the request crashed targets; see :class:`Suspects`.
 QUARANTINED_REASON = "quarantined"
 
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -9,6 +9,7 @@
 from heathercleat.steering.process.shutdown import LEAVING_REASON
 from heathercleat.steering.request.attempt_result import (
     CLIENT_LEFT_REASON,
+    CLOSED_REASON,
     DEADLINE_REASON,
     NO_SLOT_IN_TIME_REASON,
     QUARANTINED_REASON,
@@ -102,6 +103,17 @@
             return QUARANTINED_REASON
         return None
 
+    def _check_again(self, call, target):
+        """Return the result if a request must not be sent any more, or ``None``."""
+        reason = self._reason_not_to_send(call)
+        if reason is not None:
+            return AttemptResult(AttemptOutcome.NOT_SENT, reason=reason)
+        if target.accepts_requests():
+            return None
+        return AttemptResult(
+            AttemptOutcome.NOT_SENT, target=target.entry.id, reason=CLOSED_REASON
+        )
+
     def _no_slot_result(self, call):
         is_too_long = self._admission.is_wait_too_long(call)
         reason = NO_SLOT_IN_TIME_REASON if is_too_long else "no free slot"
@@ -122,10 +134,10 @@
                 AttemptOutcome.NOT_SENT, target=entry.id, reason=repr(error)
             )
         # Check again, since connecting takes time.
-        unsent_reason = self._reason_not_to_send(call)
-        if unsent_reason is not None:
+        unsent = self._check_again(call, target)
+        if unsent is not None:
             await self._pool.checkin(entry.host, entry.port, stream)
-            return AttemptResult(AttemptOutcome.NOT_SENT, reason=unsent_reason)
+            return unsent
         exchange = TargetExchange(stream, call, entry, self._clock)
         # Aborting would not undo a request that must not run twice.
         call.on_disconnect = (
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -68,6 +68,34 @@
     assert rates([restarted]) == [5.0]
 
 
+def test_departure_reaches_the_vms_of_the_region_and_new_processes():
+    network, vms = start_network(6)
+    network.run(ROUNDS_SECONDS)
+    vms[0].notices.record_response(entry(), make_head(leaving=True))
+    network.run(2 * SPREAD_SECONDS)
+    vms[1].running = False
+    restarted = WelcomingVm(network, 1, incarnation=2)
+    network.run(ROUNDS_SECONDS)
+    assert vms[4].notices.is_leaving("t1")
+    assert restarted.notices.is_leaving("t1")
+
+
+def test_departure_is_not_reverted():
+    parts = Parts([entry(sequence=1)])
+    parts.notices.record_response(entry(), make_head(leaving=True))
+    parts.notices.record_response(entry(), make_head())
+    parts.registry.update([entry(sequence=2)], ())
+    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.0, None, False))
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 0
+
+
+def test_restarted_target_is_not_leaving():
+    parts = Parts([entry(started_ms=1)])
+    parts.notices.record_response(entry(started_ms=1), make_head(leaving=True))
+    parts.registry.update([entry(started_ms=2)], ())
+    assert parts.ledger.get("t1").free(parts.clock.now()) == 2
+
+
 def test_heartbeats_carry_no_notices_without_changes():
     network, vms = start_network(2)
     vms[0].notices.record_response(entry(), make_head(5.0))
@@ -80,7 +108,7 @@
     parts = Parts([entry()])
     parts.notices.record_response(entry(), make_head(5.0))
     parts.notices.record_response(entry(), make_head())
-    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.1, 5.0))
+    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.1, 5.0, False))
     assert parts.notices.rate("t1") is None
 
 
@@ -111,12 +139,14 @@
     [
         [],
         "t1",
-        [1, "north-a", 0.0, 5.0],
-        ["t1", None, 0.0, 5.0],
-        ["t1", "north-a", -1, 5.0],
-        ["t1", "north-a", 0.0, "5"],
-        ["t1", "north-a", 0.0, float("nan")],
-        ["t1", "north-a", None, 5.0],
+        [1, "north-a", 0.0, 5.0, False],
+        ["t1", None, 0.0, 5.0, False],
+        ["t1", "north-a", -1, 5.0, False],
+        ["t1", "north-a", 0.0, "5", False],
+        ["t1", "north-a", 0.0, float("nan"), False],
+        ["t1", "north-a", None, 5.0, False],
+        ["t1", "north-a", 0.0, None, 1],
+        ["t1", "north-a", 0.0, None],
     ],
 )
 def test_malformed_update_is_an_error(fields):
