--- a/src/heathercleat/platform/headers.py
+++ b/src/heathercleat/platform/headers.py
@@ -24,6 +24,7 @@
 #: Response statuses that imply that the request has not run.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _MISDIRECTED_STATUS = 421
+_OVERLOADED_STATUS = 503
 _OVERWRITTEN_HEADERS = (DEADLINE_MS, EXPECTED_INSTANCE)
 _IDENTITY_HEADERS = (WORKSPACE_KEY, WORKSPACE_NAME)
 
@@ -93,11 +94,15 @@
             head.rate_limit = _parse_amount(value)
         elif name == LEAVING:
             head.is_leaving = value == b"1"
+        elif name == RETRY_AFTER:
+            head.rest_seconds = _parse_amount(value)
         elif name == b"keep-alive":
             head.keep_alive_seconds = _parse_keep_alive_timeout(value)
     if status == _MISDIRECTED_STATUS:
         head.reports_not_run = True
         head.is_other_incarnation = True
+    if status != _OVERLOADED_STATUS:
+        head.rest_seconds = None
     head.status_implies_not_run = status in NOT_RUN_STATUSES
     return head
 
--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -22,6 +22,11 @@
 #: Minimum seconds by which a response seen by another VM must be newer than that seen
 #: here; covers the time for which the message was on its way.
 MIN_NEWER_SECONDS = 0.5
+#: Longest rest of a target in seconds; a longer one would be malformed.
+MAX_REST_SECONDS = 300.0
+#: Minimum seconds by which a longer rest is logged and passed on. Rejections of requests
+#: that were sent together ask for almost the same time.
+MIN_EXTENSION_SECONDS = 0.05
 #: Maximum notices in a message; those with the latest responses are included.
 MAX_REPORTED = 32
 
@@ -78,21 +83,30 @@
     :param rate: requests per second that it accepts from all VMs together, ``None``
         without a limit.
     :param is_leaving: whether it shuts down soon; never reverted.
+    :param rest_until: instant until which it asked for no requests.
     :param changed_at: when this VM learned of the last change.
     """
 
-    __slots__ = ("failure_domain", "seen_at", "rate", "is_leaving", "changed_at")
+    __slots__ = (
+        "failure_domain",
+        "seen_at",
+        "rate",
+        "is_leaving",
+        "rest_until",
+        "changed_at",
+    )
 
     def __init__(self, failure_domain):
         self.failure_domain = failure_domain
         self.seen_at = DISTANT_PAST
         self.rate = None
         self.is_leaving = False
+        self.rest_until = 0.0
         self.changed_at = DISTANT_PAST
 
-    def is_in_force(self):
+    def is_in_force(self, now):
         """Return whether the target asks for anything."""
-        return self.rate is not None or self.is_leaving
+        return self.rate is not None or self.is_leaving or now < self.rest_until
 
     def is_spreading(self, now):
         """Return whether the last change is passed on."""
@@ -138,6 +152,9 @@
         self._set_rate(incarnation, notice, head.rate_limit)
         if head.is_leaving:
             self._set_leaving(incarnation, notice)
+        if head.rest_seconds:
+            rest_seconds = min(head.rest_seconds, MAX_REST_SECONDS)
+            self._extend_rest(incarnation, notice, notice.seen_at + rest_seconds)
 
     def merge(self, update):
         """Record a :class:`NoticeUpdate` of another VM."""
@@ -185,8 +202,8 @@
             incarnation: notice
             for incarnation, notice in self._notices.items()
             if notice.is_spreading(now)
-            or (notice.is_in_force() and incarnation in incarnations)
-            or (notice.is_in_force() and now < notice.seen_at + RETENTION_SECONDS)
+            or (notice.is_in_force(now) and incarnation in incarnations)
+            or (notice.is_in_force(now) and now < notice.seen_at + RETENTION_SECONDS)
         }
 
     def _notice(self, incarnation, failure_domain):
@@ -213,6 +230,16 @@
             Event.TARGET_DRAINING, target=incarnation, reason="response"
         )
 
+    def _extend_rest(self, incarnation, notice, until):
+        before, notice.rest_until = notice.rest_until, max(notice.rest_until, until)
+        if until < before + MIN_EXTENSION_SECONDS:
+            return
+        now = self._clock.now()
+        notice.changed_at = now
+        self._journal.write(
+            Event.TARGET_RESTING, target=incarnation, seconds=round(until - now, 3)
+        )
+
 
 def _is_amount(value):
     return isinstance(value, int | float) and isfinite(value) and value >= 0
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -19,6 +19,8 @@
     :param rate_limit: requests per second that the target accepts from all VMs
         together, or ``None``.
     :param is_leaving: whether the target shuts down soon and accepts no new requests.
+    :param rest_seconds: seconds for which the target asks for no requests after it
+        rejected this one for overload, or ``None``.
     :param keep_alive_seconds: keep-alive timeout of the connection, or ``None``.
     """
 
@@ -33,6 +35,7 @@
         "waiting_count",
         "rate_limit",
         "is_leaving",
+        "rest_seconds",
         "keep_alive_seconds",
     )
 
@@ -47,12 +50,13 @@
         self.waiting_count = None
         self.rate_limit = None
         self.is_leaving = False
+        self.rest_seconds = None
         self.keep_alive_seconds = None
 
     @property
     def has_notice(self):
         """Return whether the target asks something of its callers."""
-        return self.rate_limit is not None or self.is_leaving
+        return self.rate_limit is not None or self.is_leaving or bool(self.rest_seconds)
 
 
 class TargetResponse:
