Test that a target gets no requests while it rests; it fails

Stand-in targets ask for rest as they refuse a request. One or two of four targets refuse all and ask for 2 s: a VM sends 4 to 14 requests between half a second after a refusal and the end of its rest, where 2 are allowed by the users' rule.

--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -24,8 +24,8 @@
 MIN_NEWER_SECONDS = 0.5
 #: Longest rest of a target in seconds; a longer one would be malformed.
 MAX_REST_SECONDS = 300.0
-#: Minimum seconds by which a longer rest is logged and passed on. Rejections of requests
-#: that were sent together ask for almost the same time.
+#: Minimum seconds by which a longer rest is logged and passed on. Rejections of
+#: requests that were sent together ask for almost the same time.
 MIN_EXTENSION_SECONDS = 0.05
 #: Maximum notices in a message; those with the latest responses are included.
 MAX_REPORTED = 32
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -14,7 +14,8 @@
 Instants are seconds of ``time.monotonic()``.
 
 ``limit`` is named in each response as the requests per second that the target accepts.
-``leaving`` makes each response say that the target shuts down soon.
+``leaving`` makes each response say that the target shuts down soon. ``rest_s`` is the
+time for which a refusal asks for no requests, in seconds.
 
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
@@ -49,6 +50,7 @@
     RATE_LIMIT,
     REQUEST_ID,
     RESPONSE_SIGNATURE,
+    RETRY_AFTER,
     TARGET_LOAD,
     TARGET_TABLE,
     WORKSPACE_KEY,
@@ -87,6 +89,7 @@
             "remembers": 24,
             "limit": None,
             "leaving": False,
+            "rest_s": None,
             "fatal": [],
             "down_s": 2.0,
             "store": None,
@@ -172,6 +175,8 @@
         if self._must_shed():
             self._shed += 1
             refusal = [*id_header, (NOT_EXECUTED, b"1"), *self._notices()]
+            if self._switches["rest_s"] is not None:
+                refusal.append((RETRY_AFTER, str(self._switches["rest_s"]).encode()))
             await self._send(stream, 503, refusal, b"")
             return
         self._running += 1
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -27,6 +27,11 @@
 #: Seconds after a response that says that the target leaves in which it may still get
 #: requests.
 DRAIN_SECONDS = 2.0
+#: Seconds for which a target asks for no requests.
+REST_SECONDS = 2.0
+#: Seconds after a refusal in which requests that were on their way may arrive.
+REACTION_SECONDS = 0.5
+MAX_ARRIVALS_IN_REST = 2
 CLIENTS = 10
 
 
@@ -109,3 +114,32 @@
     assert arrivals, "no request reached the target"
     assert late == []
     assert set(load.statuses) == {200}, "other targets have free slots"
+
+
+def arrivals_in_rest(arrivals):
+    """Return the most requests of a VM after one of its requests was refused.
+
+    :param arrivals: the :meth:`SteeringFleet.arrivals` at a target that refuses all.
+    """
+    by_sender = {}
+    for _, at, sender in arrivals:
+        by_sender.setdefault(sender, []).append(at)
+    return max(
+        sum(begin + REACTION_SECONDS < at < begin + REST_SECONDS for at in instants)
+        for instants in by_sender.values()
+        for begin in instants
+    )
+
+
+@pytest.mark.parametrize("resting", [("i-1",), ("i-1", "i-2")])
+def test_targets_that_asked_for_rest_get_no_requests_until_its_end(fleet, resting):
+    for each in resting:
+        fleet.switch_target(each, shed=1.0, rest_s=REST_SECONDS)
+    load = Load(fleet, list(fleet.vms.values()))
+    load.run(2.5 * REST_SECONDS)
+    for each in resting:
+        arrivals = fleet.arrivals(each)
+        assert arrivals_in_rest(arrivals) <= MAX_ARRIVALS_IN_REST
+        rested = arrivals[0][1] + REST_SECONDS
+        assert arrivals[-1][1] >= rested, "the target is not used after its rest"
+    assert set(load.statuses) == {200}, "other targets have free slots"
