Keep the rest that a target asks for as it turns a request away

What callers saw: time.

Cause: the only answer to refusals was an ejection, by the rate of refusals compared with other targets, for a time that does not follow from what the target asked for, and for a third of a service's targets. Retry-After of a target was not read; two of five targets of the incident got 8 to 31 requests a second, all turned away, for 9 s.

Change: Retry-After of a 503 closes the target at its owner until the end of that time, an instant, which is never shortened; a longer one than 300 s counts as that. Requests go to other targets at once, one that is connecting is not sent. After its rest one request probes the target before the others follow. The rest is passed on like a limit. If all targets rest, a request waits only for a rest that ends in time, and clients of refused ones are told when the first target reopens.

Why it holds: the VM that was turned away is the only one that sends, it checks at the slot and after connecting, and in-flight refusals only move the end of the rest later.

--- a/bench/places.py
+++ b/bench/places.py
@@ -90,6 +90,7 @@
         ),
         RegionLossRates(members, reports, losses, clock),
         RegionShiftLimit(0.15, clock),
+        parts.notices,
         clock,
     )
 
--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -1,5 +1,7 @@
 """Admission control for the targets that this VM owns."""
 
+from math import inf
+
 from curio import timeout_after
 from curio.errors import TaskTimeout
 
@@ -54,11 +56,15 @@
             return WaitEstimate(0.0, 0.0)
         hold_seconds = queue.mean_hold_seconds
         slots = sum(target.usable_slots(hold_seconds, now) for target in targets)
+        reopens_at = now
+        if not slots:
+            resting = [each for each in targets if now < each.closed_until < inf]
+            slots = sum(target.entry.slots for target in resting)
+            reopens_at = min((each.closed_until for each in resting), default=now)
         if not slots:
             return None
-        return queue.wait_estimate(
-            slots, now, call and queue.count_late_before(call, now)
-        )
+        late_ahead = call and queue.count_late_before(call, now)
+        return queue.wait_estimate(slots, now, late_ahead).after(reopens_at - now)
 
     def expected_wait_seconds(self, call):
         """Return the expected wait, or ``None`` if no slot is usable."""
--- a/src/heathercleat/steering/process/capacity/health.py
+++ b/src/heathercleat/steering/process/capacity/health.py
@@ -121,6 +121,10 @@
         self.ejection_count += 1
         self.is_half_open = True
 
+    def probe_next(self):
+        """Let a single request show whether the target accepts requests again."""
+        self.is_half_open = True
+
     def is_unresponsive(self, now, oldest_started_at):
         """Return whether the oldest request in progress has run for too long.
 
--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -6,7 +6,7 @@
 """
 
 from heapq import nsmallest
-from math import isfinite
+from math import inf, isfinite
 from operator import attrgetter
 
 import msgpack
@@ -19,8 +19,8 @@
 #: Seconds for which the notice of a target without an entry is kept; the entry may have
 #: lapsed and return.
 RETENTION_SECONDS = 60.0
-#: Minimum seconds by which a response seen by another VM must be newer than that seen
-#: here; covers the time for which the message was on its way.
+#: Minimum seconds by which a response seen by another VM, or the end of a rest that it
+#: passes on, must be later than the known one; covers the way of the message.
 MIN_NEWER_SECONDS = 0.5
 #: Longest rest of a target in seconds; a longer one would be malformed.
 MAX_REST_SECONDS = 300.0
@@ -39,16 +39,27 @@
     :param age: seconds since the latest response.
     :param rate: requests per second that the target accepts, ``None`` without a limit.
     :param is_leaving: whether it shuts down soon.
+    :param rest_seconds: remaining seconds for which it asks for no requests.
     """
 
-    __slots__ = ("incarnation", "failure_domain", "age", "rate", "is_leaving")
+    __slots__ = (
+        "incarnation",
+        "failure_domain",
+        "age",
+        "rate",
+        "is_leaving",
+        "rest_seconds",
+    )
 
-    def __init__(self, incarnation, failure_domain, age, rate, is_leaving):
+    def __init__(
+        self, incarnation, failure_domain, age, rate, is_leaving, rest_seconds
+    ):
         self.incarnation = incarnation
         self.failure_domain = failure_domain
         self.age = age
         self.rate = rate
         self.is_leaving = is_leaving
+        self.rest_seconds = rest_seconds
 
     def fields(self):
         """Return the values in the order of the slots."""
@@ -66,8 +77,9 @@
         for text in (update.incarnation, update.failure_domain):
             if not isinstance(text, str):
                 raise ValueError(f"{text!r} is not the name of a target or its domain")
-        if not _is_amount(update.age):
-            raise ValueError(f"{update.age!r} is not a number of seconds, 0 or more")
+        for seconds in (update.age, update.rest_seconds):
+            if not _is_amount(seconds):
+                raise ValueError(f"{seconds!r} is not a number of seconds, 0 or more")
         if update.rate is not None and not _is_amount(update.rate):
             raise ValueError(f"{update.rate!r} is not a rate, 0 or more")
         if not isinstance(update.is_leaving, bool):
@@ -101,7 +113,7 @@
         self.seen_at = DISTANT_PAST
         self.rate = None
         self.is_leaving = False
-        self.rest_until = 0.0
+        self.rest_until = DISTANT_PAST
         self.changed_at = DISTANT_PAST
 
     def is_in_force(self, now):
@@ -133,10 +145,15 @@
         notice = self._notices.get(incarnation)
         return notice and notice.rate
 
-    def is_leaving(self, incarnation):
-        """Return whether a target said that it shuts down soon."""
+    def closed_until(self, incarnation):
+        """Return the instant until which a target asks for no requests.
+
+        Infinity if it shuts down, an instant of the past if it accepts requests.
+        """
         notice = self._notices.get(incarnation)
-        return notice is not None and notice.is_leaving
+        if notice is None:
+            return DISTANT_PAST
+        return inf if notice.is_leaving else notice.rest_until
 
     def record_response(self, entry, head):
         """Record what a response of a target asks for.
@@ -153,8 +170,7 @@
         if head.is_leaving:
             self._set_leaving(incarnation, notice)
         if head.rest_seconds:
-            rest_seconds = min(head.rest_seconds, MAX_REST_SECONDS)
-            self._extend_rest(incarnation, notice, notice.seen_at + rest_seconds)
+            self._extend_rest(incarnation, notice, head.rest_seconds)
 
     def merge(self, update):
         """Record a :class:`NoticeUpdate` of another VM."""
@@ -165,6 +181,10 @@
             self._set_rate(update.incarnation, notice, update.rate)
         if update.is_leaving:
             self._set_leaving(update.incarnation, notice)
+        # Without a minimum, a rest would grow with each VM that passes it on.
+        rest_until = self._clock.now() + update.rest_seconds
+        if update.rest_seconds and rest_until > notice.rest_until + MIN_NEWER_SECONDS:
+            self._extend_rest(update.incarnation, notice, update.rest_seconds)
 
     def updates(self, region, changes_only=True):
         """Return the :class:`NoticeUpdate` objects for a VM.
@@ -180,6 +200,7 @@
                 round(now - notice.seen_at, 2),
                 notice.rate,
                 notice.is_leaving,
+                round(max(0.0, notice.rest_until - now), 2),
             )
             for incarnation, notice in self._notices.items()
             if self._region_of(notice.failure_domain) == region
@@ -230,11 +251,12 @@
             Event.TARGET_DRAINING, target=incarnation, reason="response"
         )
 
-    def _extend_rest(self, incarnation, notice, until):
+    def _extend_rest(self, incarnation, notice, seconds):
+        now = self._clock.now()
+        until = now + min(seconds, MAX_REST_SECONDS)
         before, notice.rest_until = notice.rest_until, max(notice.rest_until, until)
         if until < before + MIN_EXTENSION_SECONDS:
             return
-        now = self._clock.now()
         notice.changed_at = now
         self._journal.write(
             Event.TARGET_RESTING, target=incarnation, seconds=round(until - now, 3)
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -33,6 +33,10 @@
         self.on_time = on_time
         self.late = late
 
+    def after(self, seconds):
+        """Return the expected waits if no request starts for some seconds."""
+        return WaitEstimate(self.on_time + seconds, self.late + seconds)
+
     def for_call(self, call, now, response_seconds):
         """Return the expected wait of a call.
 
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -96,6 +96,11 @@
         """Return the requests per second that the target accepts, or ``None``."""
         return self._notices.rate(self.entry.incarnation_id)
 
+    @property
+    def closed_until(self):
+        """Return the instant until which the target asks for no requests."""
+        return self._notices.closed_until(self.entry.incarnation_id)
+
     def is_known(self, now):
         """Return ``True``: the slots are counted here."""
         return True
@@ -143,10 +148,12 @@
         self._notices.record_response(self.entry, head)
         if head.running_count is not None:
             self.record_reported_load(head.running_count, head.waiting_count, now)
+        if head.rest_seconds:
+            self.health.probe_next()
 
-    def accepts_requests(self):
-        """Return whether the target has not asked for no more requests."""
-        return not self._notices.is_leaving(self.entry.incarnation_id)
+    def accepts_requests(self, now):
+        """Return whether the target has not asked for no requests."""
+        return self.closed_until <= now
 
     def limit(self, now):
         """Return the maximum number of concurrent requests at the target now."""
@@ -164,7 +171,7 @@
 
     def _slot_limit(self, now):
         """Return the maximum number of concurrent requests without a rate limit."""
-        if not self.accepts_requests():
+        if not self.accepts_requests(now):
             return 0
         if now < self.health.ejected_until:
             return 0
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -254,7 +254,13 @@
             clock,
         )
         destinations = DestinationSelector(
-            view, self._members, estimates, region_loss_rates, self._shift, clock
+            view,
+            self._members,
+            estimates,
+            region_loss_rates,
+            self._shift,
+            self._notices,
+            clock,
         )
         dispatcher = Dispatcher(
             self._local,
--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -1,7 +1,9 @@
 """Selects the target or the VM to which a request is sent next."""
 
+from math import isfinite
 from random import random
 
+from heathercleat.process.clock import DISTANT_PAST
 from heathercleat.steering.process.capacity.slots import can_take_slot
 from heathercleat.steering.request.affinity import AffinityTargets
 from heathercleat.steering.request.eligibility import EligibleTargets
@@ -50,15 +52,17 @@
     :param estimates: the :class:`Estimates`.
     :param loss_rates: the :class:`RegionLossRates`.
     :param shift: the :class:`RegionShiftLimit`.
+    :param notices: the :class:`Notices`.
     """
 
-    def __init__(self, view, members, estimates, loss_rates, shift, clock):
+    def __init__(self, view, members, estimates, loss_rates, shift, notices, clock):
         self._view = view
         self._members = members
         self._estimates = estimates
         self._affinity_targets = AffinityTargets(estimates)
         self._loss_rates = loss_rates
         self._shift = shift
+        self._notices = notices
         self._clock = clock
 
     def select_free(self, call, avoid, avoid_vms):
@@ -190,6 +194,24 @@
         """Return the shortest reported wait in this region in seconds, or ``None``."""
         return self._reported_wait(self._eligible_targets(call))
 
+    def closed_until(self, call):
+        """Return the instant until which no target accepts the request.
+
+        An instant of the past unless all targets of this region have asked for rest and
+        other regions have none that may serve it.
+        """
+        eligible = self._eligible_targets(call)
+        others = eligible.other_region_targets
+        if any(each.summary(eligible.now).healthy for each in others):
+            return DISTANT_PAST
+        region_targets = eligible.own_region_targets
+        candidates = region_targets.candidates if region_targets else ()
+        instants = (
+            self._notices.closed_until(each.entry.incarnation_id) for each in candidates
+        )
+        earliest = min(instants, default=DISTANT_PAST)
+        return earliest if isfinite(earliest) else DISTANT_PAST
+
     def describe(self, call):
         """Describe the usable targets, for the log."""
         eligible = self._eligible_targets(call)
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -108,7 +108,7 @@
         reason = self._reason_not_to_send(call)
         if reason is not None:
             return AttemptResult(AttemptOutcome.NOT_SENT, reason=reason)
-        if target.accepts_requests():
+        if target.accepts_requests(self._clock.now()):
             return None
         return AttemptResult(
             AttemptOutcome.NOT_SENT, target=target.entry.id, reason=CLOSED_REASON
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -363,4 +363,7 @@
         """Return the instant from which the client may retry."""
         expected = self._steering._destinations.expected_wait(self._call) or 0.0
         mean_wait = max(MIN_RETRY_SECONDS, expected)
-        return compute_retry_at(self._call, mean_wait, self._steering._clock.now())
+        closed_until = self._steering._destinations.closed_until(self._call)
+        return compute_retry_at(
+            self._call, mean_wait, self._steering._clock.now(), closed_until
+        )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -1,5 +1,7 @@
 """What targets ask for in responses reaches the VMs that may own them next."""
 
+from math import inf
+
 import pytest
 
 from heathercleat.steering.process.capacity.notices import (
@@ -25,10 +27,11 @@
             run_nonblocking(self.gossip.welcome(newcomer))
 
 
-def make_head(rate=None, leaving=False):
+def make_head(rate=None, leaving=False, rest=None):
     head = TargetResponseHead()
     head.rate_limit = rate
     head.is_leaving = leaving
+    head.rest_seconds = rest
     return head
 
 
@@ -76,8 +79,32 @@
     vms[1].running = False
     restarted = WelcomingVm(network, 1, incarnation=2)
     network.run(ROUNDS_SECONDS)
-    assert vms[4].notices.is_leaving("t1")
-    assert restarted.notices.is_leaving("t1")
+    assert vms[4].notices.closed_until("t1") == inf
+    assert restarted.notices.closed_until("t1") == inf
+
+
+def test_rest_reaches_the_vms_of_the_region_and_new_processes():
+    network, vms = start_network(6)
+    network.run(ROUNDS_SECONDS)
+    vms[0].notices.record_response(entry(), make_head(rest=30.0))
+    ends_at = vms[0].notices.closed_until("t1")
+    network.run(2 * SPREAD_SECONDS)
+    vms[1].running = False
+    restarted = WelcomingVm(network, 1, incarnation=2)
+    network.run(ROUNDS_SECONDS)
+    for vm in (vms[4], restarted):
+        assert vm.notices.closed_until("t1") == pytest.approx(ends_at, abs=0.1)
+
+
+def test_rest_does_not_grow_as_it_is_passed_on():
+    parts = Parts([entry()])
+    parts.notices.record_response(entry(), make_head(rest=3.0))
+    ends_at = parts.notices.closed_until("t1")
+    for _ in range(20):
+        (update,) = parts.notices.updates("north")
+        parts.clock.time += 0.1
+        parts.notices.merge(update)
+    assert parts.notices.closed_until("t1") == ends_at
 
 
 def test_departure_is_not_reverted():
@@ -85,7 +112,7 @@
     parts.notices.record_response(entry(), make_head(leaving=True))
     parts.notices.record_response(entry(), make_head())
     parts.registry.update([entry(sequence=2)], ())
-    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.0, None, False))
+    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.0, None, False, 0.0))
     assert parts.ledger.get("t1").free(parts.clock.now()) == 0
 
 
@@ -108,7 +135,7 @@
     parts = Parts([entry()])
     parts.notices.record_response(entry(), make_head(5.0))
     parts.notices.record_response(entry(), make_head())
-    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.1, 5.0, False))
+    parts.notices.merge(NoticeUpdate("t1", "north-a", 0.1, 5.0, False, 0.0))
     assert parts.notices.rate("t1") is None
 
 
@@ -139,14 +166,15 @@
     [
         [],
         "t1",
-        [1, "north-a", 0.0, 5.0, False],
-        ["t1", None, 0.0, 5.0, False],
-        ["t1", "north-a", -1, 5.0, False],
-        ["t1", "north-a", 0.0, "5", False],
-        ["t1", "north-a", 0.0, float("nan"), False],
-        ["t1", "north-a", None, 5.0, False],
-        ["t1", "north-a", 0.0, None, 1],
-        ["t1", "north-a", 0.0, None],
+        [1, "north-a", 0.0, 5.0, False, 0.0],
+        ["t1", None, 0.0, 5.0, False, 0.0],
+        ["t1", "north-a", -1, 5.0, False, 0.0],
+        ["t1", "north-a", 0.0, "5", False, 0.0],
+        ["t1", "north-a", 0.0, float("nan"), False, 0.0],
+        ["t1", "north-a", None, 5.0, False, 0.0],
+        ["t1", "north-a", 0.0, None, 1, 0.0],
+        ["t1", "north-a", 0.0, None, False, -1.0],
+        ["t1", "north-a", 0.0, None, False],
     ],
 )
 def test_malformed_update_is_an_error(fields):
--- a/tests/test_object_homes.py
+++ b/tests/test_object_homes.py
@@ -54,7 +54,7 @@
         region_loss_rates = RegionLossRates(members, reports, loss_rates, clock)
         shift = RegionShiftLimit(0.15, clock)
         self.selector = DestinationSelector(
-            view, members, estimates, region_loss_rates, shift, clock
+            view, members, estimates, region_loss_rates, shift, parts.notices, clock
         )
 
     def report(self, free):
--- a/tests/test_steer.py
+++ b/tests/test_steer.py
@@ -107,7 +107,13 @@
             members, self.reports, own_loss_rates, clock
         )
         self.destinations = destinations = DestinationSelector(
-            view, members, estimates, region_loss_rates, self.shift, clock
+            view,
+            members,
+            estimates,
+            region_loss_rates,
+            self.shift,
+            parts.notices,
+            clock,
         )
         self.suspects = Suspects(parts.journal, clock)
         self.crash_limits = CrashLimits(self.suspects, clock)
