Probe a target after an ejection or a rest by requests for its objects

Cause: after an ejection one slot is open, which has to show whether the target has recovered. Requests with affinity take a target only if it is their own and has half of its slots, or if half of its slots are free. One of 6 is neither, so that in a service whose requests all have affinity nothing could ever probe it. After a rest the same would hold.

Change: the limit by which VMs choose a target for its objects is that of a whole target while a half-open one has its free slot, and as before while it is being probed, so that nobody waits for it.

Result: the new tests fail without the change (the object goes to another target) and pass with it; that of a target being probed passes in both.

Why it holds: each target is the first choice of some objects; their next request is the probe, and its success opens the target.

--- a/src/heathercleat/steering/process/capacity/capacity_reports.py
+++ b/src/heathercleat/steering/process/capacity/capacity_reports.py
@@ -66,6 +66,10 @@
         """Return the maximum number of concurrent requests, ``None`` if unknown."""
         return self._limit
 
+    def announced_limit(self, now):
+        """Return the limit that the owner announced, ``None`` if unknown."""
+        return self._limit
+
     def update(self, free, limit, used, valid_until):
         """Record the owner's report."""
         self._free = free
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -161,6 +161,16 @@
             return 0
         return self._slot_limit(now)
 
+    def announced_limit(self, now):
+        """Return the limit by which VMs choose the target for its objects.
+
+        A half-open target with a free slot counts as whole, since a request has to
+        show whether it has recovered.
+        """
+        if self.health.is_half_open and self.free(now):
+            return self.entry.slots
+        return self.limit(now)
+
     def usable_slots(self, hold_seconds, now):
         """Return how many slots requests can use on average; may be a fraction.
 
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -37,6 +37,9 @@
     def limit(self, now):
         """Return the maximum number of concurrent requests, ``None`` if unknown."""
 
+    def announced_limit(self, now):
+        """Return the limit by which VMs choose the target for its objects."""
+
 
 class Candidate:
     """A target that may run requests.
@@ -57,7 +60,7 @@
 
     def is_healthy(self, now):
         """Return whether the target is not limited to a small share of its slots."""
-        limit = self.capacity.limit(now)
+        limit = self.capacity.announced_limit(now)
         return limit is None or reaches_idle_share(self.entry, limit)
 
 
--- a/src/heathercleat/steering/process/membership/heartbeat_composer.py
+++ b/src/heathercleat/steering/process/membership/heartbeat_composer.py
@@ -66,7 +66,8 @@
         now = self._clock.now()
         for target in self._ledger.all():
             free = self._admission.free_for_peers(target, now)
-            yield [target.entry.id, free, target.limit(now), len(target.uses)]
+            limit = target.announced_limit(now)
+            yield [target.entry.id, free, limit, len(target.uses)]
 
     def _held(self):
         """Yield the slots that requests of this VM still use at targets of other VMs.
--- a/tests/test_object_homes.py
+++ b/tests/test_object_homes.py
@@ -156,3 +156,37 @@
     request = far_call(scene)
     destination = scene.selector.select_free(request, frozenset(), {"vm-3"})
     assert not destination.is_remote
+
+
+def half_open_home(setup):
+    """Return a target of this VM after its ejection, and a request for its object."""
+    request = setup.call()
+    target = setup.parts.ledger.get(setup.select(request).target)
+    target.health.eject(setup.parts.clock.now())
+    setup.parts.clock.time = target.health.ejected_until + 0.01
+    setup.report(SLOTS)
+    return target, setup.call()
+
+
+def test_target_is_probed_by_a_request_for_its_objects_after_an_ejection():
+    """Otherwise a service without other requests never uses the target again."""
+    setup = DestinationScene(round_trip=1.0)
+    target, request = half_open_home(setup)
+    assert setup.select(request).target == target.entry.id
+
+
+def test_requests_do_not_wait_for_a_target_that_is_being_probed():
+    setup = DestinationScene(round_trip=1.0)
+    target, request = half_open_home(setup)
+    target.claim(setup.parts.clock.now())
+    other = setup.select(request).target
+    assert other not in (None, target.entry.id)
+
+
+def test_other_vms_may_probe_a_target_after_an_ejection():
+    setup = DestinationScene(round_trip=1.0)
+    target, _ = half_open_home(setup)
+    now = setup.parts.clock.now()
+    assert target.announced_limit(now) == target.entry.slots
+    target.claim(now)
+    assert target.announced_limit(now) == 1
