Put back reasons that the rewording of comments had dropped

Of 107 constants with a shorter or renamed comment, 48 had lost a reason, a number or the fault that they guard against; each has one or two sentences again, in today's names, with facts of the old comment that still hold. Of 49 comments inside functions one had lost its fault.

--- a/src/heathercleat/steering/connection/call_reader.py
+++ b/src/heathercleat/steering/connection/call_reader.py
@@ -16,7 +16,8 @@
 REQUEST_ID_BYTES = 8
 #: Seconds after which a refused client may retry, if there is no better estimate.
 DEFAULT_RETRY_SECONDS = 0.3
-#: Seconds for which a request waits for the configuration and targets after a start.
+#: Seconds for which a request waits for the configuration and targets after a start; a
+#: process knows them 0.2 to 0.25 s after its start.
 MAX_START_WAIT_SECONDS = 0.25
 START_POLL_SECONDS = 0.01
 #: Seconds for which a request waits until other VMs have acknowledged earlier requests
--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -22,7 +22,8 @@
 LINGER_BYTES = 8 << 20
 #: Limit per connection, so that one client cannot occupy all slots of a small service.
 MAX_PIPELINED_REQUESTS = 8
-#: Safe methods, which may be served concurrently; see RFC 9112, section 9.3.2.
+#: Safe methods, which change nothing. A server may run several of their requests on one
+#: connection at the same time; see RFC 9112, section 9.3.2.
 _SAFE_METHODS = (b"GET", b"HEAD")
 
 
--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -19,7 +19,8 @@
 #: Path prefix of table requests; the table name and a version follow.
 STATE_PATH_PREFIX = b"/state/"
 MAX_BODY_BYTES = 256 << 20
-#: The fastest zlib compression level.
+#: The fastest zlib compression level; entries of targets are alike, so that a table
+#: shrinks to an eighth already.
 COMPRESSION_LEVEL = 1
 #: Status of responses that do not carry the response of a target.
 _NO_RESPONSE_STATUS = 200
--- a/src/heathercleat/steering/process/active_requests.py
+++ b/src/heathercleat/steering/process/active_requests.py
@@ -4,9 +4,12 @@
 
 from curio import sleep
 
-#: Seconds between two checks for disconnected callers.
+#: Seconds between two checks for disconnected callers. A target should work on for half
+#: a second at most, of which this is a fifth. One task checks all requests.
 CHECK_SECONDS = 0.08
-#: The same while no request is in progress.
+#: The same while no request is in progress. A request that begins meanwhile is checked
+#: after this time at the latest: half of that in which a disconnect has to reach its
+#: target.
 IDLE_CHECK_SECONDS = 0.25
 
 
--- a/src/heathercleat/steering/process/body_memory.py
+++ b/src/heathercleat/steering/process/body_memory.py
@@ -1,7 +1,7 @@
 """A limit on the memory for buffered request bodies."""
 
-#: Fraction of the process memory that bodies may use; the rest is for socket buffers
-#: and the program.
+#: Fraction of the process memory that bodies may use. The rest covers as many bytes
+#: again in socket buffers, and 40 MB for the program.
 BODY_MEMORY_SHARE = 0.25
 
 
--- a/src/heathercleat/steering/process/capacity/loss_rates.py
+++ b/src/heathercleat/steering/process/capacity/loss_rates.py
@@ -3,7 +3,8 @@
 A refused request counts as a full loss, a late response as a partial one.
 """
 
-#: Weight of the newest request; a single refusal hardly changes the rate.
+#: Weight of the newest request; twenty refusals in a row show, and a single one hardly
+#: changes the rate.
 WEIGHT = 0.03
 #: Loss of a late response; a refusal counts as 1.
 LATE_RESPONSE_LOSS = 0.8
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -13,7 +13,8 @@
 INITIAL_HOLD_SECONDS = 0.2
 #: Weight of the newest request in the mean time for which a request holds a slot.
 HOLD_WEIGHT = 0.05
-#: Weight of the newest released slot in the share of slots left for late requests.
+#: Weight of the newest released slot in the share of slots left for late requests. With
+#: a larger one, more requests are not served in bursts.
 SPARE_WEIGHT = 0.02
 #: Lower bound of the share of slots left for late requests, so that their expected wait
 #: stays finite.
--- a/src/heathercleat/steering/process/capacity/region_loss_rates.py
+++ b/src/heathercleat/steering/process/capacity/region_loss_rates.py
@@ -3,7 +3,7 @@
 A refused request counts as a full loss, a late response as a partial one.
 """
 
-#: Seconds for which the means are cached; shorter than the heartbeat interval.
+#: Seconds for which the means are cached; a third of the heartbeat interval.
 CACHE_TTL_SECONDS = 0.05
 
 
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -5,7 +5,8 @@
 
 #: Seconds after an outage of the store until a target whose entry is still missing is
 #: removed: the two seconds in which the platform lets targets renew their entries, and
-#: the interval at which a VM retries the store.
+#: up to 0.45 between two calls of a reader, the first of which counts as the earliest
+#: instant of the return.
 MISSING_GRACE_SECONDS = 2.45
 #: Seconds for which the last entry of a removed target is kept; well above the longest
 #: delay of a write in the store.
--- a/src/heathercleat/steering/process/capacity/response_times.py
+++ b/src/heathercleat/steering/process/capacity/response_times.py
@@ -12,7 +12,8 @@
 RECOMPUTE_AFTER_RESPONSES = 20
 #: Quantile of the remembered response times that is used as the time for a cached
 #: object; low, since after a start most requests are for objects that are not cached
-#: yet, which take longer.
+#: yet, which take three times as long. With up to 450 objects, a tenth of the first 100
+#: requests are for cached ones.
 CACHED_OBJECT_QUANTILE = 0.1
 
 
--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -2,8 +2,8 @@
 
 from collections import deque
 
-#: Share of the allowed retries that a VM uses; below 1, since the windows of the VMs
-#: are not aligned.
+#: Share of the allowed retries that the VMs use together; below 1, since requests that
+#: one VM counts and retries that another one sends fall into different windows.
 USED_SHARE = 0.7
 
 
--- a/src/heathercleat/steering/process/capacity/slots.py
+++ b/src/heathercleat/steering/process/capacity/slots.py
@@ -17,7 +17,8 @@
 COLD_WINDOW_SECONDS = 1.0
 
 #: Share of a target's slots that must be free for requests with another affinity
-#: target: they run longer, and may evict an object from the target's cache.
+#: target: they hold a slot 3.4 times as long (0.26 s in place of 0.075 s on an
+#: overloaded deployment), and may evict an object from the target's cache.
 IDLE_SHARE = 0.5
 
 
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -11,8 +11,8 @@
 from heathercleat.steering.process.capacity.slots import reaches_idle_share
 from heathercleat.version.hashing import rendezvous_weight
 
-#: Seconds for which the summary of a region is cached; well below the heartbeat
-#: interval.
+#: Seconds for which the summary of a region is cached; a tenth of the interval of the
+#: heartbeats on which it is based.
 SUMMARY_TTL_SECONDS = 0.015
 #: Maximum number of targets cached for an affinity key; if too few of them can be used,
 #: all targets are ranked.
--- a/src/heathercleat/steering/process/directory.py
+++ b/src/heathercleat/steering/process/directory.py
@@ -7,7 +7,8 @@
 #: Maximum addresses in a lookup result; a random sample if there are more VMs.
 MAX_ADDRESSES = 64
 #: Seconds for which clients may cache a lookup; shorter than the time for which a
-#: leaving VM keeps its client connections.
+#: leaving VM keeps its client connections, and long enough for lookups to cost under 1%
+#: of a core.
 LOOKUP_TTL_SECONDS = 2.0
 #: The same for lookups at a VM that is leaving or has just started. Other VMs often
 #: leave or start at the same time, and this VM learns of them late.
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -15,10 +15,12 @@
 from heathercleat.steering.process.moving_average import update_moving_average
 from heathercleat.steering.process.quarantine.suspect import SuspectUpdate
 
-#: Seconds between two heartbeats; bounds the age of the capacity reports.
+#: Seconds between two heartbeats; bounds the age of the capacity reports, which is half
+#: of it on average. To pack a heartbeat takes 4 us, to read it 6 us.
 HEARTBEAT_INTERVAL_SECONDS = 0.15
 #: Rounds between two heartbeats to a VM of another region; traffic between regions is
-#: expensive.
+#: expensive, and requests wait for a remote affinity target rather than choose it by
+#: its free slots.
 ROUNDS_BETWEEN_REGIONS = 2
 #: Seconds between two heartbeats to or from a VM that handles no requests.
 IDLE_INTERVAL_SECONDS = 0.9
@@ -32,11 +34,12 @@
 #: one contact suffices.
 PROBED_IN_REGION = 6
 PROBED_OUTSIDE_REGION = 2
-#: Seconds after the start during which every round is a full one, so that VMs that
-#: start together discover each other quickly.
+#: Seconds after the start during which every round is a full one. Otherwise VMs that
+#: start together discover each other only after 0.9 s.
 START_SECONDS = 2.0
 #: Seconds between rounds during the start in a large fleet, where each heartbeat has
-#: many updates.
+#: many updates. 195 VMs agree as soon as with 0.15 s, with a fifth fewer bytes between
+#: regions.
 START_INTERVAL_SECONDS = 0.45
 #: Maximum VMs that a starting VM contacts in one round without having received a
 #: heartbeat from them.
--- a/src/heathercleat/steering/process/membership/heartbeat.py
+++ b/src/heathercleat/steering/process/membership/heartbeat.py
@@ -10,7 +10,8 @@
 VM_FIELD = MemberUpdate.__slots__.index("vm")
 STAMP_FIELD = MemberUpdate.__slots__.index("stamp")
 
-#: zlib level for the updates; the fastest one.
+#: zlib level for the updates; the fastest one already shrinks 48 updates, most of which
+#: are names, from 3.2 to 1.1 KB in 0.09 ms.
 _COMPRESSION_LEVEL = 1
 #: Maximum bytes of decompressed updates.
 _MAX_UPDATES_BYTES = 1 << 16
--- a/src/heathercleat/steering/process/membership/member.py
+++ b/src/heathercleat/steering/process/membership/member.py
@@ -2,8 +2,8 @@
 
 from enum import IntEnum
 
-#: Seconds without a heartbeat after which a VM is considered dead. Several intervals,
-#: to tolerate lost datagrams and short stalls.
+#: Seconds without a heartbeat after which a VM is considered dead. Seven intervals, to
+#: tolerate a few lost datagrams (2.5% on a bad link) and short stalls.
 SILENCE_SECONDS = 1.1
 #: The same as a number of heartbeat intervals, for VMs that send heartbeats rarely.
 MAX_LOST_HEARTBEATS = 4
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -9,10 +9,12 @@
 #: If two checks are this many seconds apart or more, the process was paused. Longer
 #: than the longest interval between two rounds of heartbeats.
 PAUSE_SECONDS = 1.5
-#: Seconds within which a VM can refute a report of its death.
+#: Seconds within which a VM can refute a report of its death. An update reaches 300 VMs
+#: within three heartbeats.
 REFUTE_SECONDS = 0.5
 #: Minimum strength of a VM that handles requests, as a fraction of its region's
-#: strongest VM; requests at much weaker VMs would be too slow.
+#: strongest VM. Requests at a VM with a twentieth of the bandwidth take several times
+#: their latency objective.
 STRONG_SHARE = 0.5
 #: Minimum fraction of a region's strength that its strong VMs must have together;
 #: otherwise all VMs of the region handle requests.
--- a/src/heathercleat/steering/process/membership/pending_updates.py
+++ b/src/heathercleat/steering/process/membership/pending_updates.py
@@ -2,11 +2,13 @@
 
 #: Number of heartbeat intervals for which an update is sent, so that each partner gets
 #: the update at least twice. Lost datagrams are tolerated, since every VM gets the
-#: update from several partners.
+#: update from some 18 partners. Sent in ten heartbeats to each, one update would go out
+#: 4,860 times among 27 VMs.
 SEND_HEARTBEATS = 2.5
 #: Maximum seconds between two heartbeats.
 MAX_INTERVAL_SECONDS = 2.0
-#: Maximum updates in one heartbeat, to leave space for reports in the datagram.
+#: Maximum updates in one heartbeat; 48 of 80 bytes leave space for reports in the
+#: datagram.
 MAX_PER_HEARTBEAT = 48
 
 
--- a/src/heathercleat/steering/process/membership/topology.py
+++ b/src/heathercleat/steering/process/membership/topology.py
@@ -10,19 +10,24 @@
 from heathercleat.process.clock import DISTANT_PAST
 from heathercleat.version.hashing import rendezvous_weight
 
-#: Maximum VMs that handle requests in a full mesh.
+#: Maximum VMs that handle requests in a full mesh: 18 times the usual rate is 120
+#: datagrams a second, 1% of a core.
 MAX_MESH_SIZE = 18
 #: Maximum live VMs in a full mesh, including those that handle no requests.
 MAX_MESH_LIVE = 120
 #: Number of VMs that a VM with requests monitors in its own region and in other
-#: regions. On average the same number of VMs monitor it.
+#: regions. On average the same number of VMs monitor it, so that it sends 18 heartbeats
+#: in an interval. The chance that none of 300 VMs monitors a given one is 1 in 8,000.
 MONITORED_IN_REGION = 6
 MONITORED_OUTSIDE_REGION = 3
-#: The same for a VM that handles no requests, which only has to learn of changes.
+#: The same for a VM that handles no requests, which only has to learn of changes. Where
+#: most VMs are such, with nine each they would send the others as many heartbeats as
+#: those send each other.
 IDLE_MONITORED_IN_REGION = 3
 IDLE_MONITORED_OUTSIDE_REGION = 1
 #: Additional VMs of a failure domain that are monitored after one of its VMs became
-#: silent, to detect quickly that a whole domain or region is lost.
+#: silent. A whole domain or region that is lost is then detected in two steps; without
+#: it, a cut region of 15 VMs was known after 8.5 s in place of 3.5 s.
 EXTRA_MONITORED_IN_DOMAIN = 30
 #: Seconds for which these additional VMs are monitored after the last such failure.
 EXTRA_MONITORING_SECONDS = 4.0
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -23,7 +23,7 @@
 LONG_POLL_SECONDS = 25.0
 #: Seconds between checks whether this VM is a reader, and before the first one.
 READER_CHECK_SECONDS = 1.0
-#: Seconds until a failed call is retried.
+#: Seconds until a failed call is retried, and between two rows that one VM writes.
 RETRY_SECONDS = 2.0
 #: Seconds between two writes.
 WRITE_INTERVAL_SECONDS = 1.0
--- a/src/heathercleat/steering/process/request_log.py
+++ b/src/heathercleat/steering/process/request_log.py
@@ -2,7 +2,8 @@
 
 from heathercleat.events import Event
 
-#: Maximum log lines for single requests per second; further lines are only counted.
+#: Maximum log lines for single requests per second; further lines are only counted. 40
+#: lines cost 1.1 ms of processor time.
 MAX_LINES_PER_SECOND = 40
 _FIRST_SERVER_ERROR_STATUS = 500
 
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -10,7 +10,8 @@
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from heathercleat.steering.process.store.table_copy import TableCopy
 
-#: Mean seconds between two calls of a reader while the store does not respond.
+#: Mean seconds between two calls of a reader while the store does not respond; short
+#: enough for a configuration to be in force within its bound after the store's return.
 RETRY_INTERVAL_SECONDS = 0.3
 #: The same for VMs that are not readers; they usually learn of the store's return from
 #: a reader first.
--- a/src/heathercleat/steering/process/store/rejected_rows.py
+++ b/src/heathercleat/steering/process/store/rejected_rows.py
@@ -2,7 +2,8 @@
 
 from heathercleat.events import Event
 
-#: Maximum lines per window.
+#: Maximum lines per window, so that a writer that repeats itself each millisecond does
+#: not fill the log.
 MAX_LINES_PER_WINDOW = 20
 #: Length of a window, in seconds.
 WINDOW_SECONDS = 10.0
--- a/src/heathercleat/steering/process/store/table_copy.py
+++ b/src/heathercleat/steering/process/store/table_copy.py
@@ -2,7 +2,8 @@
 
 from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
 
-#: Maximum remembered removals. A VM that missed more of them gets the whole table.
+#: Maximum remembered removals; enough for a fleet whose targets are all replaced within
+#: minutes. A VM that missed more of them gets the whole table.
 MAX_REMOVALS = 1024
 #: Maximum remembered :class:`Gap` objects.
 MAX_GAPS = 16
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -33,7 +33,8 @@
 PROOF_WAIT_SHARE = 0.2
 #: The same for the targets' table, which changes at every heartbeat of a target.
 TARGET_WAIT_SECONDS = 1.0
-#: Seconds between two calls for the targets' table, to limit their number.
+#: Seconds between two calls for the targets' table, to limit their number. A target
+#: that leaves is still noticed within half of the shortest drain time.
 TARGET_PAUSE_SECONDS = 0.6
 #: The same two times for the members' table; it is polled rarely, since it is only
 #: needed for the first contact with other VMs.
@@ -44,7 +45,8 @@
 #: Timeout for fetching a table from another VM, in seconds.
 PEER_FETCH_TIMEOUT_SECONDS = 0.5
 #: Delay before a VM fetches a newer table from another failure domain of its region, in
-#: seconds; meanwhile a VM of its own failure domain may get the table.
+#: seconds; meanwhile a VM of its own failure domain may get the table. Without delays,
+#: at 80 VMs a table can cross between regions 50 times at each change of the targets.
 REGION_DELAY_SECONDS = 0.15
 #: The same for fetching from another region, to limit traffic between regions.
 OTHER_REGION_DELAY_SECONDS = 0.5
--- a/src/heathercleat/steering/request/affinity.py
+++ b/src/heathercleat/steering/request/affinity.py
@@ -10,7 +10,8 @@
 
 #: Share of the latency objective that a round trip may take while the response time for
 #: cached objects is unknown. The mean would exclude other regions at first, since it
-#: includes objects that are not cached yet.
+#: includes objects that are not cached yet; seconds later a large share of a region's
+#: requests would change the region at once.
 MAX_ROUND_TRIP_SHARE = 0.5
 
 
--- a/src/heathercleat/steering/request/crash_limits.py
+++ b/src/heathercleat/steering/request/crash_limits.py
@@ -19,7 +19,7 @@
 from heathercleat.steering.request.attempt_result import AttemptOutcome
 from heathercleat.steering.request.fingerprint import sender_digest
 
-#: Maximum number of remembered senders with complete responses.
+#: Maximum number of remembered senders with complete responses; about a megabyte.
 MAX_SENDERS = 8192
 #: Number of remembered trials at which expired ones are dropped.
 MAX_TRIALS = 1024
--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -11,16 +11,19 @@
 #: From this size on, targets in the failure domain of this VM come before affinity
 #: targets, since sending the body costs more than the cache saves.
 LARGE_BODY_BYTES = 16 << 10
-#: An owner is excluded if its reported wait exceeds the remaining wait by this factor.
-#: Below that the owner decides, since its report may be out of date.
+#: An owner is excluded if its reported wait exceeds the remaining wait by this factor;
+#: forwarding in vain costs both VMs 1.2 ms of processor time. Below that the owner
+#: decides, since its report may be out of date by half a heartbeat interval.
 MAX_WAIT_FACTOR = 2.0
-#: Minimum difference between the loss rates of two regions for spillover.
+#: Minimum difference between the loss rates of two regions for spillover; smaller ones
+#: are noise.
 MIN_LOSS_DIFFERENCE = 0.08
 #: Remaining wait in seconds that is assumed for spillover to another region.
 MAX_SPILLOVER_WAIT_SECONDS = 0.1
 #: Share of the slots of a region that is reserved for its own clients.
 RESERVED_SHARE = 0.15
-#: Seconds added to the wait at another VM for the network and an outdated report.
+#: Seconds added to the wait at another VM: a forwarded request crosses the network
+#: twice, with its body, and the report of the wait is out of date.
 FORWARD_COST_SECONDS = 0.03
 
 
--- a/src/heathercleat/steering/request/eligibility.py
+++ b/src/heathercleat/steering/request/eligibility.py
@@ -1,6 +1,7 @@
 """Targets that one request may use."""
 
-#: Affinity targets of one object in a region; each further one must also cache it.
+#: Affinity targets of one object in a region; each further one must also cache it. With
+#: two, overloaded deployments served less.
 AFFINITY_TARGETS_PER_REGION = 1
 
 
--- a/src/heathercleat/steering/request/fingerprint.py
+++ b/src/heathercleat/steering/request/fingerprint.py
@@ -4,6 +4,8 @@
 
 #: Headers included in the digest; others may differ between retries of a request.
 DIGEST_HEADERS = (b"host", b"authorization", b"cookie")
+#: 64 bits: among 10,000 remembered requests, the chance that two have the same digest
+#: is 1 in 10^11.
 DIGEST_BYTES = 8
 #: Headers that identify a sender.
 _CREDENTIAL_HEADERS = (b"authorization", b"cookie")
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -195,7 +195,8 @@
             await self._pool.checkin(ip, self._port, stream)
             return AttemptResult(AttemptOutcome.NOT_SENT, reason=CLIENT_LEFT_REASON)
         # Also set for requests that must not run twice, since the owner has to cancel
-        # a queued request, which has not run, when the client disconnects.
+        # a queued request, which has not run, when the client disconnects. Otherwise
+        # it sends the request up to a second later.
         call.on_disconnect = StreamInterrupter(stream)
         try:
             now = self._clock.now()
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -16,14 +16,15 @@
 LOCAL_RECHECK_SECONDS = 0.08
 #: The same for the queue of another VM; forwarding again sends the body again.
 FORWARDED_RECHECK_SECONDS = 0.25
-#: The same for a request with a large body, or one past its latency objective.
+#: The same for a request past its latency objective, whose wait is long, or with a
+#: large body, which costs more to send again than another destination gains.
 LONG_RECHECK_SECONDS = 1.0
-#: Longest wait in seconds at a target with a reported free slot; the report may be out
-#: of date.
+#: Longest wait in seconds at a target with a reported free slot; the report is out of
+#: date by half a heartbeat interval.
 STALE_REPORT_WAIT_SECONDS = 0.03
 #: The same after the request's ``give_up_at``; covers a network hop in the region.
 LAST_WAIT_SECONDS = 0.005
-#: Longest wait in seconds for a slot in another region.
+#: Longest wait in seconds for a slot in another region, whose queue is not known here.
 MAX_REMOTE_WAIT_SECONDS = 0.15
 #: Unsent attempts at reported free slots after which a request is refused.
 MAX_UNSENT_ATTEMPTS = 5
--- a/src/heathercleat/steering/request/wait_policy.py
+++ b/src/heathercleat/steering/request/wait_policy.py
@@ -5,10 +5,12 @@
 :mod:`heathercleat.steering.process.capacity.queue`.
 """
 
-#: Multiple of the mean response time that most responses do not exceed.
+#: Multiple of the mean response time that most responses do not exceed. With a mean
+#: just below the latency objective, half of the responses for objects that are not
+#: cached would be late.
 RESPONSE_TIME_FACTOR = 1.25
 #: Minimum share of the timeout that remains when a request stops waiting, so that the
-#: client can retry.
+#: client can retry, and can get a response where no response time is known yet.
 MIN_REMAINING_SHARE = 0.2
 #: Seconds before ``give_up_at`` from which a request accepts any idle target.
 ANY_TARGET_SECONDS = 0.02
