--- a/src/heathercleat/steering/process/capacity/notices.py
+++ b/src/heathercleat/steering/process/capacity/notices.py
@@ -116,9 +116,14 @@
         self.rest_until = DISTANT_PAST
         self.changed_at = DISTANT_PAST
 
+    @property
+    def closed_until(self):
+        """Return the instant until which the target asks for no requests."""
+        return inf if self.is_leaving else self.rest_until
+
     def is_in_force(self, now):
         """Return whether the target asks for anything."""
-        return self.rate is not None or self.is_leaving or now < self.rest_until
+        return self.rate is not None or now < self.closed_until
 
     def is_spreading(self, now):
         """Return whether the last change is passed on."""
@@ -140,6 +145,17 @@
         self._clock = clock
         self._notices = {}
 
+    @property
+    def limited_count(self):
+        """Return the number of targets that limit their requests."""
+        return sum(each.rate is not None for each in self._notices.values())
+
+    @property
+    def closed_count(self):
+        """Return the number of targets that ask for no requests."""
+        now = self._clock.now()
+        return sum(now < each.closed_until for each in self._notices.values())
+
     def rate(self, incarnation):
         """Return the requests per second that a target accepts, or ``None``."""
         notice = self._notices.get(incarnation)
@@ -151,9 +167,7 @@
         Infinity if it shuts down, an instant of the past if it accepts requests.
         """
         notice = self._notices.get(incarnation)
-        if notice is None:
-            return DISTANT_PAST
-        return inf if notice.is_leaving else notice.rest_until
+        return DISTANT_PAST if notice is None else notice.closed_until
 
     def record_response(self, entry, head):
         """Record what a response of a target asks for.
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -546,6 +546,8 @@
             "suspects": self._suspects.count,
             "quarantined": self._suspects.quarantined_count,
             "limited_groups": self._suspects.limited_count,
+            "limited_targets": self._notices.limited_count,
+            "closed_targets": self._notices.closed_count,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
         }
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,73 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "LIMIT-pacing",
+        f"{STEERING}/process/capacity/slots.py",
+        "            self._pacer.withdraw(self.rate, now)",
+        "            pass",
+        "tests/test_pacing.py",
+        "tests/test_target_notices.py",
+    ),
+    Mutation(
+        "LIMIT-affinity",
+        f"{STEERING}/process/capacity/admission.py",
+        "if preferred and not self._accepts_requests(preferred):",
+        "if False:",
+        "tests/test_pacing.py",
+        "tests/test_closed_targets.py",
+    ),
+    Mutation(
+        "LIMIT-wait",
+        f"{STEERING}/process/capacity/slots.py",
+        "return slots if self.rate is None else min(slots, self.rate * hold_seconds)",
+        "return slots",
+        "tests/test_pacing.py",
+    ),
+    Mutation(
+        "LIMIT-passed-on",
+        f"{STEERING}/process/membership/gossip.py",
+        "end += self._notices.pack(member.region, not is_newcomer)",
+        "pass",
+        "tests/test_notices.py",
+    ),
+    Mutation(
+        "DRAIN-response",
+        f"{STEERING}/process/capacity/notices.py",
+        "return inf if self.is_leaving else self.rest_until",
+        "return self.rest_until",
+        "tests/test_notices.py",
+        "tests/test_target_notices.py",
+    ),
+    Mutation(
+        "DRAIN-after-connecting",
+        f"{STEERING}/request/local.py",
+        "if target.accepts_requests(self._clock.now()):",
+        "if True:",
+        "tests/test_closed_targets.py",
+    ),
+    Mutation(
+        "BUDGET-rest",
+        f"{STEERING}/process/capacity/notices.py",
+        "return inf if self.is_leaving else self.rest_until",
+        "return inf if self.is_leaving else DISTANT_PAST",
+        "tests/test_closed_targets.py",
+        "tests/test_target_notices.py",
+    ),
+    Mutation(
+        "BUDGET-probe",
+        f"{STEERING}/process/capacity/slots.py",
+        "if self.health.is_half_open and self.free(now):",
+        "if False:",
+        "tests/test_object_homes.py",
+    ),
+    Mutation(
+        "BUDGET-reopens-at",
+        f"{STEERING}/process/retry_after.py",
+        "return max(retry_at, closed_until)",
+        "return retry_at",
+        "tests/test_closed_targets.py",
+    ),
     Mutation(
         "MIXED-signature",
         f"{STEERING}/request/exchange.py",
