--- a/standins/soak.py
+++ b/standins/soak.py
@@ -13,6 +13,8 @@
 - a target removed after the last fault gets no requests once its drain is over, and
   gets requests again when it restarts under the same id;
 - after the last fault, requests are served again;
+- a target gets no more requests than it asks for in its responses; see
+  :mod:`standins.soak_notices`;
 - a planned stop aborts no request that is running at a target; see
   :mod:`standins.soak_stops`.
 """
@@ -28,6 +30,7 @@
 from http.client import HTTPException
 
 from standins.fleet import STOP_SECONDS, wait_for
+from standins.soak_notices import TargetNotices
 from standins.soak_stops import PlannedStops, long_routes
 from standins.steering_fleet import (
     SteeringFleet,
@@ -335,7 +338,9 @@
         yield f"{request.id}: incomplete response"
 
 
-def run_seed(seed, seconds, config, vms_per_domain=1, with_stops=True):
+def run_seed(
+    seed, seconds, config, vms_per_domain=1, with_stops=True, with_notices=True
+):
     """Run one seed; return report lines and the number of requests by outcome.
 
     The lines are the violations, followed by the injected faults; without a violation
@@ -343,6 +348,7 @@
 
     :param vms_per_domain: number of VMs in each failure domain.
     :param with_stops: whether planned stops follow the faults.
+    :param with_notices: whether targets ask for less after the faults.
     """
     rng = random.Random(seed)
     vms = dict.fromkeys(DOMAINS, vms_per_domain)
@@ -367,6 +373,8 @@
         try:
             faults.run(seconds)
             violations = list(check_target_removal(fleet, seed))
+            if with_notices:
+                violations.extend(TargetNotices(fleet, seed).check())
         finally:
             clients.stop()
         if with_stops:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from standins.soak import SentRequest, check, run_seed
+from standins.soak_notices import max_in_rest, max_in_window
 from standins.soak_stops import check_attempts
 from standins.stops.records import ONCE, SAFE, Attempt
 from standins.stops.tally import collect_runs
@@ -63,14 +64,22 @@
     assert bool(list(check_attempts([attempt], collect_runs(spans)))) is is_violation
 
 
+def test_windows_and_rests_with_too_many_requests_are_found():
+    assert max_in_window([0.0, 3.9, 4.0], 4.0) == 2
+    assert max_in_rest([0.0, 0.4, 0.6, 1.0, 1.4, 1.6], 1.5) == 3
+    assert max_in_window([], 4.0) == max_in_rest([], 1.5) == 0
+
+
 #: Regression seeds: they stop a VM twice and restart it in between.
 REGRESSION_SEEDS = [12, 14]
 
 
 @pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed):
-    # The regression seeds need only faults, without planned stops.
-    with_stops = seed not in REGRESSION_SEEDS
-    violations, status_counts = run_seed(seed, SECONDS, config(), with_stops=with_stops)
+    # The regression seeds need only faults, without what follows them.
+    is_whole = seed not in REGRESSION_SEEDS
+    violations, status_counts = run_seed(
+        seed, SECONDS, config(), with_stops=is_whole, with_notices=is_whole
+    )
     assert violations == []
     assert status_counts[200] > 0
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -5,6 +5,13 @@
 
 import pytest
 
+from standins.soak_notices import (
+    ADOPTION_SECONDS,
+    MAX_IN_REST,
+    WINDOW_SECONDS,
+    max_in_rest,
+    max_in_window,
+)
 from standins.steering_fleet import SteeringFleet
 from tests.platform_samples import config
 
@@ -19,19 +26,13 @@
 VMS = {"north-a": 2, "north-b": 1, "south-a": 1}
 #: Requests per second that the target accepts.
 RATE_LIMIT = 5.0
-#: Seconds from the first response with a limit until the limit has to be kept.
-ADOPTION_SECONDS = 3.0
-WINDOW_SECONDS = 4.0
 #: Requests that a limit allows in a window.
-MOST_IN_WINDOW = 1.5 * RATE_LIMIT * WINDOW_SECONDS + 5
+MAX_IN_WINDOW = 1.5 * RATE_LIMIT * WINDOW_SECONDS + 5
 #: Seconds after a response that says that the target leaves in which it may still get
 #: requests.
 DRAIN_SECONDS = 2.0
 #: Seconds for which a target asks for no requests.
 REST_SECONDS = 2.0
-#: Seconds after a refusal in which requests that were on their way may arrive.
-REACTION_SECONDS = 0.5
-MAX_ARRIVALS_IN_REST = 2
 CLIENTS = 10
 
 
@@ -79,15 +80,6 @@
             self.statuses.append(response[0])
 
 
-def most_in_window(instants):
-    """Return the highest number of instants in any window."""
-    instants = sorted(instants)
-    return max(
-        sum(first <= each < first + WINDOW_SECONDS for each in instants)
-        for first in instants
-    )
-
-
 def arrivals_since(fleet, target_id, instant):
     return [at for _, at, _ in fleet.arrivals(target_id) if at >= instant]
 
@@ -98,7 +90,7 @@
     load = Load(fleet, list(fleet.vms.values()))
     load.run(ADOPTION_SECONDS + 2 * WINDOW_SECONDS)
     arrivals = arrivals_since(fleet, "i-1", begin + ADOPTION_SECONDS)
-    assert most_in_window(arrivals) <= MOST_IN_WINDOW
+    assert max_in_window(arrivals, WINDOW_SECONDS) <= MAX_IN_WINDOW
     assert len(arrivals) >= RATE_LIMIT * WINDOW_SECONDS, "the target is hardly used"
     assert set(load.statuses) == {200}, "other targets have free slots"
 
@@ -116,19 +108,15 @@
     assert set(load.statuses) == {200}, "other targets have free slots"
 
 
-def arrivals_in_rest(arrivals):
-    """Return the most requests of a VM after one of its requests was refused.
+def most_in_rest(arrivals):
+    """Return the most requests of one VM in a rest that it was asked for.
 
     :param arrivals: the :meth:`SteeringFleet.arrivals` at a target that refuses all.
     """
     by_sender = {}
     for _, at, sender in arrivals:
         by_sender.setdefault(sender, []).append(at)
-    return max(
-        sum(begin + REACTION_SECONDS < at < begin + REST_SECONDS for at in instants)
-        for instants in by_sender.values()
-        for begin in instants
-    )
+    return max(max_in_rest(each, REST_SECONDS) for each in by_sender.values())
 
 
 @pytest.mark.parametrize("resting", [("i-1",), ("i-1", "i-2")])
@@ -139,7 +127,7 @@
     load.run(2.5 * REST_SECONDS)
     for each in resting:
         arrivals = fleet.arrivals(each)
-        assert arrivals_in_rest(arrivals) <= MAX_ARRIVALS_IN_REST
+        assert most_in_rest(arrivals) <= MAX_IN_REST
         rested = arrivals[0][1] + REST_SECONDS
         assert arrivals[-1][1] >= rested, "the target is not used after its rest"
     assert set(load.statuses) == {200}, "other targets have free slots"
