Let a limited target save the requests of one second

What callers saw: a limited target was used for two thirds of what it takes, and the rest of its requests went to targets that did not have their objects.

Cause: the bucket held a quarter of a second, one request at 3 a second. Other VMs know of it with the delay of a heartbeat, 0.15 to 0.3 s, so that most tokens overflowed.

Change: it holds one second.

Why it holds: in 4 s the bucket yields 5 times the limit, the rule allows 6 times and 5; a new owner with a full bucket adds one time.

--- a/src/heathercleat/steering/process/capacity/pacer.py
+++ b/src/heathercleat/steering/process/capacity/pacer.py
@@ -1,7 +1,8 @@
 """Paces the requests to a target that limits their rate."""
 
 #: Seconds of the rate that may be used at once after a pause; at least one request.
-BURST_SECONDS = 0.25
+#: Shorter bursts are lost, since other VMs learn of free slots by heartbeats.
+BURST_SECONDS = 1.0
 #: Requests per second to a target that accepts none: only its responses show that the
 #: limit has ended.
 PROBE_RATE = 0.25
