--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -9,7 +9,7 @@
 from msgpack.exceptions import UnpackException
 
 from heathercleat.events import Event
-from heathercleat.steering.process.capacity.notices import NoticeUpdate
+from heathercleat.steering.process.capacity.notice_update import NoticeUpdate
 from heathercleat.steering.process.membership.heartbeat import Heartbeat
 from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.moving_average import update_moving_average
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from heathercleat.steering.process.capacity.notice_update import NoticeUpdate
 from heathercleat.steering.process.capacity.notices import (
     MAX_REPORTED,
     RETENTION_SECONDS,
     SPREAD_SECONDS,
-    NoticeUpdate,
 )
 from heathercleat.steering.request.attempt_result import TargetResponseHead
 from standins.membership_simulation import Network, SimulatedVm, run_nonblocking
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -56,7 +56,7 @@
 MUTATIONS = (
     Mutation(
         "LIMIT-pacing",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "            self._pacer.withdraw(self.rate, now)",
         "            pass",
         "tests/test_pacing.py",
@@ -79,7 +79,7 @@
     ),
     Mutation(
         "LIMIT-overdraft-rejections",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "self.health.rejection_rate > MAX_OVERDRAFT_REJECTIONS:",
         "False:",
         "tests/test_pacing.py",
@@ -93,7 +93,7 @@
     ),
     Mutation(
         "LIMIT-wait",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "return min(slots, OVERDRAFT_FACTOR * self.rate * hold_seconds)",
         "return slots",
         "tests/test_pacing.py",
@@ -130,7 +130,7 @@
     ),
     Mutation(
         "BUDGET-probe",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "if self.health.is_half_open:\n            return",
         "if False:\n            return",
         "tests/test_object_homes.py",
@@ -438,7 +438,7 @@
     ),
     Mutation(
         "FAILBACK",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "if now < self.cold_until and self.cold_limit is not None:",
         "if False:",
         "tests/test_owned_slots.py",
@@ -645,7 +645,7 @@
     ),
     Mutation(
         "HANDOVER-held-slots",
-        f"{STEERING}/process/capacity/slots.py",
+        f"{STEERING}/process/capacity/owned_target.py",
         "        other_load = self._held_slots.count(self.entry.id, now)\n",
         "        other_load = 0\n",
         "tests/test_handing_over.py",
