Probe a target after its rest also where it rejects few requests

Cause: the rejection that asks for rest was recorded after the rest, and a rejection below the rate for an ejection takes the probing back. After its rest a target got a request for each of its slots at once; the test recorded the rest alone.

Change: the owned target records a rejection and then its rest. The test records both, as the dispatcher does, and fails without the change (4 free slots in place of 1). A mutation drops the probe.

--- a/src/heathercleat/steering/process/capacity/owned_target.py
+++ b/src/heathercleat/steering/process/capacity/owned_target.py
@@ -132,8 +132,18 @@
         self._notices.record_response(self.entry, head)
         if head.running_count is not None:
             self.record_reported_load(head.running_count, head.waiting_count, now)
+
+    def record_rejection(self, head, started_at, usual_rate, may_eject, now):
+        """Record a request that the target rejected; return whether it is ejected.
+
+        The parameters are those of :meth:`TargetHealth.record_rejection`.
+        """
+        is_ejected = self.health.record_rejection(
+            now, started_at, usual_rate, may_eject
+        )
         if head.rest_seconds:
             self.health.probe_next()
+        return is_ejected
 
     def accepts_requests(self, now):
         """Return whether the target has not asked for no requests."""
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -215,8 +215,8 @@
         may_eject = self._ejection_limit.may_eject(call.service)
         if result.outcome is AttemptOutcome.REFUSED:
             usual_rate = self._ledger.usual_rejection_rate(target)
-            is_ejected = target.health.record_rejection(
-                now, slot_use.started_at, usual_rate, may_eject
+            is_ejected = target.record_rejection(
+                head, slot_use.started_at, usual_rate, may_eject, now
             )
         else:
             is_ejected = target.health.record_failure(
--- a/tests/test_closed_targets.py
+++ b/tests/test_closed_targets.py
@@ -53,8 +53,10 @@
 
 def ask_for_rest(parts, seconds, ids):
     for each in ids:
-        head = make_head(rest=seconds)
-        parts.ledger.get(each).record_response(head, parts.clock.now())
+        head, now = make_head(rest=seconds), parts.clock.now()
+        target = parts.ledger.get(each)
+        target.record_response(head, now)
+        target.record_rejection(head, now, 0.0, True, now)
 
 
 @pytest.mark.parametrize(
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -135,6 +135,13 @@
         "if False:\n            return",
         "tests/test_object_homes.py",
     ),
+    Mutation(
+        "BUDGET-probe-after-rest",
+        f"{STEERING}/process/capacity/owned_target.py",
+        "        if head.rest_seconds:\n            self.health.probe_next()\n",
+        "",
+        "tests/test_closed_targets.py",
+    ),
     Mutation(
         "BUDGET-reopens-at",
         f"{STEERING}/process/retry_after.py",
