--- a/src/heathercleat/steering/process/capacity/owned_target.py
+++ b/src/heathercleat/steering/process/capacity/owned_target.py
@@ -146,7 +146,7 @@
         return is_ejected
 
     def accepts_requests(self, now):
-        """Return whether the target has not asked for no requests."""
+        """Return whether the target accepts new requests."""
         return self.closed_until <= now
 
     def limit(self, now):
