--- a/tests/test_closed_targets.py
+++ b/tests/test_closed_targets.py
@@ -5,6 +5,7 @@
 
 from heathercleat.errors import RequestError
 from heathercleat.platform.headers import parse_response_head
+from heathercleat.platform.wire_names import RETRY_AFTER
 from heathercleat.steering.process.capacity.notices import MAX_REST_SECONDS
 from heathercleat.steering.request.attempt_result import CLOSED_REASON, AttemptOutcome
 from tests.steering_parts import Parts, call, entry
@@ -72,9 +73,7 @@
     ],
 )
 def test_rest_is_read_from_refusals_for_overload(status, value, seconds):
-    assert (
-        parse_response_head(status, [(b"retry-after", value)]).rest_seconds == seconds
-    )
+    assert parse_response_head(status, [(RETRY_AFTER, value)]).rest_seconds == seconds
 
 
 def test_rest_is_never_shortened():
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from heathercleat.platform.headers import parse_response_head
+from heathercleat.platform.wire_names import RATE_LIMIT
 from heathercleat.steering.process.capacity.admission import Admission
 from heathercleat.steering.process.capacity.pacer import (
     BURST_SECONDS,
@@ -44,7 +45,7 @@
     ],
 )
 def test_malformed_limit_is_none(value, rate):
-    assert parse_response_head(200, [(b"server-limit", value)]).rate_limit == rate
+    assert parse_response_head(200, [(RATE_LIMIT, value)]).rate_limit == rate
 
 
 @pytest.mark.parametrize("available", [Pacer.available, Pacer.available_to_waiting])
@@ -98,7 +99,7 @@
 
 def test_response_of_another_incarnation_limits_nothing():
     parts = Parts([entry("t1", slots=4)])
-    head = parse_response_head(421, [(b"server-limit", b"0.5")])
+    head = parse_response_head(421, [(RATE_LIMIT, b"0.5")])
     parts.ledger.get("t1").record_response(head, parts.clock.now())
     assert parts.ledger.get("t1").free(parts.clock.now()) == 4
 
--- a/tests/test_target_notices.py
+++ b/tests/test_target_notices.py
@@ -131,3 +131,31 @@
         rested = arrivals[0][1] + REST_SECONDS
         assert arrivals[-1][1] >= rested, "the target is not used after its rest"
     assert set(load.statuses) == {200}, "other targets have free slots"
+
+
+def owns(fleet, vm, target_id):
+    """Return whether a running VM owns a target, by its log."""
+    changes = [
+        line["name"]
+        for line in fleet.log(vm)
+        if line.get("name") in ("home_adopted", "home_handed_over")
+        and line["target"] == target_id
+    ]
+    return vm.process.poll() is None and changes[-1:] == ["home_adopted"]
+
+
+def find_owner(fleet, target_id):
+    return next(vm for vm in fleet.vms.values() if owns(fleet, vm, target_id))
+
+
+def test_next_owner_of_a_leaving_target_sends_it_nothing(fleet):
+    fleet.switch_store(down="silent")
+    fleet.switch_target("i-1", leaving=True)
+    Load(fleet, list(fleet.vms.values())).run(1.5)
+    owner = find_owner(fleet, "i-1")
+    owner.process.kill()
+    owner.process.wait()
+    killed_at = time.monotonic()
+    Load(fleet, [vm for vm in fleet.vms.values() if vm is not owner]).run(4.0)
+    assert find_owner(fleet, "i-1")
+    assert arrivals_since(fleet, "i-1", killed_at) == []
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -104,6 +104,7 @@
         "end += self._notices.pack(member.region, not is_newcomer)",
         "pass",
         "tests/test_notices.py",
+        "tests/test_target_notices.py",
     ),
     Mutation(
         "DRAIN-response",
