--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -31,10 +31,15 @@
         self._requests.append(now)
         self._expire(now)
 
+    @property
+    def vm_count(self):
+        """Return the number of VMs among which this VM divides the slack."""
+        return max(1, self._vm_count())
+
     def remaining(self, now):
         """Return how many retries may still be sent in this window."""
         self._expire(now)
-        slack_share = self._slack / max(1, self._vm_count())
+        slack_share = self._slack / self.vm_count
         allowed = self._ratio * len(self._requests) + slack_share
         return USED_SHARE * allowed - len(self._retries)
 
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -181,6 +181,7 @@
             reason=self._last_reason,
             allowed=spent,
             left=round(budget.remaining(now), 1),
+            vms=budget.vm_count,
         )
         return spent
 
