--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -13,7 +13,12 @@
 from heathercleat.connection.persistent import PersistentConnection
 from heathercleat.connection.socket_options import enable_keepalive
 from heathercleat.errors import PlatformError
-from heathercleat.platform.wire_names import FEED_PATH, READ_PATH, TRANSACT_PATH
+from heathercleat.platform.wire_names import (
+    FEED_PATH,
+    READ_PATH,
+    STORE_ERA,
+    TRANSACT_PATH,
+)
 from heathercleat.steering.process.store.protocol import (
     HistoryLostError,
     Snapshot,
@@ -55,11 +60,12 @@
             if start is not None:
                 query["from"] = start
             response = await self._call("GET", f"{READ_PATH}?{urlencode(query)}")
-            page = [_decode_row(each) for each in response["rows"]]
+            document = response.document
+            page = [_decode_row(each) for each in document["rows"]]
             rows.extend(page)
-            version = response["ver"] if version is None else version
-            if not response.get("truncated") or not page:
-                return Snapshot(version, rows)
+            version = document["ver"] if version is None else version
+            if not document.get("truncated") or not page:
+                return Snapshot(version, rows, era=response.era)
             start = page[-1].key + "\0"
 
     async def follow(self, table, after, wait):
@@ -72,8 +78,9 @@
         query = {"table": table, "after": after, "waitMs": int(wait * 1000)}
         path = f"{FEED_PATH}?{urlencode(query)}"
         response = await self._call("GET", path, wait=wait)
-        rows = [_decode_row(each) for each in response["rows"]]
-        return Snapshot(response["ver"], rows, is_whole=False)
+        document = response.document
+        rows = [_decode_row(each) for each in document["rows"]]
+        return Snapshot(document["ver"], rows, is_whole=False, era=response.era)
 
     async def write(self, table, key, value):
         """Set the value of a row, or remove the row.
@@ -96,6 +103,7 @@
         await self._connection.close()
 
     async def _call(self, method, path, body=b"", wait=0.0):
+        """Return the :class:`_StoreResponse` to one call."""
         deadline = self._clock.now() + self._timeout + wait
         message = Message(method=method, path=path, body=body, headers=_JSON_HEADERS)
         try:
@@ -109,7 +117,8 @@
         if response.status != 200:
             raise PlatformError(f"{method} {path}: status {response.status}")
         try:
-            return json.loads(response.body)
+            document = json.loads(response.body)
+            return _StoreResponse(document, int(response.headers.get(STORE_ERA, 0)))
         except ValueError as error:
             raise PlatformError(f"{method} {path}: {error}") from None
 
@@ -121,6 +130,16 @@
         return stream
 
 
+class _StoreResponse:
+    """A successful response: its JSON document and the era of the store."""
+
+    __slots__ = ("document", "era")
+
+    def __init__(self, document, era):
+        self.document = document
+        self.era = era
+
+
 def _decode_row(document):
     # A removed row has a tombstone instead of a value.
     is_removed = document.get("tombstone", False)
--- a/src/heathercleat/platform/wire_names.py
+++ b/src/heathercleat/platform/wire_names.py
@@ -30,6 +30,8 @@
 TRANSACT_PATH = "/v1/rows-tx"
 READ_PATH = "/v1/rows-get"
 FEED_PATH = "/v1/rows-feed"
+#: Response header of the store with its era.
+STORE_ERA = "store-era"
 
 #: Table that is written only by operators.
 OPERATOR_TABLE = "op"
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -115,6 +115,7 @@
         self._is_loaded = False
         self._outage = None
         self._read_at = None
+        self._era = 0
         self._retry_at = 0.0
         # Instant until which this VM does not act as a reader.
         self._yields_until = 0.0
@@ -241,6 +242,7 @@
         if not self._is_loaded:
             snapshot = await self._store.read(self._table)
             self._record_response()
+            self._record_era(snapshot)
             self._apply_whole(snapshot)
             self._on_current(began_at)
             return
@@ -249,6 +251,7 @@
         is_probe = self.is_store_lost and not self._is_reader()
         changes = await self._store.follow(self._table, self._copy.version, wait)
         self._record_response()
+        self._record_era(changes)
         if is_probe:
             # This VM calls rarely and does not know when the outage ended. Readers call
             # more often and know for how long removed rows may still be used.
@@ -295,6 +298,12 @@
         """
         is_first, self._is_loaded = not self._copy.version, True
         if not self._copy.replace_all(snapshot):
+            self._journal.write(
+                Event.READ_IGNORED,
+                table=self._table,
+                version=self._copy.version,
+                read=snapshot.version,
+            )
             return
         keys = self._apply(snapshot)
         if keys or is_first:
@@ -342,6 +351,19 @@
         if self.is_store_lost and not self._is_store_answering_elsewhere():
             self._outage.is_total = True
 
+    def _record_era(self, snapshot):
+        """Log that the store has returned from a copy."""
+        before, self._era = self._era, snapshot.era
+        if before != snapshot.era:
+            self._journal.write(
+                Event.STORE_ERA_CHANGED,
+                table=self._table,
+                before=before,
+                era=snapshot.era,
+                version=self._copy.version,
+                read=snapshot.version,
+            )
+
     def _record_response(self):
         self._read_at = self._clock.now()
         outage, self._outage = self._outage, None
--- a/src/heathercleat/steering/process/store/protocol.py
+++ b/src/heathercleat/steering/process/store/protocol.py
@@ -26,6 +26,8 @@
     :param remaining_use_seconds: seconds for which the sending VM still uses removed
         rows, by key; ``None`` if the snapshot is from the store.
     :param is_whole: whether it has all rows of the table.
+    :param era: the era of the store, which rises each time that the store returns from
+        a copy; 0 if it is unknown or the snapshot is from a VM.
     """
 
     __slots__ = (
@@ -34,6 +36,7 @@
         "last_significant_version",
         "remaining_use_seconds",
         "is_whole",
+        "era",
     )
 
     def __init__(
@@ -43,6 +46,7 @@
         last_significant_version=None,
         remaining_use_seconds=None,
         is_whole=True,
+        era=0,
     ):
         self.version = version
         self.rows = rows
@@ -51,6 +55,7 @@
         )
         self.remaining_use_seconds = remaining_use_seconds
         self.is_whole = is_whole
+        self.era = era
 
     def reduce_remaining_use(self, seconds):
         """Reduce the remaining times by the seconds that the transfer took."""
