Test that a configuration is in force after the store returned from a copy; it fails

The store of the stand-ins can return to an earlier copy now: versions go back and are given out again, a call for changes since a version that does not exist gets 410, and the header Store-Era rises. A configuration that is written afterwards is refused with 404 by all four VMs for as long as its version is below the one that they have read, and for good if versions pass theirs before their next call.

--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -184,6 +184,14 @@
         """Set faults of the store; see :mod:`standins.table_store`."""
         call(*self.store, "POST", "/switch", json.dumps(switches))
 
+    def copy_store(self):
+        """Copy the contents of the store; see :mod:`standins.table_store`."""
+        assert call(*self.store, "POST", "/copy")[0] == 200
+
+    def restore_store(self):
+        """Let the store return to its copy; its versions go back."""
+        assert call(*self.store, "POST", "/restore")[0] == 200
+
     def switch_link(self, link, **faults):
         """Set faults of a link; see :mod:`standins.fault_proxy`.
 
--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -4,8 +4,10 @@
 ``reset`` or null), ``slow_s`` (seconds of delay per response), ``lose_replies`` (number
 of writes that take effect without a response), ``refused`` (IP addresses that get 503)
 and ``history`` (number of changes kept). ``POST /put`` with ``[table, key, document]``
-writes a row as operators and targets do; a document of null removes it. ``GET /counts``
-returns the number of requests by path.
+writes a row as operators and targets do; a document of null removes it. ``POST /copy``
+copies the rows and changes, and ``POST /restore`` returns to the copy: versions go back
+and are given out again, and the era rises. ``GET /counts`` returns the number of
+requests by path.
 """
 
 import json
@@ -21,6 +23,7 @@
     FEED_PATH,
     OPERATOR_TABLE,
     READ_PATH,
+    STORE_ERA,
     TARGET_TABLE,
     TRANSACT_PATH,
 )
@@ -31,6 +34,17 @@
 _READ_ONLY = (OPERATOR_TABLE, TARGET_TABLE)
 
 
+class StoreCopy:
+    """The rows of the store by table and key, and its changes in order of version."""
+
+    __slots__ = ("rows", "changes", "version")
+
+    def __init__(self, rows, changes, version):
+        self.rows = dict(rows)
+        self.changes = list(changes)
+        self.version = version
+
+
 class TableStoreStandin:
     """The rows, and the changes in order of version."""
 
@@ -38,6 +52,8 @@
         self._rows = {}
         self._changes = []
         self._version = 0
+        self._era = 0
+        self._copy = None
         self._counts = {}
         self._dropped_until = 0
         self._switches = {
@@ -66,6 +82,12 @@
         if url.path == "/put":
             self._put(*json.loads(message.body))
             return Message()
+        if url.path == "/copy":
+            self._copy = StoreCopy(self._rows, self._changes, self._version)
+            return Message()
+        if url.path == "/restore":
+            self._restore(self._copy)
+            return Message()
         if url.path == "/counts":
             return _json(self._counts)
         self._counts[url.path] = self._counts.get(url.path, 0) + 1
@@ -73,7 +95,10 @@
         if failure is not None:
             return failure
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        return await self._respond(stream, url.path, query, message)
+        response = await self._respond(stream, url.path, query, message)
+        if self._era:
+            response.headers[STORE_ERA] = str(self._era)
+        return response
 
     async def _injected_response(self, stream, client_ip):
         """Return the response of an injected fault; ``None`` without one."""
@@ -114,7 +139,7 @@
     async def _feed(self, query):
         after, waited = int(query["after"]), 0.0
         while True:
-            if after < self._dropped_until:
+            if after < self._dropped_until or after > self._version:
                 return Message(status=410)
             rows = [
                 row
@@ -159,6 +184,12 @@
         self._changes.append(row)
         self._trim_history()
 
+    def _restore(self, copy):
+        self._rows = dict(copy.rows)
+        self._changes = list(copy.changes)
+        self._version = copy.version
+        self._era += 1
+
     def _trim_history(self):
         while len(self._changes) > self._switches["history"]:
             self._dropped_until = self._changes.pop(0)["ver"]
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,75 @@
+"""A store that returns from an older copy, and the rows that it gives out then."""
+
+import copy
+import time
+
+import pytest
+
+from standins.fleet import wait_for
+from standins.steering_fleet import SteeringFleet
+from tests.platform_samples import config
+
+DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
+VMS = {"north-a": 2, "north-b": 1, "south-a": 1}
+TARGETS = {
+    "i-1": ("s1", "north-a", 4),
+    "i-2": ("s1", "north-a", 4),
+    "i-3": ("s1", "north-b", 4),
+    "i-4": ("s1", "south-a", 4),
+}
+#: Seconds after its acknowledgement in which a configuration is in force.
+CONFIG_SECONDS = 2.0
+#: Longer than the time between two reads of any table.
+READ_SECONDS = 2.0
+#: Changes that the store acknowledges and then loses.
+LOST_CHANGES = 8
+ADDED_PATH = "/added/"
+
+
+@pytest.fixture
+def fleet():
+    with SteeringFleet(config(), DOMAINS, VMS, TARGETS, subnet=36) as started:
+        yield started
+
+
+def config_with_route(version, prefix=ADDED_PATH):
+    document = copy.deepcopy(config(version))
+    paths = document["hosts"][0]["paths"]
+    paths.append({**paths[-1], "name": f"added-{version}", "prefix": prefix})
+    return document
+
+
+def lose_changes(fleet, count=LOST_CHANGES):
+    """Make changes that all VMs see, and let the store return without them."""
+    fleet.copy_store()
+    for number in range(count):
+        fleet.put("op", "config", config_with_route(f"r{8 + number}", "/lost/"))
+    for vm in fleet.vms.values():
+        wait_for(lambda vm=vm: status(fleet, vm, "/lost/x") == 200)
+    time.sleep(READ_SECONDS)
+    fleet.restore_store()
+
+
+def status(fleet, vm, path):
+    request_id = f"q{time.monotonic_ns()}"
+    return fleet.send(vm, "GET", path, request_id)[0]
+
+
+def statuses(fleet, path):
+    return [status(fleet, vm, path) for vm in fleet.vms.values()]
+
+
+def test_configuration_written_after_the_store_went_back_is_in_force_in_time(fleet):
+    lose_changes(fleet)
+    fleet.put("op", "config", config_with_route("r30"))
+    time.sleep(CONFIG_SECONDS)
+    assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
+
+
+def test_configuration_is_not_missed_when_versions_are_given_out_twice(fleet):
+    lose_changes(fleet)
+    fleet.put("op", "config", config_with_route("r30"))
+    for number in range(2 * LOST_CHANGES):
+        fleet.put("op", f"note-{number}", {})
+    time.sleep(CONFIG_SECONDS)
+    assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
