--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -19,6 +19,8 @@
 }
 #: Seconds after its acknowledgement in which a configuration is in force.
 CONFIG_SECONDS = 2.0
+#: Seconds after which a target that leaves gets no requests.
+DRAIN_SECONDS = 2.0
 #: Longer than the time between two reads of any table.
 READ_SECONDS = 2.0
 #: Changes that the store acknowledges and then loses.
@@ -73,3 +75,13 @@
         fleet.put("op", f"note-{number}", {})
     time.sleep(CONFIG_SECONDS)
     assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
+
+
+def test_target_that_leaves_after_the_store_went_back_gets_no_requests(fleet):
+    lose_changes(fleet)
+    fleet.announce("i-1", state="draining", sequence=2)
+    time.sleep(DRAIN_SECONDS)
+    before = len(fleet.arrivals("i-1"))
+    for _ in range(6):
+        assert statuses(fleet, "/one/two/x") == [200] * len(fleet.vms)
+    assert len(fleet.arrivals("i-1")) == before
