Compare versions of the store across its returns from older copies

Callers got 404 for routes of a confirmed configuration. The store may return from a copy some seconds old; its versions go back and are given out again, and the header Store-Era rises. VMs compared the numbers as if they only rose. A table that was read whole then counted as older than the copy at the VM and was dropped, with two calls for each attempt, until the store had given out the old number again; reads went on from there, and what had been written below was missed for good.

A version now is the store's number below its era, one integer that rises for good. The client does not continue a feed of another era, even if the number exists again, nor a read whose pages are of two. Copies, gaps, heartbeats and VMs that fetch from each other compare these versions unchanged; changes of an earlier era are ignored, and a VM of another era gets all rows. A read in the 2 s after a return proves nothing about the newest configuration, as changes that were acknowledged may not be written again yet.

Without a return, the era is 0 and versions are those of before, so VMs of two builds understand each other.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -24,6 +24,11 @@
     Snapshot,
     StoreRow,
 )
+from heathercleat.steering.process.store.versions import (
+    era_of,
+    make_version,
+    number_of,
+)
 
 MAX_RESPONSE_BYTES = 4 << 20
 #: Number of rows per read; the maximum that the store returns.
@@ -52,6 +57,7 @@
         The rows are read in pages. The snapshot has the version of its first page, so
         that changes made while later pages are read show up in ``follow``.
 
+        :raises HistoryLostError: when the store returns from a copy between two pages.
         :raises PlatformError: when the store does not respond.
         """
         rows, start, version = [], None, None
@@ -60,12 +66,13 @@
             if start is not None:
                 query["from"] = start
             response = await self._call("GET", f"{READ_PATH}?{urlencode(query)}")
-            document = response.document
-            page = [_decode_row(each) for each in document["rows"]]
+            version = response.version if version is None else version
+            if response.era != era_of(version):
+                raise HistoryLostError(f"{table}: the store returned from a copy")
+            page = response.rows
             rows.extend(page)
-            version = document["ver"] if version is None else version
-            if not document.get("truncated") or not page:
-                return Snapshot(version, rows, era=response.era)
+            if not response.document.get("truncated") or not page:
+                return Snapshot(version, rows)
             start = page[-1].key + "\0"
 
     async def follow(self, table, after, wait):
@@ -75,12 +82,13 @@
         :raises HistoryLostError: when the store no longer has the changes since then.
         :raises PlatformError: when the store does not respond.
         """
-        query = {"table": table, "after": after, "waitMs": int(wait * 1000)}
+        number = number_of(after)
+        query = {"table": table, "after": number, "waitMs": int(wait * 1000)}
         path = f"{FEED_PATH}?{urlencode(query)}"
         response = await self._call("GET", path, wait=wait)
-        document = response.document
-        rows = [_decode_row(each) for each in document["rows"]]
-        return Snapshot(document["ver"], rows, is_whole=False, era=response.era)
+        if response.era != era_of(after):
+            raise HistoryLostError(f"{table}: the store returned from a copy")
+        return Snapshot(response.version, response.rows, is_whole=False)
 
     async def write(self, table, key, value):
         """Set the value of a row, or remove the row.
@@ -131,7 +139,11 @@
 
 
 class _StoreResponse:
-    """A successful response: its JSON document and the era of the store."""
+    """A successful response.
+
+    :param document: its JSON document.
+    :param era: the era of the store; 0 if it does not report one.
+    """
 
     __slots__ = ("document", "era")
 
@@ -139,9 +151,19 @@
         self.document = document
         self.era = era
 
-
-def _decode_row(document):
-    # A removed row has a tombstone instead of a value.
-    is_removed = document.get("tombstone", False)
-    value = None if is_removed else b64decode(document["value"])
-    return StoreRow(document["key"], value, document["ver"])
+    @property
+    def version(self):
+        """Return the newest version of the store."""
+        return make_version(self.era, self.document["ver"])
+
+    @property
+    def rows(self):
+        """Return the list of each :class:`StoreRow`."""
+        return [self._decode_row(each) for each in self.document["rows"]]
+
+    def _decode_row(self, document):
+        # A removed row has a tombstone instead of a value.
+        is_removed = document.get("tombstone", False)
+        value = None if is_removed else b64decode(document["value"])
+        version = make_version(self.era, document["ver"])
+        return StoreRow(document["key"], value, version)
--- a/src/heathercleat/steering/process/capacity/target_log.py
+++ b/src/heathercleat/steering/process/capacity/target_log.py
@@ -1,6 +1,7 @@
 """Log lines of the target registry."""
 
 from heathercleat.events import Event
+from heathercleat.steering.process.store.versions import number_of
 
 
 class TargetLog:
@@ -31,7 +32,7 @@
             cold_for=entry.cold_for,
             draining=entry.draining,
             sequence=entry.sequence,
-            version=entry.version,
+            version=number_of(entry.version),
         )
 
     def log_restart(self, previous, entry):
@@ -54,7 +55,7 @@
             reason="entry",
             sequence=entry.sequence,
             sequence_before=previous.sequence,
-            version=entry.version,
+            version=number_of(entry.version),
         )
 
     def log_outdated(self, previous, entry):
@@ -66,7 +67,7 @@
             sequence_before=previous.sequence,
             started_ms=entry.started_ms,
             started_ms_before=previous.started_ms,
-            version=entry.version,
+            version=number_of(entry.version),
         )
 
     def log_missing(self, target_id, seconds):
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -7,8 +7,10 @@
 
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
+from heathercleat.process.clock import DISTANT_PAST
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from heathercleat.steering.process.store.table_copy import TableCopy
+from heathercleat.steering.process.store.versions import era_of, number_of
 
 #: Mean seconds between two calls of a reader while the store does not respond; short
 #: enough for a configuration to be in force within its bound after the store's return.
@@ -29,6 +31,9 @@
 PEER_INTERVAL_SECONDS = 0.1
 #: Maximum seconds between two checks for newer changes at other VMs.
 IDLE_PEER_INTERVAL_SECONDS = 0.5
+#: Seconds after the store's return from a copy in which operators and targets write
+#: again what the copy lacks.
+REWRITE_SECONDS = 2.0
 
 
 class Outage:
@@ -115,7 +120,8 @@
         self._is_loaded = False
         self._outage = None
         self._read_at = None
-        self._era = 0
+        # Instant from which a read of the table has all acknowledged changes.
+        self._complete_from = DISTANT_PAST
         self._retry_at = 0.0
         # Instant until which this VM does not act as a reader.
         self._yields_until = 0.0
@@ -244,21 +250,20 @@
             self._record_response()
             self._record_era(snapshot)
             self._apply_whole(snapshot)
-            self._on_current(began_at)
+            self._record_current(began_at)
             return
         # A call that waits for changes would detect the end of an outage late.
         wait = 0.0 if self.is_store_lost else self._wait
         is_probe = self.is_store_lost and not self._is_reader()
         changes = await self._store.follow(self._table, self._copy.version, wait)
         self._record_response()
-        self._record_era(changes)
         if is_probe:
             # This VM calls rarely and does not know when the outage ended. Readers call
             # more often and know for how long removed rows may still be used.
             self._yields_until = self._clock.now() + SETTLE_SECONDS
             return
         self._apply_changes(changes)
-        self._on_current(began_at - WATCH_LAG_SECONDS)
+        self._record_current(began_at - WATCH_LAG_SECONDS)
         self._announced_change_version = self.last_significant_version
 
     async def _fetch_from_peer(self):
@@ -280,7 +285,8 @@
             self._journal.write(
                 Event.STATE_FROM_PEER,
                 table=self._table,
-                version=snapshot.last_significant_version,
+                version=number_of(snapshot.last_significant_version),
+                era=era_of(snapshot.last_significant_version),
             )
             self._apply_from_peer(snapshot)
 
@@ -301,8 +307,10 @@
             self._journal.write(
                 Event.READ_IGNORED,
                 table=self._table,
-                version=self._copy.version,
-                read=snapshot.version,
+                era=era_of(self._copy.version),
+                version=number_of(self._copy.version),
+                read_era=era_of(snapshot.version),
+                read=number_of(snapshot.version),
             )
             return
         keys = self._apply(snapshot)
@@ -336,7 +344,7 @@
             self._journal.write(
                 Event.STORE_LOST,
                 table=self._table,
-                version=self._copy.version,
+                version=number_of(self._copy.version),
                 reason=str(error),
             )
         self._outage.last_attempt_at = began_at
@@ -352,17 +360,27 @@
             self._outage.is_total = True
 
     def _record_era(self, snapshot):
-        """Log that the store has returned from a copy."""
-        before, self._era = self._era, snapshot.era
-        if before != snapshot.era:
-            self._journal.write(
-                Event.STORE_ERA_CHANGED,
-                table=self._table,
-                before=before,
-                era=snapshot.era,
-                version=self._copy.version,
-                read=snapshot.version,
-            )
+        """Record that the store has returned from a copy, if it has."""
+        known = self._copy.version
+        if not known or era_of(snapshot.version) <= era_of(known):
+            return
+        self._journal.write(
+            Event.STORE_RESTORED,
+            table=self._table,
+            era_before=era_of(known),
+            version_before=number_of(known),
+            era=era_of(snapshot.version),
+            version=number_of(snapshot.version),
+        )
+        self._complete_from = self._clock.now() + REWRITE_SECONDS
+
+    def _record_current(self, instant):
+        """Report that all changes up to an instant are applied.
+
+        Not while changes may be missing because the store returned from a copy.
+        """
+        if instant >= self._complete_from:
+            self._on_current(instant)
 
     def _record_response(self):
         self._read_at = self._clock.now()
--- a/src/heathercleat/steering/process/store/protocol.py
+++ b/src/heathercleat/steering/process/store/protocol.py
@@ -8,7 +8,11 @@
 
 
 class StoreRow:
-    """A row of a table; ``value`` is ``None`` for a removed row."""
+    """A row of a table; ``value`` is ``None`` for a removed row.
+
+    :param version: version of its last change, in the era in which it was read; see
+        :mod:`heathercleat.steering.process.store.versions`.
+    """
 
     __slots__ = ("key", "value", "version")
 
@@ -26,8 +30,6 @@
     :param remaining_use_seconds: seconds for which the sending VM still uses removed
         rows, by key; ``None`` if the snapshot is from the store.
     :param is_whole: whether it has all rows of the table.
-    :param era: the era of the store, which rises each time that the store returns from
-        a copy; 0 if it is unknown or the snapshot is from a VM.
     """
 
     __slots__ = (
@@ -36,7 +38,6 @@
         "last_significant_version",
         "remaining_use_seconds",
         "is_whole",
-        "era",
     )
 
     def __init__(
@@ -46,7 +47,6 @@
         last_significant_version=None,
         remaining_use_seconds=None,
         is_whole=True,
-        era=0,
     ):
         self.version = version
         self.rows = rows
@@ -55,7 +55,6 @@
         )
         self.remaining_use_seconds = remaining_use_seconds
         self.is_whole = is_whole
-        self.era = era
 
     def reduce_remaining_use(self, seconds):
         """Reduce the remaining times by the seconds that the transfer took."""
@@ -75,7 +74,8 @@
         """Return the rows changed since version ``after`` as a :class:`Snapshot`.
 
         :param wait: seconds to wait for a change.
-        :raises HistoryLostError: when the changes are no longer available.
+        :raises HistoryLostError: when the changes are not available: they are too old,
+            or the store has returned from a copy since.
         """
 
     async def write(self, table, key, value):
--- a/src/heathercleat/steering/process/store/table_copy.py
+++ b/src/heathercleat/steering/process/store/table_copy.py
@@ -1,6 +1,7 @@
 """A VM's local copy of one table of the store."""
 
 from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
+from heathercleat.steering.process.store.versions import era_of
 
 #: Maximum remembered removals; enough for a fleet whose targets are all replaced within
 #: minutes. A VM that missed more of them gets the whole table.
@@ -102,9 +103,12 @@
         """Merge changed rows; return a :class:`Snapshot` of those that were new.
 
         A whole table is read in pages, so known rows may be newer than the version of
-        its snapshot. Older changes must not overwrite them.
+        its snapshot. Older changes must not overwrite them. Changes of an earlier era
+        of the store may have been lost since, and are ignored.
         """
-        new_rows = [each for each in snapshot.rows if self._merge_row(each)]
+        is_outdated = era_of(snapshot.version) < era_of(self._version)
+        rows = () if is_outdated else snapshot.rows
+        new_rows = [each for each in rows if self._merge_row(each)]
         self._version = max(self._version, snapshot.version)
         return Snapshot(
             self._version,
@@ -130,12 +134,12 @@
     def changes_since(self, version, remaining_use_seconds):
         """Return a :class:`Snapshot` of the significant changes since a version.
 
-        The snapshot is whole if the version is 0, or if removals since then may be
-        unknown.
+        The snapshot is whole if the version is 0 or of another era of the store, or if
+        removals since then may be unknown.
 
         :param remaining_use_seconds: see :class:`Snapshot`.
         """
-        if version < self._removals_since or not version or self._is_in_gap(version):
+        if self._needs_all_rows(version):
             return Snapshot(
                 self._version,
                 self.rows,
@@ -160,7 +164,12 @@
             is_whole=False,
         )
 
-    def _is_in_gap(self, version):
+    def _needs_all_rows(self, version):
+        """Return whether some changes since a version may be unknown."""
+        if not version or era_of(version) != era_of(self._version):
+            return True
+        if version < self._removals_since:
+            return True
         return any(gap.contains(version) for gap in self._gaps)
 
     def _add_gap(self, gap):
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -111,6 +111,39 @@
         run_client(store.client.follow, "op", 1, 0.0)
 
 
+@pytest.mark.parametrize("rewritten", [0, 1, 5])
+def test_changes_are_not_continued_after_the_store_returned_from_a_copy(
+    store, rewritten
+):
+    store.put("op", "a", {})
+    store.control("POST", "/copy")
+    for number in range(3):
+        store.put("op", f"lost{number}", {})
+    before = run_client(store.client.read, "op")
+    store.control("POST", "/restore")
+    for number in range(rewritten):
+        store.put("op", f"new{number}", {})
+    with pytest.raises(HistoryLostError):
+        run_client(store.client.follow, "op", before.version, 0.0)
+    after = run_client(store.client.read, "op")
+    assert after.version > before.version
+    assert keys(after) == ["a", *(f"new{number}" for number in range(rewritten))]
+    assert all(row.version > before.version for row in after.rows)
+
+
+def test_table_whose_store_returns_between_two_pages_is_read_again(store):
+    for number in range(PAGE_ROWS + 1):
+        store.put("servers", f"k{number:04}", {})
+    store.control("POST", "/copy")
+    store.switch(slow_s=0.5)
+    client = TableStoreClient(store.address, SystemClock(), 10.0)
+    restoring = Timer(0.75, store.control, ("POST", "/restore"))
+    restoring.start()
+    with pytest.raises(HistoryLostError):
+        run_client(client.read, "servers")
+    restoring.join()
+
+
 @pytest.mark.parametrize("down", ["busy", "silent", "reset"])
 def test_unavailable_store_raises_within_the_timeout(store, down):
     store.switch(down=down)
