Announce that the entry of a missing target is back

After an outage of the store a target whose entry vanished is used for 2.45 s. A VM that reads the store saw the entry return and went on using the target, but announced nothing, as the entry was as before. The other VMs dropped the target at the end of that time and learned of it only with the next change of another target. The return counts as a change now. The new unit test failed before with an empty list.

--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -195,9 +195,9 @@
         before = self._targets.get(entry.id)
         if self._is_outdated(entry, before):
             return False
-        self._missing_until.pop(entry.id, None)
+        was_missing = self._missing_until.pop(entry.id, None) is not None
         if before is not None and entry.version == before.version:
-            return False
+            return was_missing
         self._removed.pop(entry.id, None)
         self._targets[entry.id] = entry
         restarted = before is not None and not entry.is_same_incarnation(before)
@@ -212,7 +212,8 @@
             self._log.log_restart(before, entry)
         elif entry.draining != before.draining:
             self._log.log_draining(before, entry)
-        return became_cold or not entry.has_same_steering_fields(before)
+        has_changed = became_cold or not entry.has_same_steering_fields(before)
+        return was_missing or has_changed
 
     def _is_outdated(self, entry, before):
         """Return whether an entry is older than the recorded or the removed one.
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -49,6 +49,13 @@
     assert ids(parts) == ["t1", "t2"]
 
 
+def test_vms_that_dropped_a_missing_target_learn_that_its_entry_is_back():
+    parts = Parts([entry("t1"), entry("t2")])
+    end_store_outage(parts)
+    parts.registry.update([], ["t1"])
+    assert parts.registry.update([entry("t1")], []) == ["t1"]
+
+
 def test_entry_that_does_not_return_after_a_store_outage_is_removed():
     parts = Parts([entry("t1"), entry("t2")])
     end_store_outage(parts)
