Keep targets whose entries were lost with the store until they are written again

Requests reached a target 2.5 s after it had said that it leaves: its entry was written after the store had returned from a copy, below the version that VMs had read.

The same return has a second effect on targets. An entry that is younger than the copy is missing until its target writes it again, which takes up to 2 s. VMs took the row as removed and dropped the target.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -76,7 +76,8 @@
     :param remaining_use_seconds: returns the seconds for which removed rows are still
         used, by key.
     :param on_store_return: called at the end of an outage for all VMs, with the
-        earliest instant at which the outage can have ended.
+        earliest instant at which the outage can have ended, and when a read shows that
+        the store has returned from a copy, with the instant of that read.
     :param on_current: called after each response with an instant, up to which all
         changes of the table are applied.
     """
@@ -360,7 +361,11 @@
             self._outage.is_total = True
 
     def _record_era(self, snapshot):
-        """Record that the store has returned from a copy, if it has."""
+        """Record that the store has returned from a copy, if it has.
+
+        Rows that the copy lacks are written again, so a row that is missing now may
+        have been lost with the copy rather than removed.
+        """
         known = self._copy.version
         if not known or era_of(snapshot.version) <= era_of(known):
             return
@@ -372,7 +377,9 @@
             era=era_of(snapshot.version),
             version=number_of(snapshot.version),
         )
-        self._complete_from = self._clock.now() + REWRITE_SECONDS
+        now = self._clock.now()
+        self._complete_from = now + REWRITE_SECONDS
+        self._on_store_return(now)
 
     def _record_current(self, instant):
         """Report that all changes up to an instant are applied.
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -23,6 +23,8 @@
 DRAIN_SECONDS = 2.0
 #: Longer than the time between two reads of any table.
 READ_SECONDS = 2.0
+#: Seconds after which a target writes its lost entry again.
+REWRITE_SECONDS = 1.5
 #: Changes that the store acknowledges and then loses.
 LOST_CHANGES = 8
 ADDED_PATH = "/added/"
@@ -61,6 +63,13 @@
     return [status(fleet, vm, path) for vm in fleet.vms.values()]
 
 
+def entry_events(fleet, vm, target_id):
+    """Return the names of the last two events about the entry of a target."""
+    lines = [line for line in fleet.log(vm) if line.get("target") == target_id]
+    names = [line["name"] for line in lines]
+    return [name for name in names if name.startswith("target_")][-2:]
+
+
 def test_configuration_written_after_the_store_went_back_is_in_force_in_time(fleet):
     lose_changes(fleet)
     fleet.put("op", "config", config_with_route("r30"))
@@ -77,6 +86,21 @@
     assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
 
 
+def test_target_whose_entry_was_lost_is_used_until_it_is_written_again(fleet):
+    entry_sequence = 7
+    fleet.put("servers", "i-2", None)
+    time.sleep(READ_SECONDS)
+    fleet.copy_store()
+    fleet.announce("i-2", sequence=entry_sequence)
+    time.sleep(READ_SECONDS)
+    fleet.restore_store()
+    time.sleep(REWRITE_SECONDS)
+    fleet.announce("i-2", sequence=entry_sequence)
+    time.sleep(READ_SECONDS)
+    for vm in fleet.vms.values():
+        assert entry_events(fleet, vm, "i-2") == ["target_found", "target_lapsing"]
+
+
 def test_target_that_leaves_after_the_store_went_back_gets_no_requests(fleet):
     lose_changes(fleet)
     fleet.announce("i-1", state="draining", sequence=2)
