Do not count a report that the store gives out again as a new cold phase

A target is cold for the time in its report from when a VM reads it. A report with the same fields and the target's same count is the same report. The new test failed before.

--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -200,6 +200,8 @@
             return was_missing
         self._removed.pop(entry.id, None)
         self._targets[entry.id] = entry
+        if before is not None and entry.is_same_report(before):
+            return was_missing
         restarted = before is not None and not entry.is_same_incarnation(before)
         if restarted:
             self._cold_until.pop(entry.id, None)
--- a/src/heathercleat/steering/process/capacity/target.py
+++ b/src/heathercleat/steering/process/capacity/target.py
@@ -89,6 +89,18 @@
             return False
         return self.sequence < other.sequence
 
+    def is_same_report(self, other):
+        """Return whether the target reported both entries at once.
+
+        The store gives a report out again with another version after its return from a
+        copy.
+        """
+        return (
+            self.has_same_steering_fields(other)
+            and self.sequence == other.sequence
+            and self.cold_for == other.cold_for
+        )
+
     def has_same_steering_fields(self, other):
         """Return whether both entries are equal in all fields that affect steering."""
         return all(
