--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -7,6 +7,36 @@
 USED_SHARE = 0.7
 
 
+class RetryBudgets:
+    """The retry budget of each service, created on first use.
+
+    :param members: the :class:`Members`.
+    :param bounds: the :class:`Bounds`.
+    """
+
+    def __init__(self, members, bounds):
+        self._members = members
+        self._bounds = bounds
+        self._budgets = {}
+
+    def of(self, service):
+        """Return the :class:`RetryBudget` of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = self._budgets[service] = RetryBudget(
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                self._count_vms,
+            )
+        return budget
+
+    def _count_vms(self):
+        """Return the number of VMs that share the slack."""
+        return len(self._members.serving_or_stopping())
+
+
 class RetryBudget:
     """The retries that this VM may send for one service in a sliding window.
 
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -28,7 +28,7 @@
 from heathercleat.steering.process.capacity.region_shift import RegionShiftLimit
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.response_times import ResponseTimes
-from heathercleat.steering.process.capacity.retry_budget import RetryBudget
+from heathercleat.steering.process.capacity.retry_budget import RetryBudgets
 from heathercleat.steering.process.capacity.run_times import RunTimes
 from heathercleat.steering.process.capacity.slots import SlotLedger
 from heathercleat.steering.process.capacity.view import TargetView
@@ -109,7 +109,6 @@
         self._journal = Journal(settings.vm, settings.failure_domain)
         self._routing_table = None
         self._splitters = {}
-        self._retry_budgets = {}
         self.retry_detector = RetryDetector()
         self.active_requests = ActiveRequests()
         self.body_memory = BodyMemory(settings.memory)
@@ -274,7 +273,7 @@
             destinations,
             dispatcher,
             self._shift,
-            self._retry_budget,
+            RetryBudgets(self._members, settings.bounds).of,
             self._response_times,
             self._loss_rates,
             self.shutdown,
@@ -513,18 +512,6 @@
     def _service(self, name):
         return self._routing_table.services.get(name) if self._routing_table else None
 
-    def _retry_budget(self, service):
-        budget = self._retry_budgets.get(service)
-        if budget is None:
-            bounds = self._settings.bounds
-            budget = self._retry_budgets[service] = RetryBudget(
-                bounds.retry_ratio,
-                bounds.retry_slack,
-                bounds.retry_window,
-                lambda: len(self._members.serving_or_stopping()),
-            )
-        return budget
-
     def _forget_reports(self):
         """Drop the reports of VMs that are no longer members."""
         known = {member.vm for member in self._members.others()}
