Keep the part of lost VMs of the retry budget

Repeats piled up beyond the budget at a service. All VMs together may send a fixed number of retries in a window beside a share of their requests, and each VM divided this number by the VMs that it saw live. VMs that are cut off from each other each took all of it: nine of them 504 retries where 240 are allowed. A VM now divides by the highest number of VMs that it saw in the last 600 s, since a lost VM may only be cut off; after a scale-in the others get its part then.

--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -2,6 +2,9 @@
 
 from collections import deque
 
+#: Seconds for which a VM that is no longer live counts among those that share the slack
+#: of a budget. It may only be cut off, and regions lose each other for minutes.
+LOST_VM_SECONDS = 600.0
 #: Share of the allowed retries that the VMs use together; below 1, since requests that
 #: one VM counts and retries that another one sends fall into different windows.
 USED_SHARE = 0.7
@@ -14,9 +17,9 @@
     :param bounds: the :class:`Bounds`.
     """
 
-    def __init__(self, members, bounds):
-        self._members = members
+    def __init__(self, members, bounds, clock):
         self._bounds = bounds
+        self._sharing_vms = SharingVms(members, clock)
         self._budgets = {}
 
     def of(self, service):
@@ -28,13 +31,43 @@
                 bounds.retry_ratio,
                 bounds.retry_slack,
                 bounds.retry_window,
-                self._count_vms,
+                self._sharing_vms.count,
             )
         return budget
 
-    def _count_vms(self):
-        """Return the number of VMs that share the slack."""
-        return len(self._members.serving_or_stopping())
+
+class SharingVms:
+    """Counts the VMs that may send retries, including those that were lost.
+
+    VMs that are cut off from each other go on sending retries, so that a lost VM keeps
+    its part of the budget for :data:`LOST_VM_SECONDS`.
+
+    :param members: the :class:`Members`.
+    """
+
+    def __init__(self, members, clock):
+        self._members = members
+        self._clock = clock
+        self._live_count = 0
+        # Pairs of an earlier number of live VMs and the instant until which it counts.
+        self._earlier_counts = deque()
+        members.on_change(self._record_change)
+
+    def count(self):
+        """Return the highest number of live VMs in the last seconds."""
+        self._record_change()
+        now = self._clock.now()
+        while self._earlier_counts and self._earlier_counts[0][1] <= now:
+            self._earlier_counts.popleft()
+        earlier = (count for count, _ in self._earlier_counts)
+        return max(self._live_count, *earlier, 1)
+
+    def _record_change(self):
+        before = self._live_count
+        self._live_count = len(self._members.serving_or_stopping())
+        if self._live_count < before:
+            counts_until = self._clock.now() + LOST_VM_SECONDS
+            self._earlier_counts.append((before, counts_until))
 
 
 class RetryBudget:
@@ -64,7 +97,7 @@
     @property
     def vm_count(self):
         """Return the number of VMs among which this VM divides the slack."""
-        return max(1, self._vm_count())
+        return self._vm_count()
 
     def remaining(self, now):
         """Return how many retries may still be sent in this window."""
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -26,7 +26,9 @@
         self.hear_others()
 
     def _start_process(self):
-        self.budget = RetryBudgets(self.parts.members, self.bounds).of(SERVICE)
+        parts = self.parts
+        budgets = RetryBudgets(parts.members, self.bounds, parts.clock)
+        self.budget = budgets.of(SERVICE)
 
     @property
     def now(self):
