Give a new process no fixed part of the retry budget in its first window

A process that restarts forgot which retries it had sent, and took its part of the fixed number once more: nine VMs 72 retries in a window where 60 are allowed after one restart, 180 after four. A VM that starts and hears nobody yet took all of it. A new process now sends retries for its own requests only, until a window has passed since its start, in which those of the process before count. At the start of a fleet this is over before its clients come.

--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -2,6 +2,8 @@
 
 from collections import deque
 
+from heathercleat.process.clock import DISTANT_PAST
+
 #: Seconds for which a VM that is no longer live counts among those that share the slack
 #: of a budget. It may only be cut off, and regions lose each other for minutes.
 LOST_VM_SECONDS = 600.0
@@ -20,6 +22,8 @@
     def __init__(self, members, bounds, clock):
         self._bounds = bounds
         self._sharing_vms = SharingVms(members, clock)
+        # The process before may have used up the slack of the last window.
+        self._slack_from = clock.now() + bounds.retry_window
         self._budgets = {}
 
     def of(self, service):
@@ -32,6 +36,7 @@
                 bounds.retry_slack,
                 bounds.retry_window,
                 self._sharing_vms.count,
+                self._slack_from,
             )
         return budget
 
@@ -77,15 +82,25 @@
     :param slack: additional retries allowed to all VMs together.
     :param window: length of the window in seconds.
     :param vm_count: returns the number of VMs that share the slack.
+    :param slack_from: instant from which this VM uses its part of the slack.
     """
 
-    __slots__ = ("_ratio", "_slack", "_window", "_vm_count", "_requests", "_retries")
-
-    def __init__(self, ratio, slack, window, vm_count):
+    __slots__ = (
+        "_ratio",
+        "_slack",
+        "_window",
+        "_vm_count",
+        "_slack_from",
+        "_requests",
+        "_retries",
+    )
+
+    def __init__(self, ratio, slack, window, vm_count, slack_from=DISTANT_PAST):
         self._ratio = ratio
         self._slack = slack
         self._window = window
         self._vm_count = vm_count
+        self._slack_from = slack_from
         self._requests = deque()
         self._retries = deque()
 
@@ -102,7 +117,7 @@
     def remaining(self, now):
         """Return how many retries may still be sent in this window."""
         self._expire(now)
-        slack_share = self._slack / self.vm_count
+        slack_share = self._slack / self.vm_count if now >= self._slack_from else 0.0
         allowed = self._ratio * len(self._requests) + slack_share
         return USED_SHARE * allowed - len(self._retries)
 
