Refund the retry of the request that was not sent

A refund took back the last retry of any request. If that of the request itself was older, the later one left the window too soon, and if it had left the window already, the budget was extended: requests may wait up to 20 s, longer than the window. The refund names its retry now. Both new tests fail with the last retry in its place.

--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -128,10 +128,13 @@
         self._retries.append(now)
         return True
 
-    def refund(self):
-        """Undo the last :meth:`withdraw`, since its retry was not sent."""
-        if self._retries:
-            self._retries.pop()
+    def refund(self, withdrawn_at):
+        """Undo a :meth:`withdraw`, since its retry was not sent.
+
+        :param withdrawn_at: the instant that was passed to it.
+        """
+        if withdrawn_at in self._retries:
+            self._retries.remove(withdrawn_at)
 
     def _expire(self, now):
         for instants in (self._requests, self._retries):
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -94,6 +94,8 @@
         self._failed_response = None
         self._last_reason = None
         self._has_spilled_over = False
+        # Instant at which a retry was withdrawn for the current attempt, or ``None``.
+        self._withdrawn_at = None
         call.give_up_at = steering._wait_policy.give_up_at(call)
         call.affinity_until = steering._wait_policy.affinity_until(call)
 
@@ -174,6 +176,7 @@
     def _spend_retry(self, now):
         budget = self._steering._budget(self._call.service)
         spent = budget.withdraw(now)
+        self._withdrawn_at = now if spent else None
         self._steering._journal.write(
             Event.ROUTE_RETRIED,
             request=self._call.id,
@@ -296,8 +299,9 @@
             self._unsent_count += 1
         else:
             self._unsent_count = 0
-        if self._sent_count:
-            self._steering._budget(self._call.service).refund()
+        if self._withdrawn_at is not None:
+            self._steering._budget(self._call.service).refund(self._withdrawn_at)
+            self._withdrawn_at = None
         if has_no_slot_in_time:
             self._avoid_vms.add(destination.vm)
             self._call.affinity_until = min(self._call.affinity_until, now)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -42,11 +42,29 @@
 def test_refunded_retry_can_be_spent_again():
     budget = RetryBudget(0.2, 20.0, 10.0, lambda: 1)
     spent = spend_all(budget, 0.0)
-    budget.refund()
+    budget.refund(0.0)
     assert spent > 0
     assert spend_all(budget, 0.0) == 1
 
 
+def test_refund_of_an_expired_retry_returns_no_other_one():
+    budget = RetryBudget(0.2, 20.0, 10.0, lambda: 1)
+    assert budget.withdraw(0.0)
+    assert spend_all(budget, 15.0) > 0
+    budget.refund(0.0)
+    assert spend_all(budget, 15.0) == 0
+
+
+def test_refund_leaves_the_later_retries_of_other_requests():
+    budget = RetryBudget(0.2, 20.0, 10.0, lambda: 1)
+    assert budget.withdraw(0.0)
+    spent = spend_all(budget, 9.0)
+    budget.refund(0.0)
+    assert spend_all(budget, 9.5) == 1
+    assert spend_all(budget, 18.5) == 0
+    assert spend_all(budget, 19.1) == spent
+
+
 def shares_moved(limit, clock, wanted, windows, requests=100):
     """Return the share of requests moved in each window.
 
