Drop a request that was given up before its target received it

Bytes that a partition holds up arrive after its end if their connection is closed, and are lost if it is reset. A VM that gave up an attempt closed the connection, so that targets got requests of callers that had long gone to another target, all at the end of the partition: repeats in a window in which nothing was withdrawn for them. The same holds for requests that are forwarded to another VM, which would send them on. A connection with a request that has no complete response is reset now; others are closed as before.

That this route contributed to the users' report is suspected, not shown.

--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 over curio sockets, with h11 as the protocol implementation."""
 
 import socket
+import struct
 from dataclasses import dataclass, field
 
 import h11
@@ -11,6 +12,8 @@
 MAX_HEADER_BYTES = 16 * 1024
 RECEIVE_BYTES = 64 * 1024
 CONNECTION_ERRORS = (OSError, h11.ProtocolError, EOFError)
+#: Value of ``SO_LINGER``: enabled, with a timeout of 0.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class HttpStream:
@@ -56,6 +59,12 @@
         states = (h11.IDLE, h11.SEND_RESPONSE)
         return self._conn.our_state in states
 
+    @property
+    def awaits_response(self):
+        """Return whether a request was sent and its response is not complete."""
+        states = (h11.SEND_RESPONSE, h11.SEND_BODY, h11.ERROR)
+        return self._conn.their_state in states or self._conn.our_state in states
+
     @property
     def is_request_complete(self):
         """Return whether the peer has sent its whole message."""
@@ -173,7 +182,12 @@
             pass
 
     async def close(self):
-        """Close the connection."""
+        """Close the connection; data already sent is still delivered."""
+        await self._sock.close()
+
+    async def reset(self):
+        """Close the connection; data that the peer has not received yet is dropped."""
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         await self._sock.close()
 
     async def linger(self, limit):
--- a/src/heathercleat/connection/pool.py
+++ b/src/heathercleat/connection/pool.py
@@ -103,9 +103,16 @@
         return len(self._idle.get((host, port), ()))
 
     async def discard(self, host, port, stream):
-        """Close a connection."""
+        """Close a connection.
+
+        A request without a response is dropped: behind a partition it would otherwise
+        arrive when the partition ends, after it was given up.
+        """
         self._open_counts[host, port] -= 1
-        await stream.close()
+        if stream.awaits_response:
+            await stream.reset()
+        else:
+            await stream.close()
 
     async def close(self):
         """Close every idle connection."""
