Use the fixed part of the retry budget at once when a system starts for the first time

Withholding it from each new process left the first requests of a new fleet without a retry: five tests of test_steering_path failed with 502 or 503 in place of 200. At the first start of the whole system, which the settings name (bootstrap), there is no process before that could have used it up. The stand-in fleets write the field as the platform does: true for the first start, false from then on.

--- a/src/heathercleat/platform/settings.py
+++ b/src/heathercleat/platform/settings.py
@@ -74,6 +74,7 @@
         directory=reader.read_field("listen.directory", _parse_address),
         first_inner_port=ports[0] if ports else None,
         seeds=reader.read_field("seeds", _parse_hosts, default=()),
+        is_first_start=reader.read_field("bootstrap", bool, default=False),
         store=reader.read_field("platform.address", _parse_address),
         memory=reader.read_field(
             "limits.memoryMb", _megabytes_to_bytes, default=512 * _MEGABYTE
--- a/src/heathercleat/steering/process/capacity/retry_budget.py
+++ b/src/heathercleat/steering/process/capacity/retry_budget.py
@@ -16,14 +16,15 @@
     """The retry budget of each service, created on first use.
 
     :param members: the :class:`Members`.
-    :param bounds: the :class:`Bounds`.
+    :param settings: the :class:`NodeSettings`.
     """
 
-    def __init__(self, members, bounds, clock):
-        self._bounds = bounds
+    def __init__(self, members, settings, clock):
+        self._bounds = settings.bounds
         self._sharing_vms = SharingVms(members, clock)
         # The process before may have used up the slack of the last window.
-        self._slack_from = clock.now() + bounds.retry_window
+        window_ends_at = clock.now() + settings.bounds.retry_window
+        self._slack_from = DISTANT_PAST if settings.is_first_start else window_ends_at
         self._budgets = {}
 
     def of(self, service):
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -273,7 +273,7 @@
             destinations,
             dispatcher,
             self._shift,
-            RetryBudgets(self._members, settings.bounds, clock).of,
+            RetryBudgets(self._members, settings, clock).of,
             self._response_times,
             self._loss_rates,
             self.shutdown,
--- a/src/heathercleat/steering/process/settings.py
+++ b/src/heathercleat/steering/process/settings.py
@@ -81,6 +81,8 @@
     :param directory: :class:`Address` for client lookups.
     :param first_inner_port: first of the ports for traffic between VMs.
     :param seeds: IP addresses of VMs to contact first; may be stale.
+    :param is_first_start: whether the fleet starts for the first time, so that this
+        VM had no process before.
     :param store: address of the platform's table service.
     :param memory: memory limit of the process, in bytes.
     :param cores: CPU limit of the process, in cores; may be fractional.
@@ -99,6 +101,7 @@
         "directory",
         "first_inner_port",
         "seeds",
+        "is_first_start",
         "store",
         "memory",
         "cores",
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -105,6 +105,8 @@
         for vm in self.vms.values():
             self.start_vm(vm)
         self.wait_ready()
+        for vm in self.vms.values():
+            self._write_settings(vm, is_first_start=False)
 
     def start_store(self):
         """Start an empty store.
@@ -379,7 +381,7 @@
                 vm.settings = self._write_settings(vm)
                 yield vm
 
-    def _write_settings(self, vm):
+    def _write_settings(self, vm, is_first_start=True):
         host = vm.host
         settings = {
             "node": vm.name,
@@ -394,6 +396,7 @@
             },
             "internalPorts": INTERNAL_PORTS,
             "seeds": [],
+            "bootstrap": is_first_start,
             "limits": {"cpuShare": 1.0, "memoryMb": 300, "linkMbps": 1000.0},
             "heartbeat": "1500ms",
             "bounds": self._bounds,
--- a/tests/test_retry_budgets.py
+++ b/tests/test_retry_budgets.py
@@ -18,16 +18,18 @@
 class RetryingVm:
     """A VM of a fleet that retries as often as its budget allows."""
 
-    def __init__(self):
+    def __init__(self, is_first_start=False):
+        self.is_first_start = is_first_start
         self.parts = Parts()
-        self.bounds = self.parts.settings.bounds
-        self.bounds.retry_slack = SLACK
         self._start_process()
         self.hear_others()
 
     def _start_process(self):
         parts = self.parts
-        budgets = RetryBudgets(parts.members, self.bounds, parts.clock)
+        parts.settings.is_first_start = self.is_first_start
+        self.bounds = parts.settings.bounds
+        self.bounds.retry_slack = SLACK
+        budgets = RetryBudgets(parts.members, parts.settings, parts.clock)
         self.budget = budgets.of(SERVICE)
 
     @property
@@ -40,6 +42,7 @@
 
     def restart(self):
         """Replace the process, which then hears the other VMs."""
+        self.is_first_start = False
         self.parts = Parts()
         self._start_process()
         self.hear_others()
@@ -103,3 +106,9 @@
     starting._start_process()
     retries += starting.retry_all()
     assert retries <= vms[0].allowed(0)
+
+
+def test_vms_that_start_for_the_first_time_may_retry_at_once():
+    vms = [RetryingVm(is_first_start=True) for _ in range(VM_COUNT)]
+    retries = sum(vm.retry_all() for vm in vms)
+    assert VM_COUNT <= retries <= vms[0].allowed(0)
