Register VMs again whose rows a restored store has lost

VMs find each other at their start by rows that each of them writes once. A row younger than the copy from which the store returns was lost for good, so that processes that start later may miss the VM. Each VM remembers the era in which its row was written, and writes it again within 3 s after it learns of a later one, from its reads or from heartbeats; at a random time, so that a large fleet does not write at once. A VM that shuts down does not.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -96,6 +96,7 @@
         The write is idempotent. After an error it may have taken effect.
 
         :param value: bytes, or ``None`` to remove the row.
+        :return: the era of the store to which the row was written.
         :raises PlatformError: when the store does not respond.
         """
         row = {"table": table, "part": "", "key": key}
@@ -104,7 +105,8 @@
             body["remove"].append(row)
         else:
             body["writes"].append({**row, "value": b64encode(value).decode()})
-        await self._call("POST", TRANSACT_PATH, json.dumps(body).encode())
+        response = await self._call("POST", TRANSACT_PATH, json.dumps(body).encode())
+        return response.era
 
     async def close(self):
         """Close the connection."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -385,6 +385,7 @@
             self._tables.operator_rows.run,
             self._tables.target_rows.run,
             self._tables.follow_members,
+            self._tables.keep_registered,
             self._quarantines.follow,
             self._quarantines.write,
             self.active_requests.run,
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -127,6 +127,11 @@
         # Instant until which this VM does not act as a reader.
         self._yields_until = 0.0
 
+    @property
+    def version(self):
+        """Return the store version of the copy; 0 before the first read."""
+        return self._copy.version
+
     @property
     def last_significant_version(self):
         """Return the store version of the last significant change."""
--- a/src/heathercleat/steering/process/store/protocol.py
+++ b/src/heathercleat/steering/process/store/protocol.py
@@ -79,4 +79,7 @@
         """
 
     async def write(self, table, key, value):
-        """Write a row, or remove it if ``value`` is ``None``."""
+        """Write a row, or remove it if ``value`` is ``None``.
+
+        Return the era of the store to which the row was written.
+        """
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -1,6 +1,7 @@
 """The tables of the store that a VM follows, and how it applies them."""
 
 from math import ceil
+from random import uniform
 
 from curio import sleep
 
@@ -20,6 +21,7 @@
 from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.steering.process.store.member_rows import decode_member, encode_member
 from heathercleat.steering.process.store.rejected_rows import RejectedRowLog
+from heathercleat.steering.process.store.versions import era_of
 from heathercleat.version.hashing import rank_by_weight
 
 MEMBER_TABLE = "heathercleat-members"
@@ -52,6 +54,10 @@
 OTHER_REGION_DELAY_SECONDS = 0.5
 MAX_SNAPSHOT_BYTES = 16 << 20
 REGISTER_RETRY_SECONDS = 0.5
+#: Seconds between two checks whether this VM has to register again.
+REGISTER_CHECK_SECONDS = 1.0
+#: Maximum seconds until a VM registers again, so that not all write at once.
+REGISTER_SPREAD_SECONDS = 2.0
 
 
 class Tables:
@@ -77,6 +83,8 @@
         self._clock = clock
         self._rejections = RejectedRowLog(journal, clock)
         self._own_store = self.new_store()
+        # Era of the store to which this VM's row was written, or ``None``.
+        self._registered_era = None
         self.operator_rows = self._follow(
             OPERATOR_TABLE,
             _operator_wait(settings.bounds),
@@ -106,6 +114,20 @@
             is_reader=self.reads_member_table,
         )
 
+    @property
+    def store_era(self):
+        """Return the latest era of the store that any VM has announced or read."""
+        members = self._members
+        return era_of(
+            max(
+                self.operator_rows.version,
+                self.target_rows.version,
+                self.member_rows.version,
+                members.newest_operator_version,
+                members.newest_target_version,
+            )
+        )
+
     @property
     def is_store_answering(self):
         """Return whether the store recently responded to a call for targets."""
@@ -139,13 +161,27 @@
         await self._register()
         await self.member_rows.run()
 
+    async def keep_registered(self):
+        """Register this VM again after each return of the store from a copy.
+
+        The copy may lack this VM's row.
+        """
+        while True:
+            await sleep(REGISTER_CHECK_SECONDS)
+            registered_era = self._registered_era
+            if registered_era is not None and registered_era < self.store_era:
+                await sleep(uniform(0.0, REGISTER_SPREAD_SECONDS))
+                await self._register()
+
     async def _register(self):
-        """Write this VM's row; retry until it succeeds."""
+        """Write this VM's row; retry until it succeeds or this VM shuts down."""
         settings = self._settings
         value = encode_member(settings.ip, settings.failure_domain, settings.region)
-        while True:
+        while not self._members.own.is_stopping:
             try:
-                await self._own_store.write(MEMBER_TABLE, settings.vm, value)
+                self._registered_era = await self._own_store.write(
+                    MEMBER_TABLE, settings.vm, value
+                )
                 return
             except PlatformError as error:
                 self._journal.write(Event.PLATFORM_FAILED, reason=str(error))
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -7,6 +7,7 @@
 import sys
 from http.client import HTTPException
 
+from heathercleat.steering.process.store.tables import MEMBER_TABLE
 from standins.fleet import (
     STOP_SECONDS,
     SUBNET_VARIABLE,
@@ -194,6 +195,12 @@
         """Let the store return to its copy; its versions go back."""
         assert call(*self.store, "POST", "/restore")[0] == 200
 
+    def registered_vms(self):
+        """Return the names of the VMs with a row in the store."""
+        path = f"/v1/rows-get?table={MEMBER_TABLE}&part="
+        rows = json.loads(call(*self.store, "GET", path)[2])["rows"]
+        return [row["key"] for row in rows]
+
     def switch_link(self, link, **faults):
         """Set faults of a link; see :mod:`standins.fault_proxy`.
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -101,6 +101,18 @@
         assert entry_events(fleet, vm, "i-2") == ["target_found", "target_lapsing"]
 
 
+def test_vm_whose_registration_was_lost_registers_again(fleet):
+    restarted = fleet.vms["south-a-1"]
+    fleet.stop_vm(restarted)
+    wait_for(lambda: restarted.name not in fleet.registered_vms())
+    fleet.copy_store()
+    fleet.restart_vm(restarted)
+    wait_for(lambda: restarted.name in fleet.registered_vms())
+    fleet.restore_store()
+    assert restarted.name not in fleet.registered_vms()
+    wait_for(lambda: sorted(fleet.registered_vms()) == sorted(fleet.vms))
+
+
 def test_target_that_leaves_after_the_store_went_back_gets_no_requests(fleet):
     lose_changes(fleet)
     fleet.announce("i-1", state="draining", sequence=2)
