Write quarantines and lifts again that a restored store has lost

Quarantines are stored for a fleet that restarts; heartbeats alone keep them among running VMs. A row younger than the copy from which the store returns was lost, and one that an operator had lifted came back in the store and, with the next restart, in the fleet. A VM that reads the table and sees a later era now queues each quarantine in force that has no row, and removes the rows of requests whose crashes it knows to be cleared. A VM that has never read the table before knows of neither.

--- a/src/heathercleat/steering/process/quarantine/suspects.py
+++ b/src/heathercleat/steering/process/quarantine/suspects.py
@@ -96,6 +96,19 @@
         until = self._suspects[key].refused_until
         return until if until > self._clock.now() else None
 
+    def quarantined(self):
+        """Return each :class:`Suspect` of a quarantined request."""
+        return [
+            each
+            for each in self.all()
+            if not _is_group(each) and self.refused_until(each.fingerprint) is not None
+        ]
+
+    def is_cleared(self, key):
+        """Return whether all known crashes of a key were cleared."""
+        suspect = self._get(key)
+        return suspect is not None and not suspect.crash_count
+
     def is_limited(self, key):
         """Return whether a key has enough crashes for its requests to be refused."""
         suspect = self._get(key)
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -18,6 +18,7 @@
 )
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from heathercleat.steering.process.store.rejected_rows import RejectedRowLog
+from heathercleat.steering.process.store.versions import era_of
 
 #: Seconds for which a read waits for a change; long, since quarantines are rare.
 LONG_POLL_SECONDS = 25.0
@@ -53,8 +54,10 @@
         self._clock = clock
         self._rejected_rows = RejectedRowLog(journal, clock)
         self._pending = deque(maxlen=MAX_PENDING_WRITES)
-        # Version of the table at the last read, or ``None``.
+        # Version of the table at the last read, ``None`` to read all rows.
         self._version = None
+        # Era of the store at the last read, or ``None``.
+        self._era = None
 
     def enqueue(self, suspect):
         """Queue a quarantined :class:`Suspect` for writing."""
@@ -98,9 +101,12 @@
             self._log_failure(error)
             await sleep(RETRY_SECONDS)
             return
+        era_before, self._era = self._era, era_of(snapshot.version)
         self._version = snapshot.version
         for row in snapshot.rows:
             await self._merge_row(row)
+        if era_before is not None and era_before < self._era:
+            await self._write_lost_changes({row.key for row in snapshot.rows})
 
     async def _next_snapshot(self):
         if self._version is None:
@@ -109,6 +115,17 @@
             QUARANTINE_TABLE, self._version, LONG_POLL_SECONDS
         )
 
+    async def _write_lost_changes(self, keys):
+        """Write again what the store has lost by its return from a copy.
+
+        :param keys: fingerprints of all rows in the store.
+        """
+        for suspect in self._suspects.quarantined():
+            if suspect.fingerprint not in keys:
+                self.enqueue(suspect)
+        for key in filter(self._suspects.is_cleared, keys):
+            await self._write_row(key, None)
+
     async def _merge_row(self, row):
         """Merge a row; a deleted row lifts its quarantine."""
         if row.value is None:
