Count no proof of the newest configuration against a newer one elsewhere

A VM that starts while the store has just returned from a copy reads an older configuration and takes the read as proof that it is the newest: keys that the lost one removed would be accepted until operators have written it again. The VMs of its region know better. Each report of the version in force at another VM is remembered with the earliest instant from which it can have been in force there; while this VM has an older version, no proof counts from then on. For the first reports after the start that is the distant past, for others the report before, so that an ordinary change, which VMs learn within a second of each other, leaves a proof almost as it was.

Of the new tests, the first one failed before: the proof at 11.0 was accepted.

--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -1,6 +1,11 @@
 """How recently the configuration in force is known to have been the newest."""
 
 from heathercleat.events import Event
+from heathercleat.process.clock import DISTANT_PAST
+
+#: Seconds from the first report to this VM until it has heard all VMs. A version in a
+#: first report until then may be in force there for any time.
+START_SECONDS = 2.0
 
 
 class ConfigurationFreshness:
@@ -11,30 +16,46 @@
     heartbeats. A proof for one version also holds for each newer one, since that was
     written after the read.
 
+    A store that has returned from a copy may not have the newest configuration yet. A
+    read therefore proves nothing from the instant at which another VM may have had a
+    newer version than this VM has now.
+
     :param version: returns the version of the configuration in force, 0 without one.
     """
 
     def __init__(self, version):
         self._version = version
         self._proven_at = None
+        self._reports = {}
+        self._starting_until = None
+        self._newest_report = VersionReport(0, DISTANT_PAST, DISTANT_PAST)
 
     @property
     def proven_at(self):
         """Return the instant of the latest proof, or ``None``."""
-        return self._proven_at
+        if self._proven_at is None or self._version() >= self._newest_report.version:
+            return self._proven_at
+        return min(self._proven_at, self._newest_report.since)
 
     def record_read(self, began_at):
         """Record that all changes up to an instant were read and applied."""
         self._advance(began_at)
 
-    def record_report(self, version, proven_at):
-        """Record the proof of another VM.
+    def record_report(self, vm, version, sent_at, age):
+        """Record the version in force at another VM, and its proof.
 
+        :param vm: name of the other VM.
         :param version: the version that was in force there.
-        :param proven_at: its proof, as an instant of this VM's clock.
+        :param sent_at: earliest instant at which it can have sent the report.
+        :param age: age of its proof in seconds, ``None`` without one.
         """
-        if version <= self._version():
-            self._advance(proven_at)
+        self._record_version(vm, version, sent_at)
+        if age is not None and version <= self._version():
+            self._advance(sent_at - age)
+
+    def retain(self, vms):
+        """Drop the reports of VMs that are not in ``vms``."""
+        self._reports = {vm: each for vm, each in self._reports.items() if vm in vms}
 
     def was_newest(self, max_age, at):
         """Return whether the proof was at most ``max_age`` seconds old at an instant.
@@ -43,13 +64,44 @@
         """
         if max_age is None:
             return True
-        return self._proven_at is not None and at <= self._proven_at + max_age
+        proven_at = self.proven_at
+        return proven_at is not None and at <= proven_at + max_age
+
+    def _record_version(self, vm, version, sent_at):
+        if self._starting_until is None:
+            self._starting_until = sent_at + START_SECONDS
+        before = self._reports.get(vm)
+        if before is None:
+            since = DISTANT_PAST if sent_at < self._starting_until else sent_at
+        elif version > before.version:
+            since = before.sent_at
+        else:
+            since = before.since
+        report = VersionReport(version, since, sent_at)
+        self._reports[vm] = report
+        if version > self._newest_report.version:
+            self._newest_report = report
 
     def _advance(self, proven_at):
         if self._proven_at is None or proven_at > self._proven_at:
             self._proven_at = proven_at
 
 
+class VersionReport:
+    """The configuration version that another VM reported last.
+
+    :param since: earliest instant from which it can have had this version.
+    :param sent_at: earliest instant at which it can have sent the report.
+    """
+
+    __slots__ = ("version", "since", "sent_at")
+
+    def __init__(self, version, since, sent_at):
+        self.version = version
+        self.since = since
+        self.sent_at = sent_at
+
+
 class FreshnessMonitor:
     """Logs when keys can no longer be accepted for want of a proof, and again.
 
--- a/src/heathercleat/steering/process/membership/workspace_reports.py
+++ b/src/heathercleat/steering/process/membership/workspace_reports.py
@@ -52,9 +52,9 @@
         :raises ValueError: when the fields are malformed.
         """
         version, age, reports, uptime = fields
-        if age is not None and echoed_sent_at is not None:
-            sent_after = echoed_sent_at + echo_delay
-            self._freshness.record_report(version, sent_after - age)
+        if echoed_sent_at is not None:
+            sent_at = echoed_sent_at + echo_delay
+            self._freshness.record_report(own.vm, version, sent_at, age)
         if reports:
             self._exchange.record(
                 own.vm, own.incarnation, uptime, reports, echoed_sent_at
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -518,6 +518,7 @@
         known = {member.vm for member in self._members.others()}
         self._capacity_reports.retain(known)
         self._held_slots.retain(known)
+        self._freshness.retain(known)
 
     def _read_gauges(self):
         """Return the current gauges, for metrics and the periodic log line."""
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -11,6 +11,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from heathercleat.steering.process.configuration_freshness import (
+    ConfigurationFreshness,
+)
 from standins.membership_simulation import Network, SimulatedVm
 from tests.conftest import PHASES_WITHOUT_SHRINKING
 
@@ -139,6 +142,38 @@
     assert other.freshness.proven_at <= began_at
 
 
+def make_freshness(version):
+    """Return the freshness of a VM with a version in force."""
+    return ConfigurationFreshness(lambda: version)
+
+
+def test_read_of_a_restored_store_proves_nothing_while_a_peer_has_a_newer_version():
+    freshness = make_freshness(74)
+    freshness.record_read(10.0)
+    freshness.record_report("vm-2", 77, 10.2, 1.0)
+    freshness.record_read(11.0)
+    assert not freshness.was_newest(REVOCATION_SECONDS, 11.0)
+
+
+def test_change_that_a_peer_has_first_leaves_the_proof_from_before_it():
+    freshness = make_freshness(74)
+    for at in (8.0, 9.0, 10.0, 11.0):
+        freshness.record_report("vm-2", 74, at, 0.5)
+    freshness.record_report("vm-2", 77, 11.2, 0.1)
+    assert freshness.proven_at == 10.5
+    freshness.record_read(13.0)
+    assert freshness.proven_at == 11.0
+
+
+def test_proof_counts_again_once_the_newer_version_is_in_force():
+    versions = [74]
+    freshness = ConfigurationFreshness(lambda: versions[-1])
+    freshness.record_report("vm-2", 77, 10.0, 1.0)
+    freshness.record_read(11.0)
+    versions.append(77)
+    assert freshness.proven_at == 11.0
+
+
 class KeyedFleetMachine(RuleBasedStateMachine):
     """Cuts, stalls and readers that change never extend the use of a removed key."""
 
