Let other VMs own the targets of a VM that reaches none

A VM may be partitioned from all targets while clients, the store and other VMs still reach it. Connections that live on while new ones are refused went on serving before, too.

A VM to which connections of two targets failed within 2 s connects to six targets, those without a failure first. If none accepts, it announces that it reaches no target, by the sign of its strength in its updates, so that VMs of an earlier build do not let it own targets either. VMs that reach no target own none unless all are such; they go on accepting clients and forward their requests. Every 0.5 s the VM checks again, and takes targets back with the first connection. Without failing connections there is no check.

--- a/src/heathercleat/steering/process/membership/member.py
+++ b/src/heathercleat/steering/process/membership/member.py
@@ -45,6 +45,7 @@
     :param store_answers: whether the store responds to its calls.
     :param store_lost: whether its calls to the store fail.
     :param strength: its capacity; see :attr:`NodeSettings.strength`.
+    :param targets_lost: whether it is partitioned from all targets.
     :param digest: :attr:`Members.digest` in its last heartbeat.
     :param suspects_digest: :attr:`Suspects.digest` in its last heartbeat.
     """
@@ -69,6 +70,7 @@
         "store_answers",
         "store_lost",
         "strength",
+        "targets_lost",
         "digest",
         "suspects_digest",
     )
@@ -93,6 +95,7 @@
         self.store_answers = False
         self.store_lost = False
         self.strength = 1.0
+        self.targets_lost = False
         self.digest = None
         self.suspects_digest = 0
 
@@ -135,6 +138,9 @@
     """The state of a VM, reported by itself or by a VM that monitors it.
 
     The order of the slots is the wire format.
+
+    :param strength: its capacity; negative if it is partitioned from all targets, so
+        that VMs that do not know of this do not let it own targets either.
     """
 
     __slots__ = (
@@ -158,6 +164,11 @@
         """Return the values in the order of the slots."""
         return [getattr(self, name) for name in self.__slots__]
 
+    @property
+    def targets_lost(self):
+        """Return whether the VM is partitioned from all targets."""
+        return self.strength < 0
+
 
 def make_update(member):
     """Return the :class:`MemberUpdate` with the current state of a member."""
@@ -171,5 +182,5 @@
         member.reported_alive,
         member.stage,
         member.store_lost,
-        member.strength,
+        -member.strength if member.targets_lost else member.strength,
     )
--- a/src/heathercleat/steering/process/membership/members.py
+++ b/src/heathercleat/steering/process/membership/members.py
@@ -134,9 +134,11 @@
         """Return the VMs that may own targets.
 
         These are the strong serving VMs or, if there are none, the strong leaving ones,
-        so that requests can still be handled.
+        so that requests can still be handled. VMs that are partitioned from all targets
+        own none, unless all of them are.
         """
-        return self.strong_serving() or self.strong_leaving()
+        strong = self.strong_serving() or self.strong_leaving()
+        return [each for each in strong if not each.targets_lost] or strong
 
     def request_handling_vms(self):
         """Return the VMs that handle requests.
@@ -185,6 +187,13 @@
             self._own.store_lost = store_lost
             self._queue_newer_own_update()
 
+    def set_targets_lost(self, targets_lost):
+        """Set whether this VM is partitioned from all targets."""
+        if self._own.targets_lost != targets_lost:
+            self._own.targets_lost = targets_lost
+            self._queue_newer_own_update()
+            self._membership_changed()
+
     def updates_to_send(self, interval):
         """Return the fields of each :class:`MemberUpdate` to pass on.
 
@@ -318,14 +327,19 @@
         member.incarnation = update.incarnation
         member.set_stage(update.stage, self._clock.now())
         member.store_lost = update.store_lost
-        member.strength = update.strength
+        member.strength = abs(update.strength)
+        member.targets_lost = update.targets_lost
 
     def _changes_membership(self, member, update):
-        """Return whether an update changes the live VMs, a stage or an incarnation."""
+        """Return whether an update changes the live VMs, a stage or an incarnation.
+
+        Also whether a VM may own targets.
+        """
         return (
             self._live.get(member.vm) is not member
             or member.stage != update.stage
             or member.incarnation != update.incarnation
+            or member.targets_lost != update.targets_lost
         )
 
     def _is_outdated(self, member, update):
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -24,6 +24,7 @@
 from heathercleat.steering.process.capacity.loss_rates import LossRates
 from heathercleat.steering.process.capacity.notices import Notices
 from heathercleat.steering.process.capacity.owners import Owners
+from heathercleat.steering.process.capacity.reachability import TargetReachability
 from heathercleat.steering.process.capacity.region_loss_rates import RegionLossRates
 from heathercleat.steering.process.capacity.region_shift import RegionShiftLimit
 from heathercleat.steering.process.capacity.registry import TargetRegistry
@@ -227,6 +228,9 @@
             self._capacity_reports,
         )
         self._target_pool = self._new_pool()
+        self._reachability = TargetReachability(
+            self._registry, self._members, self._target_pool, journal, clock
+        )
         self._local = LocalDispatcher(
             self._admission,
             self._ledger,
@@ -236,6 +240,7 @@
             self.shutdown,
             EjectionLimit(view, clock),
             self._suspects,
+            self._reachability,
             journal,
             clock,
         )
@@ -388,6 +393,7 @@
             self._tables.keep_registered,
             self._quarantines.follow,
             self._quarantines.write,
+            self._reachability.run,
             self.active_requests.run,
             self._run_maintenance,
             self._log_summaries,
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -37,6 +37,7 @@
     :param shutdown: the :class:`Shutdown` of this VM.
     :param ejection_limit: the :class:`EjectionLimit`, which limits ejected targets.
     :param suspects: the :class:`Suspects`.
+    :param reachability: the :class:`TargetReachability`.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         shutdown,
         ejection_limit,
         suspects,
+        reachability,
         journal,
         clock,
     ):
@@ -61,6 +63,7 @@
         self._ejection_limit = ejection_limit
         self._crash_detector = CrashDetector(pool, clock)
         self._suspects = suspects
+        self._reachability = reachability
         self._journal = journal
         self._clock = clock
 
@@ -130,6 +133,7 @@
             # A timeout at the deadline of the request says nothing about the target.
             if not isinstance(error, TimeoutError) or self._clock.now() < call.deadline:
                 self._eject(target, started_at, f"connect: {error!r}")
+                await self._reachability.record_failure(entry.id)
             return AttemptResult(
                 AttemptOutcome.NOT_SENT, target=entry.id, reason=repr(error)
             )
@@ -155,6 +159,7 @@
         result.response_time = self._clock.now() - started_at
         await self._return_connection(entry, stream, exchange.head)
         if exchange.connection_lost and not call.is_disconnected:
+            await self._reachability.record_failure(entry.id)
             await self._record_crash(call, entry, result)
         is_affinity_target = entry.id in preferred
         self._record_result(call, slot_use, exchange.head, result, is_affinity_target)
--- a/standins/skewed.py
+++ b/standins/skewed.py
@@ -1,4 +1,4 @@
-"""Runs ``heathercleat`` with a skewed wall clock.
+"""Runs ``heathercleat`` with a skewed wall clock, or partitioned from all targets.
 
 ``HEATHERCLEAT_CLOCK_SKEW`` is the skew in seconds and may be negative; monotonic clocks
 are not affected.
@@ -6,12 +6,17 @@
 With ``HEATHERCLEAT_SUSPENDS``, stopping and continuing the process has the effect on
 its clocks that the suspension of a VM has: the monotonic clock does not count the time,
 while the boot-time clock and the wall clock do.
+
+While the file that ``HEATHERCLEAT_PARTITION`` names has a :class:`PartitionMode`, the
+VM is partitioned from all targets; see :mod:`standins.partition`.
 """
 
 import os
 import sys
 import time
 
+from standins.partition import PARTITION_VARIABLE, install_partition
+
 SKEW_VARIABLE = "HEATHERCLEAT_CLOCK_SKEW"
 SUSPENDS_VARIABLE = "HEATHERCLEAT_SUSPENDS"
 #: Seconds between two readings of the monotonic clock above which the process counts as
@@ -51,6 +56,8 @@
     skew_clock(float(os.environ.get(SKEW_VARIABLE, 0.0)))
     if os.environ.get(SUSPENDS_VARIABLE):
         time.monotonic = SuspendAwareClock(time.monotonic).monotonic
+    if os.environ.get(PARTITION_VARIABLE):
+        install_partition(os.environ[PARTITION_VARIABLE])
     # Imported late since modules import the clock functions by name.
     from heathercleat.cli import main as run
 
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -15,6 +15,7 @@
     call,
     wait_for,
 )
+from standins.partition import PARTITION_VARIABLE
 from standins.skewed import SKEW_VARIABLE, SUSPENDS_VARIABLE
 
 STORE_PORT = 7000
@@ -155,9 +156,20 @@
             "HEATHERCLEAT_SETTINGS": vm.settings,
             SKEW_VARIABLE: str(clock_skew),
             SUSPENDS_VARIABLE: "1" if self._suspends else "",
+            PARTITION_VARIABLE: str(self._partition_path(vm)),
         }
         vm.process = self._processes.start(vm.name, command, **variables)
 
+    def partition_vm(self, vm, mode):
+        """Partition a VM from all targets, unless they are proxied.
+
+        :param mode: a :class:`PartitionMode`, or ``None`` to end the partition.
+        """
+        self._partition_path(vm).write_text("" if mode is None else mode.value)
+
+    def _partition_path(self, vm):
+        return self.folder / f"{vm.name}.partition"
+
     def restart_vm(self, vm):
         """Wait for the process of a stopped VM to exit, then start the VM."""
         vm.process.wait(STOP_SECONDS)
--- a/tests/steering_parts.py
+++ b/tests/steering_parts.py
@@ -108,6 +108,16 @@
     return Heartbeat(update, 0.15, 0, 0, store_answers, 0, [], [], [], [], [], 0, [])
 
 
+class ReachableTargets:
+    """Stands in for :class:`TargetReachability` at a VM that is not partitioned."""
+
+    async def record_failure(self, target_id):
+        return None
+
+    async def is_any_reachable(self):
+        return True
+
+
 class Parts:
     """The capacity and membership components of one VM."""
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -30,7 +30,7 @@
 from heathercleat.steering.request.local import LocalDispatcher
 from standins.steering_fleet import SteeringFleet
 from tests.platform_samples import config
-from tests.steering_parts import Parts, call, entry, make_heartbeat
+from tests.steering_parts import Parts, ReachableTargets, call, entry, make_heartbeat
 from tests.test_steer import SteeringSetup, answered
 
 DOMAINS = {"north-a": "north", "north-b": "north", "south-a": "south"}
@@ -229,6 +229,7 @@
         Shutdown(RunTimes(parts.clock), lambda: True),
         None,
         suspects,
+        ReachableTargets(),
         parts.journal,
         parts.clock,
     )
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -28,7 +28,7 @@
 from heathercleat.steering.request.forward import ForwardOrder, call_from_order
 from heathercleat.steering.request.local import LocalDispatcher
 from tests.fakes import ManualClock
-from tests.steering_parts import Parts, call, entry, route
+from tests.steering_parts import Parts, ReachableTargets, call, entry, route
 from tests.test_steer import SteeringSetup, answered, ended, no_slot
 
 GRACE_SECONDS = 6.0
@@ -276,6 +276,7 @@
             self.shutdown,
             None,
             Suspects(parts.journal, parts.clock),
+            ReachableTargets(),
             parts.journal,
             parts.clock,
         )
--- a/tests/test_suspended_vm.py
+++ b/tests/test_suspended_vm.py
@@ -16,7 +16,7 @@
 from heathercleat.steering.request.local import CONNECT_TIMEOUT_SECONDS, LocalDispatcher
 from standins.skewed import MAX_STEP_SECONDS, SuspendAwareClock
 from standins.steering_fleet import SteeringFleet
-from tests.steering_parts import Parts, call, entry
+from tests.steering_parts import Parts, ReachableTargets, call, entry
 from tests.test_crashing_requests import (
     DOMAINS,
     DOWN_SECONDS,
@@ -138,6 +138,7 @@
         Shutdown(RunTimes(parts.clock), lambda: True),
         None,
         Suspects(parts.journal, parts.clock),
+        ReachableTargets(),
         parts.journal,
         parts.clock,
     )
