Do not take a partition from all targets for a crash of each

A connection that is reset during a request and a target that then refuses connections counted as a crash of the target under the request. A crash counts now only if another target accepts connections. The new test of processes logged target_ended before.

--- a/src/heathercleat/steering/process/capacity/crash_detector.py
+++ b/src/heathercleat/steering/process/capacity/crash_detector.py
@@ -18,13 +18,17 @@
     """Checks whether a target crashed when its connection broke during a request.
 
     The host refuses connections to a process that has terminated. If the host is
-    unreachable, the target does not count as crashed.
+    unreachable, the target does not count as crashed, nor if all targets refuse
+    connections of this VM.
 
     :param pool: the connection pool for targets.
+    :param is_any_reachable: coroutine function that returns whether this VM reaches any
+        target.
     """
 
-    def __init__(self, pool, clock):
+    def __init__(self, pool, is_any_reachable, clock):
         self._pool = pool
+        self._is_any_reachable = is_any_reachable
         self._clock = clock
         # Incarnation ids of crashed targets, the latest last.
         self._crashed = {}
@@ -44,7 +48,8 @@
             if not await self._accepts_connection(entry):
                 await self._accepts_connection(entry)
         except ConnectionRefusedError:
-            self._remember(entry.incarnation_id)
+            if await self._is_any_reachable():
+                self._remember(entry.incarnation_id)
         except (OSError, TimeoutError):
             return False
         return entry.incarnation_id in self._crashed
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -61,7 +61,7 @@
         self._response_times = response_times
         self._shutdown = shutdown
         self._ejection_limit = ejection_limit
-        self._crash_detector = CrashDetector(pool, clock)
+        self._crash_detector = CrashDetector(pool, reachability.is_any_reachable, clock)
         self._suspects = suspects
         self._reachability = reachability
         self._journal = journal
--- a/tests/test_partitioned_vm.py
+++ b/tests/test_partitioned_vm.py
@@ -6,6 +6,7 @@
 import pytest
 from curio import run
 
+from heathercleat.steering.process.capacity.crash_detector import CrashDetector
 from heathercleat.steering.process.capacity.reachability import (
     CHECK_INTERVAL_SECONDS,
     CHECKED_TARGETS,
@@ -117,6 +118,19 @@
     time.sleep(2.0)
 
 
+def test_request_of_a_partitioned_vm_is_not_quarantined(fleet):
+    config_without_split(fleet)
+    (vm,) = vms_of(fleet, "north-b")
+    clients = Clients(fleet, [vm])
+    clients.run(1.0)
+    for _ in range(3):
+        fleet.partition_vm(vm, PartitionMode.RESET)
+        clients.run(1.0)
+        fleet.partition_vm(vm, None)
+        clients.run(1.0)
+    assert "target_ended" not in [line["name"] for line in fleet.log(vm)]
+
+
 class ScriptedPool:
     """A pool whose connections to some hosts fail."""
 
@@ -199,3 +213,15 @@
     parts.members.set_targets_lost(True)
     owners = {parts.owners.owner_of(f"t{number}") for number in range(6)}
     assert owners == {"vm-1", "vm-2"}
+
+
+@pytest.mark.parametrize("reachable", [True, False])
+def test_refused_connection_is_a_crash_only_if_other_targets_are_reachable(reachable):
+    parts = ReachabilityParts(1)
+    parts.pool.failing = {0}
+
+    async def is_any_reachable():
+        return reachable
+
+    detector = CrashDetector(parts.pool, is_any_reachable, parts.clock)
+    assert run(detector.has_crashed, parts.registry.entry("t0")) is reachable
