Soak: the store returns from copies, VMs are partitioned from all targets

Both happen beside the other faults, from a random source of their own, so that the regression seeds keep their faults.

--- a/standins/partition.py
+++ b/standins/partition.py
@@ -8,8 +8,8 @@
 from curio.io import Socket
 
 PARTITION_VARIABLE = "HEATHERCLEAT_PARTITION"
-#: Third octet of the IP addresses of targets.
-TARGET_OCTET = "100"
+#: Third octets of the IP addresses of targets, and of those of the proxy for them.
+TARGET_OCTETS = ("100", "203")
 #: Seconds between two checks whether the partition has begun or ended.
 POLL_SECONDS = 0.02
 #: Seconds after which the kernel gives up unacknowledged data.
@@ -83,7 +83,7 @@
     PartitionedSocket.partition = partition
 
     async def open_partitioned_socket(host, port, source_ip=None):
-        if host.split(".")[2] != TARGET_OCTET:
+        if host.split(".")[2] not in TARGET_OCTETS:
             return await open_socket(host, port, source_ip)
         if partition.mode in (PartitionMode.RESET, PartitionMode.REFUSE):
             raise ConnectionRefusedError(f"{host} refuses connections")
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,8 +4,9 @@
 faults: VMs killed, paused or suspended, restarted, or started with a skewed wall clock;
 a store that is unavailable, slow, refuses a VM, or loses replies or its change history;
 targets that lose, truncate, refuse or delay responses; evacuations and new
-configurations; and network faults of :mod:`standins.fault_proxy`. It checks, from what
-clients and targets observe:
+configurations; network faults of :mod:`standins.fault_proxy`; and the returns of the
+store from copies and partitions from all targets of :mod:`standins.soak_restores`. It
+checks, from what clients and targets observe:
 
 - a request that is not idempotent runs at most once;
 - a request refused with 503 has not run and does not run later;
@@ -31,6 +32,7 @@
 
 from standins.fleet import STOP_SECONDS, wait_for
 from standins.soak_notices import TargetNotices
+from standins.soak_restores import RestoresAndPartitions
 from standins.soak_stops import PlannedStops, long_routes
 from standins.steering_fleet import (
     SteeringFleet,
@@ -339,7 +341,13 @@
 
 
 def run_seed(
-    seed, seconds, config, vms_per_domain=1, with_stops=True, with_notices=True
+    seed,
+    seconds,
+    config,
+    vms_per_domain=1,
+    with_stops=True,
+    with_notices=True,
+    with_restores=True,
 ):
     """Run one seed; return report lines and the number of requests by outcome.
 
@@ -349,6 +357,8 @@
     :param vms_per_domain: number of VMs in each failure domain.
     :param with_stops: whether planned stops follow the faults.
     :param with_notices: whether targets ask for less after the faults.
+    :param with_restores: whether the store returns from copies and VMs are partitioned
+        from all targets beside the other faults.
     """
     rng = random.Random(seed)
     vms = dict.fromkeys(DOMAINS, vms_per_domain)
@@ -368,10 +378,15 @@
         clients = Clients(fleet, seed)
         # A separate generator keeps the random choices of the faults independent.
         stops = PlannedStops(fleet, DOMAINS, seed, random.Random(f"{seed}-stops"))
+        restores = RestoresAndPartitions(fleet, random.Random(f"{seed}-restores"))
         clients.start()
         stops.start_clients()
         try:
+            if with_restores:
+                restores.start(seconds)
             faults.run(seconds)
+            if with_restores:
+                restores.join()
             violations = list(check_target_removal(fleet, seed))
             if with_notices:
                 violations.extend(TargetNotices(fleet, seed).check())
@@ -388,10 +403,18 @@
         outcomes = Counter(request.status for request in clients.sent)
         outcomes.update(stops.outcome_counts(spans))
     if violations:
-        violations.extend(f"fault: {line}" for line in [*faults.log, *stops.log])
+        violations.extend(
+            f"fault: {line}" for line in _merge_logs(faults, restores, stops)
+        )
     return violations, outcomes
 
 
+def _merge_logs(*injectors):
+    """Return the lines of all logs in the order of their times."""
+    lines = [line for each in injectors for line in each.log]
+    return sorted(lines, key=lambda line: float(line.split()[0]))
+
+
 def _check_recovery(fleet, seed):
     """Yield a line for each VM that does not recover."""
     for vm in fleet.vms.values():
--- /dev/null
+++ b/standins/soak_restores.py
@@ -0,0 +1,65 @@
+"""Faults of the soak test that overlap with its others.
+
+The store returns from copies of itself, and VMs are partitioned from all targets.
+"""
+
+import threading
+import time
+
+from standins.partition import PartitionMode
+
+GAP_SECONDS = (0.5, 2.0)
+DURATION_SECONDS = (0.3, 2.5)
+#: Maximum seconds until operators and targets write again what a copy lacks.
+MAX_REWRITE_SECONDS = 1.5
+
+
+class RestoresAndPartitions:
+    """Injects these faults in a thread, one after another.
+
+    :param rng: source of all random choices.
+    """
+
+    def __init__(self, fleet, rng):
+        self._fleet = fleet
+        self._rng = rng
+        self._thread = None
+        self.log = []
+
+    def start(self, seconds):
+        """Start to inject faults for some seconds."""
+        ends_at = time.monotonic() + seconds
+        self._thread = threading.Thread(target=self._run, args=(ends_at,))
+        self._thread.start()
+
+    def join(self):
+        """Wait until the last fault is undone."""
+        self._thread.join()
+
+    def _run(self, ends_at):
+        while time.monotonic() < ends_at:
+            inject = self._rng.choice((self._restore_store, self._partition_vms))
+            undo = inject()
+            self.log.append(f"{time.monotonic():.2f} {inject.__name__}")
+            time.sleep(self._rng.uniform(*DURATION_SECONDS))
+            undo()
+            time.sleep(self._rng.uniform(*GAP_SECONDS))
+
+    def _restore_store(self):
+        self._fleet.copy_store()
+        rewrite_s = self._rng.uniform(0.0, MAX_REWRITE_SECONDS)
+        return lambda: self._fleet.restore_store(rewrite_s)
+
+    def _partition_vms(self):
+        """Partition one VM or more, except one."""
+        vms = list(self._fleet.vms.values())
+        partitioned = self._rng.sample(vms, self._rng.randrange(1, len(vms)))
+        mode = self._rng.choice(list(PartitionMode))
+        for vm in partitioned:
+            self._fleet.partition_vm(vm, mode)
+
+        def heal():
+            for vm in partitioned:
+                self._fleet.partition_vm(vm, None)
+
+        return heal
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -203,9 +203,14 @@
         """Copy the contents of the store; see :mod:`standins.table_store`."""
         assert call(*self.store, "POST", "/copy")[0] == 200
 
-    def restore_store(self):
-        """Let the store return to its copy; its versions go back."""
-        assert call(*self.store, "POST", "/restore")[0] == 200
+    def restore_store(self, rewrite_s=None):
+        """Let the store return to its copy; its versions go back.
+
+        :param rewrite_s: seconds after which operators and targets write again what the
+            copy lacks; ``None`` if they do not.
+        """
+        body = None if rewrite_s is None else json.dumps({"rewrite_s": rewrite_s})
+        assert call(*self.store, "POST", "/restore", body)[0] == 200
 
     def registered_vms(self):
         """Return the names of the VMs with a row in the store."""
--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -6,8 +6,9 @@
 and ``history`` (number of changes kept). ``POST /put`` with ``[table, key, document]``
 writes a row as operators and targets do; a document of null removes it. ``POST /copy``
 copies the rows and changes, and ``POST /restore`` returns to the copy: versions go back
-and are given out again, and the era rises. ``GET /counts`` returns the number of
-requests by path.
+and are given out again, and the era rises. With the seconds ``rewrite_s`` in a JSON
+object, operators and targets then write again what the copy lacks. ``GET /counts``
+returns the number of requests by path.
 """
 
 import json
@@ -16,7 +17,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 import h11
-from curio import run, sleep, tcp_server
+from curio import run, sleep, spawn, tcp_server
 
 from heathercleat.connection.http import HttpStream, Message, serve_requests
 from heathercleat.platform.wire_names import (
@@ -86,7 +87,10 @@
             self._copy = StoreCopy(self._rows, self._changes, self._version)
             return Message()
         if url.path == "/restore":
-            self._restore(self._copy)
+            lost = self._restore(self._copy)
+            if message.body:
+                rewrite_s = json.loads(message.body)["rewrite_s"]
+                await spawn(self._rewrite, lost, rewrite_s, daemon=True)
             return Message()
         if url.path == "/counts":
             return _json(self._counts)
@@ -185,10 +189,25 @@
         self._trim_history()
 
     def _restore(self, copy):
+        """Return to a copy; return the last change of each row that it lacks."""
+        changes = [each for each in self._changes if each["ver"] > copy.version]
         self._rows = dict(copy.rows)
         self._changes = list(copy.changes)
         self._version = copy.version
         self._era += 1
+        return {(each["table"], each["key"]): each for each in changes}
+
+    async def _rewrite(self, lost, seconds):
+        """Write the lost changes of operators and targets again after some seconds."""
+        era = self._era
+        await sleep(seconds)
+        written = {(each["table"], each["key"]) for each in self._changes_since_copy()}
+        for (table, key), row in lost.items():
+            if era == self._era and table in _READ_ONLY and (table, key) not in written:
+                self._write(table, key, row.get("value"))
+
+    def _changes_since_copy(self):
+        return [each for each in self._changes if each["ver"] > self._copy.version]
 
     def _trim_history(self):
         while len(self._changes) > self._switches["history"]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -79,7 +79,12 @@
     # The regression seeds need only faults, without what follows them.
     is_whole = seed not in REGRESSION_SEEDS
     violations, status_counts = run_seed(
-        seed, SECONDS, config(), with_stops=is_whole, with_notices=is_whole
+        seed,
+        SECONDS,
+        config(),
+        with_stops=is_whole,
+        with_notices=is_whole,
+        with_restores=is_whole,
     )
     assert violations == []
     assert status_counts[200] > 0
