--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -176,20 +176,31 @@
         make_version(era, number)
 
 
-def test_changes_of_an_earlier_era_are_ignored():
-    copy = TableCopy()
-    copy.replace_all(Snapshot(make_version(1, 5), []))
-    row = StoreRow("a", 1, make_version(0, 9))
-    copy.merge_changes(Snapshot(make_version(0, 9), [row], is_whole=False))
-    assert copy.rows == []
+def make_snapshot(era, number, **values):
+    version = make_version(era, number)
+    rows = [StoreRow(key, value, version) for key, value in values.items()]
+    return Snapshot(version, rows)
 
 
-def test_vm_of_an_earlier_era_gets_all_rows():
+@pytest.fixture
+def restored_copy():
+    """A copy whose row was significant only before the return of the store."""
     copy = TableCopy()
-    copy.replace_all(
-        Snapshot(make_version(1, 5), [StoreRow("a", 1, make_version(1, 2))])
-    )
-    assert copy.changes_since(make_version(0, 7), {}).is_whole
+    copy.replace_all(make_snapshot(0, 9, a=2))
+    copy.record_changes(["a"], copy.version)
+    copy.replace_all(make_snapshot(1, 5, a=1))
+    return copy
+
+
+def test_changes_of_an_earlier_era_are_ignored(restored_copy):
+    changes = make_snapshot(0, 12, b=3)
+    changes.is_whole = False
+    restored_copy.merge_changes(changes)
+    assert [row.key for row in restored_copy.rows] == ["a"]
+
+
+def test_vm_of_an_earlier_era_gets_all_rows(restored_copy):
+    assert restored_copy.changes_since(make_version(0, 9), {}).is_whole
 
 
 @pytest.fixture
