Report no age for a proof that does not count

While another VM may have had a newer version for any time, the age of the proof was infinite in logs, gauges and heartbeats. It is none now, as before the first proof.

--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -1,7 +1,6 @@
 """How recently the configuration in force is known to have been the newest."""
 
 from heathercleat.events import Event
-from heathercleat.process.clock import DISTANT_PAST
 
 #: Seconds from the first report to this VM until it has heard all VMs. A version in a
 #: first report until then may be in force there for any time.
@@ -28,14 +27,15 @@
         self._proven_at = None
         self._reports = {}
         self._starting_until = None
-        self._newest_report = VersionReport(0, DISTANT_PAST, DISTANT_PAST)
+        self._newest_report = None
 
     @property
     def proven_at(self):
         """Return the instant of the latest proof, or ``None``."""
-        if self._proven_at is None or self._version() >= self._newest_report.version:
+        newest = self._newest_report
+        if self._proven_at is None or not newest or self._version() >= newest.version:
             return self._proven_at
-        return min(self._proven_at, self._newest_report.since)
+        return None if newest.since is None else min(self._proven_at, newest.since)
 
     def record_read(self, began_at):
         """Record that all changes up to an instant were read and applied."""
@@ -72,14 +72,14 @@
             self._starting_until = sent_at + START_SECONDS
         before = self._reports.get(vm)
         if before is None:
-            since = DISTANT_PAST if sent_at < self._starting_until else sent_at
+            since = None if sent_at < self._starting_until else sent_at
         elif version > before.version:
             since = before.sent_at
         else:
             since = before.since
         report = VersionReport(version, since, sent_at)
         self._reports[vm] = report
-        if version > self._newest_report.version:
+        if self._newest_report is None or version > self._newest_report.version:
             self._newest_report = report
 
     def _advance(self, proven_at):
@@ -90,7 +90,8 @@
 class VersionReport:
     """The configuration version that another VM reported last.
 
-    :param since: earliest instant from which it can have had this version.
+    :param since: earliest instant from which it can have had this version; ``None`` if
+        that may be any time.
     :param sent_at: earliest instant at which it can have sent the report.
     """
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -104,8 +104,8 @@
     Mutation(
         "REVOKE-newer-version-elsewhere",
         f"{STEERING}/process/configuration_freshness.py",
-        "if self._proven_at is None or self._version() >= self._newest_report.version:",
-        "if True:",
+        "return None if newest.since is None else min(self._proven_at, newest.since)",
+        "return self._proven_at",
         "tests/test_proofs.py",
     ),
     Mutation(
