--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -49,11 +49,12 @@
     assert ids(parts) == ["t1", "t2"]
 
 
-def test_vms_that_dropped_a_missing_target_learn_that_its_entry_is_back():
-    parts = Parts([entry("t1"), entry("t2")])
+@pytest.mark.parametrize("sequence", [1, 2])
+def test_vms_that_dropped_a_missing_target_learn_that_its_entry_is_back(sequence):
+    parts = Parts([entry("t1", sequence=1), entry("t2")])
     end_store_outage(parts)
     parts.registry.update([], ["t1"])
-    assert parts.registry.update([entry("t1")], []) == ["t1"]
+    assert parts.registry.update([entry("t1", sequence=sequence)], []) == ["t1"]
 
 
 def test_entry_that_does_not_return_after_a_store_outage_is_removed():
