--- a/src/heathercleat/steering/process/capacity/reachability.py
+++ b/src/heathercleat/steering/process/capacity/reachability.py
@@ -66,9 +66,8 @@
         """Check for reachable targets whenever connections fail, until cancelled."""
         while True:
             await self._has_suspicion.wait()
+            self._has_suspicion.clear()
             await self._check()
-            if self._is_reachable:
-                self._has_suspicion.clear()
             await sleep(CHECK_INTERVAL_SECONDS)
 
     async def _check(self):
