Treat an unusable era as a failed call to the store

An era that is negative or too large ended the task that follows a table, in place of the call. The new test fails without the check for two of its three values.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -25,6 +25,7 @@
     StoreRow,
 )
 from heathercleat.steering.process.store.versions import (
+    check_era,
     era_of,
     make_version,
     number_of,
@@ -128,7 +129,8 @@
             raise PlatformError(f"{method} {path}: status {response.status}")
         try:
             document = json.loads(response.body)
-            return _StoreResponse(document, int(response.headers.get(STORE_ERA, 0)))
+            era = int(response.headers.get(STORE_ERA, 0))
+            return _StoreResponse(document, check_era(era))
         except ValueError as error:
             raise PlatformError(f"{method} {path}: {error}") from None
 
--- a/src/heathercleat/steering/process/store/versions.py
+++ b/src/heathercleat/steering/process/store/versions.py
@@ -18,11 +18,19 @@
     :param number: the store's number of the change.
     :raises ValueError: when one of them is out of range.
     """
-    if not 0 <= era <= MAX_ERA:
-        raise ValueError(f"the era {era} is not between 0 and {MAX_ERA}")
     if not 0 <= number < 1 << _NUMBER_BITS:
         raise ValueError(f"{number} is not the number of a change")
-    return era << _NUMBER_BITS | number
+    return check_era(era) << _NUMBER_BITS | number
+
+
+def check_era(era):
+    """Return an era.
+
+    :raises ValueError: when it is out of range.
+    """
+    if not 0 <= era <= MAX_ERA:
+        raise ValueError(f"the era {era} is not between 0 and {MAX_ERA}")
+    return era
 
 
 def era_of(version):
--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -2,13 +2,13 @@
 
 ``POST /switch`` with a JSON object sets faults: ``down`` (``busy``, ``silent``,
 ``reset`` or null), ``slow_s`` (seconds of delay per response), ``lose_replies`` (number
-of writes that take effect without a response), ``refused`` (IP addresses that get 503)
-and ``history`` (number of changes kept). ``POST /put`` with ``[table, key, document]``
-writes a row as operators and targets do; a document of null removes it. ``POST /copy``
-copies the rows and changes, and ``POST /restore`` returns to the copy: versions go back
-and are given out again, and the era rises. With the seconds ``rewrite_s`` in a JSON
-object, operators and targets then write again what the copy lacks. ``GET /counts``
-returns the number of requests by path.
+of writes that take effect without a response), ``refused`` (IP addresses that get 503),
+``history`` (number of changes kept) and ``era`` (sent in place of the era). ``POST
+/put`` with ``[table, key, document]`` writes a row as operators and targets do; a
+document of null removes it. ``POST /copy`` copies the rows and changes, and ``POST
+/restore`` returns to the copy: versions go back and are given out again, and the era
+rises. With the seconds ``rewrite_s`` in a JSON object, operators and targets then write
+again what the copy lacks. ``GET /counts`` returns the number of requests by path.
 """
 
 import json
@@ -63,6 +63,7 @@
             "lose_replies": 0,
             "refused": [],
             "history": 1000,
+            "era": None,
         }
 
     async def serve(self, sock, address):
@@ -100,8 +101,9 @@
             return failure
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         response = await self._respond(stream, url.path, query, message)
-        if self._era:
-            response.headers[STORE_ERA] = str(self._era)
+        era = self._switches["era"] or self._era
+        if era:
+            response.headers[STORE_ERA] = str(era)
         return response
 
     async def _injected_response(self, stream, client_ip):
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -163,3 +163,10 @@
 def test_operators_table_cannot_be_written(store):
     with pytest.raises(PlatformError, match="403"):
         run_client(store.client.write, "op", "config", b"{}")
+
+
+@pytest.mark.parametrize("era", [-1, 1 << 16, "new"])
+def test_unusable_era_is_an_error_of_the_store(store, era):
+    store.switch(era=era)
+    with pytest.raises(PlatformError, match="era|literal"):
+        run_client(store.client.read, "op")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -57,7 +57,7 @@
     Mutation(
         "CONFIG-eras",
         f"{STEERING}/process/store/versions.py",
-        "return era << _NUMBER_BITS | number",
+        "return check_era(era) << _NUMBER_BITS | number",
         "return number",
         "tests/test_store_eras.py",
         "tests/test_table_store.py",
