Limit the rate at which the VMs of a large fleet register again

All VMs wrote within 2 s of learning that the store had returned from a copy: 3,750 writes a second at the size to design for, where 400 to 1,200 are allowed. The time is a second for each hundred VMs now, 2 s at least. Worked out; with four VMs the test of processes passes as before.

--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -56,8 +56,10 @@
 REGISTER_RETRY_SECONDS = 0.5
 #: Seconds between two checks whether this VM has to register again.
 REGISTER_CHECK_SECONDS = 1.0
-#: Maximum seconds until a VM registers again, so that not all write at once.
+#: Minimum spread in seconds of the writes of VMs that register again, and approximate
+#: maximum rate of these writes in a large fleet.
 REGISTER_SPREAD_SECONDS = 2.0
+MAX_REGISTRATIONS_PER_SECOND = 100
 
 
 class Tables:
@@ -170,9 +172,13 @@
             await sleep(REGISTER_CHECK_SECONDS)
             registered_era = self._registered_era
             if registered_era is not None and registered_era < self.store_era:
-                await sleep(uniform(0.0, REGISTER_SPREAD_SECONDS))
+                await sleep(uniform(0.0, self._register_spread_seconds()))
                 await self._register()
 
+    def _register_spread_seconds(self):
+        vm_count = len(self._members.live_others()) + 1
+        return max(REGISTER_SPREAD_SECONDS, vm_count / MAX_REGISTRATIONS_PER_SECOND)
+
     async def _register(self):
         """Write this VM's row; retry until it succeeds or this VM shuts down."""
         settings = self._settings
