--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -58,7 +58,7 @@
         The rows are read in pages. The snapshot has the version of its first page, so
         that changes made while later pages are read show up in ``follow``.
 
-        :raises HistoryLostError: when the store returns from a copy between two pages.
+        :raises HistoryLostError: when the store is restored between two pages.
         :raises PlatformError: when the store does not respond.
         """
         rows, start, version = [], None, None
@@ -69,7 +69,7 @@
             response = await self._call("GET", f"{READ_PATH}?{urlencode(query)}")
             version = response.version if version is None else version
             if response.era != era_of(version):
-                raise HistoryLostError(f"{table}: the store returned from a copy")
+                raise HistoryLostError(f"{table}: the store was restored from a backup")
             page = response.rows
             rows.extend(page)
             if not response.document.get("truncated") or not page:
@@ -88,7 +88,7 @@
         path = f"{FEED_PATH}?{urlencode(query)}"
         response = await self._call("GET", path, wait=wait)
         if response.era != era_of(after):
-            raise HistoryLostError(f"{table}: the store returned from a copy")
+            raise HistoryLostError(f"{table}: the store was restored from a backup")
         return Snapshot(response.version, response.rows, is_whole=False)
 
     async def write(self, table, key, value):
--- a/src/heathercleat/steering/process/capacity/target.py
+++ b/src/heathercleat/steering/process/capacity/target.py
@@ -92,8 +92,8 @@
     def is_same_report(self, other):
         """Return whether the target reported both entries at once.
 
-        The store gives a report out again with another version after its return from a
-        copy.
+        A store that is restored from a backup assigns other versions to the same
+        reports.
         """
         return (
             self.has_same_steering_fields(other)
--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -15,7 +15,7 @@
     heartbeats. A proof for one version also holds for each newer one, since that was
     written after the read.
 
-    A store that has returned from a copy may not have the newest configuration yet. A
+    A store that was restored from a backup may not have the newest configuration yet. A
     read therefore proves nothing from the instant at which another VM may have had a
     newer version than this VM has now.
 
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -116,7 +116,7 @@
         )
 
     async def _write_lost_changes(self, keys):
-        """Write again what the store has lost by its return from a copy.
+        """Write again what the store lost when it was restored from a backup.
 
         :param keys: fingerprints of all rows in the store.
         """
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -31,8 +31,8 @@
 PEER_INTERVAL_SECONDS = 0.1
 #: Maximum seconds between two checks for newer changes at other VMs.
 IDLE_PEER_INTERVAL_SECONDS = 0.5
-#: Seconds after the store's return from a copy in which operators and targets write
-#: again what the copy lacks.
+#: Seconds after a restore of the store in which operators and targets write again
+#: what the backup lacks.
 REWRITE_SECONDS = 2.0
 
 
@@ -77,7 +77,7 @@
         used, by key.
     :param on_store_return: called at the end of an outage for all VMs, with the
         earliest instant at which the outage can have ended, and when a read shows that
-        the store has returned from a copy, with the instant of that read.
+        the store was restored from a backup, with the instant of that read.
     :param on_current: called after each response with an instant, up to which all
         changes of the table are applied.
     """
@@ -366,10 +366,10 @@
             self._outage.is_total = True
 
     def _record_era(self, snapshot):
-        """Record that the store has returned from a copy, if it has.
+        """Record that the store was restored from a backup, if it was.
 
-        Rows that the copy lacks are written again, so a row that is missing now may
-        have been lost with the copy rather than removed.
+        Rows that the backup lacks are written again, so a row that is missing now may
+        be lost rather than removed.
         """
         known = self._copy.version
         if not known or era_of(snapshot.version) <= era_of(known):
@@ -389,7 +389,7 @@
     def _record_current(self, instant):
         """Report that all changes up to an instant are applied.
 
-        Not while changes may be missing because the store returned from a copy.
+        Not while changes may be missing because the store was restored from a backup.
         """
         if instant >= self._complete_from:
             self._on_current(instant)
--- a/src/heathercleat/steering/process/store/protocol.py
+++ b/src/heathercleat/steering/process/store/protocol.py
@@ -75,7 +75,7 @@
 
         :param wait: seconds to wait for a change.
         :raises HistoryLostError: when the changes are not available: they are too old,
-            or the store has returned from a copy since.
+            or the store was restored from a backup since.
         """
 
     async def write(self, table, key, value):
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -164,9 +164,9 @@
         await self.member_rows.run()
 
     async def keep_registered(self):
-        """Register this VM again after each return of the store from a copy.
+        """Register this VM again after each restore of the store from a backup.
 
-        The copy may lack this VM's row.
+        The backup may lack this VM's row.
         """
         while True:
             await sleep(REGISTER_CHECK_SECONDS)
--- a/src/heathercleat/steering/process/store/versions.py
+++ b/src/heathercleat/steering/process/store/versions.py
@@ -1,6 +1,6 @@
 """Versions of the store, as integers that increase across its eras.
 
-The store numbers its changes. When it returns from an older copy, it assigns numbers
+The store numbers its changes. When it is restored from a backup, it assigns numbers
 again, and its era rises. A version combines both, so that each version of a later era
 is newer than all versions of an earlier one.
 """
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,8 +4,8 @@
 faults: VMs killed, paused or suspended, restarted, or started with a skewed wall clock;
 a store that is unavailable, slow, refuses a VM, or loses replies or its change history;
 targets that lose, truncate, refuse or delay responses; evacuations and new
-configurations; network faults of :mod:`standins.fault_proxy`; and the returns of the
-store from copies and partitions from all targets of :mod:`standins.soak_restores`. It
+configurations; network faults of :mod:`standins.fault_proxy`; and the restores of
+the store and partitions from all targets of :mod:`standins.soak_restores`. It
 checks, from what clients and targets observe:
 
 - a request that is not idempotent runs at most once;
@@ -357,7 +357,7 @@
     :param vms_per_domain: number of VMs in each failure domain.
     :param with_stops: whether planned stops follow the faults.
     :param with_notices: whether targets ask for less after the faults.
-    :param with_restores: whether the store returns from copies and VMs are partitioned
+    :param with_restores: whether the store is restored and VMs are partitioned
         from all targets beside the other faults.
     """
     rng = random.Random(seed)
--- a/standins/soak_restores.py
+++ b/standins/soak_restores.py
@@ -1,6 +1,6 @@
 """Faults of the soak test that overlap with its others.
 
-The store returns from copies of itself, and VMs are partitioned from all targets.
+The store is restored from backups of itself, and VMs are partitioned from all targets.
 """
 
 import threading
@@ -10,7 +10,7 @@
 
 GAP_SECONDS = (0.5, 2.0)
 DURATION_SECONDS = (0.3, 2.5)
-#: Maximum seconds until operators and targets write again what a copy lacks.
+#: Maximum seconds until operators and targets write again what a backup lacks.
 MAX_REWRITE_SECONDS = 1.5
 
 
@@ -46,7 +46,7 @@
             time.sleep(self._rng.uniform(*GAP_SECONDS))
 
     def _restore_store(self):
-        self._fleet.copy_store()
+        self._fleet.back_up_store()
         rewrite_s = self._rng.uniform(0.0, MAX_REWRITE_SECONDS)
         return lambda: self._fleet.restore_store(rewrite_s)
 
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -199,15 +199,15 @@
         """Set faults of the store; see :mod:`standins.table_store`."""
         call(*self.store, "POST", "/switch", json.dumps(switches))
 
-    def copy_store(self):
-        """Copy the contents of the store; see :mod:`standins.table_store`."""
-        assert call(*self.store, "POST", "/copy")[0] == 200
+    def back_up_store(self):
+        """Make a backup of the store; see :mod:`standins.table_store`."""
+        assert call(*self.store, "POST", "/backup")[0] == 200
 
     def restore_store(self, rewrite_s=None):
-        """Let the store return to its copy; its versions go back.
+        """Restore the store from its backup; its versions go back.
 
         :param rewrite_s: seconds after which operators and targets write again what the
-            copy lacks; ``None`` if they do not.
+            backup lacks; ``None`` if they do not.
         """
         body = None if rewrite_s is None else json.dumps({"rewrite_s": rewrite_s})
         assert call(*self.store, "POST", "/restore", body)[0] == 200
--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -5,10 +5,10 @@
 of writes that take effect without a response), ``refused`` (IP addresses that get 503),
 ``history`` (number of changes kept) and ``era`` (sent in place of the era). ``POST
 /put`` with ``[table, key, document]`` writes a row as operators and targets do; a
-document of null removes it. ``POST /copy`` copies the rows and changes, and ``POST
-/restore`` returns to the copy: versions go back and are given out again, and the era
-rises. With the seconds ``rewrite_s`` in a JSON object, operators and targets then write
-again what the copy lacks. ``GET /counts`` returns the number of requests by path.
+document of null removes it. ``POST /backup`` makes a backup, and ``POST /restore``
+restores it: versions go back and are assigned again, and the era rises. With the
+seconds ``rewrite_s`` in a JSON object, operators and targets then write again what the
+backup lacks. ``GET /counts`` returns the number of requests by path.
 """
 
 import json
@@ -35,7 +35,7 @@
 _READ_ONLY = (OPERATOR_TABLE, TARGET_TABLE)
 
 
-class StoreCopy:
+class Backup:
     """The rows of the store by table and key, and its changes in order of version."""
 
     __slots__ = ("rows", "changes", "version")
@@ -54,7 +54,7 @@
         self._changes = []
         self._version = 0
         self._era = 0
-        self._copy = None
+        self._backup = None
         self._counts = {}
         self._dropped_until = 0
         self._switches = {
@@ -84,11 +84,11 @@
         if url.path == "/put":
             self._put(*json.loads(message.body))
             return Message()
-        if url.path == "/copy":
-            self._copy = StoreCopy(self._rows, self._changes, self._version)
+        if url.path == "/backup":
+            self._backup = Backup(self._rows, self._changes, self._version)
             return Message()
         if url.path == "/restore":
-            lost = self._restore(self._copy)
+            lost = self._restore(self._backup)
             if message.body:
                 rewrite_s = json.loads(message.body)["rewrite_s"]
                 await spawn(self._rewrite, lost, rewrite_s, daemon=True)
@@ -190,12 +190,12 @@
         self._changes.append(row)
         self._trim_history()
 
-    def _restore(self, copy):
-        """Return to a copy; return the last change of each row that it lacks."""
-        changes = [each for each in self._changes if each["ver"] > copy.version]
-        self._rows = dict(copy.rows)
-        self._changes = list(copy.changes)
-        self._version = copy.version
+    def _restore(self, backup):
+        """Restore a backup; return the last change of each row that it lacks."""
+        changes = [each for each in self._changes if each["ver"] > backup.version]
+        self._rows = dict(backup.rows)
+        self._changes = list(backup.changes)
+        self._version = backup.version
         self._era += 1
         return {(each["table"], each["key"]): each for each in changes}
 
@@ -203,13 +203,15 @@
         """Write the lost changes of operators and targets again after some seconds."""
         era = self._era
         await sleep(seconds)
-        written = {(each["table"], each["key"]) for each in self._changes_since_copy()}
+        written = {
+            (each["table"], each["key"]) for each in self._changes_since_backup()
+        }
         for (table, key), row in lost.items():
             if era == self._era and table in _READ_ONLY and (table, key) not in written:
                 self._write(table, key, row.get("value"))
 
-    def _changes_since_copy(self):
-        return [each for each in self._changes if each["ver"] > self._copy.version]
+    def _changes_since_backup(self):
+        return [each for each in self._changes if each["ver"] > self._backup.version]
 
     def _trim_history(self):
         while len(self._changes) > self._switches["history"]:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -143,7 +143,7 @@
     assert parts.registry.cold_until("t1") == expected
 
 
-def test_report_that_a_restored_store_gives_out_again_makes_no_target_cold():
+def test_unchanged_report_in_a_restored_store_makes_no_target_cold():
     parts = Parts([entry("t1", cold=3.0, sequence=4)])
     parts.clock.time += 5.0
     assert not parts.registry.replace([entry("t1", cold=3.0, sequence=4)])
--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -1,4 +1,4 @@
-"""Tests that quarantines survive the return of the store from an older copy."""
+"""Tests that quarantines survive a restore of the store from a backup."""
 
 import pytest
 from curio import run, sleep, spawn
@@ -97,7 +97,7 @@
     assert FINGERPRINT in quarantines.store.rows
 
 
-def test_quarantine_that_was_lifted_does_not_return_with_the_store(quarantines):
+def test_lift_of_a_quarantine_survives_a_restore(quarantines):
     copies = {}
 
     def copy_and_lift():
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,4 +1,4 @@
-"""A store that returns from an older copy, and the rows that it gives out then."""
+"""A store that is restored from a backup, and the rows that it has then."""
 
 import copy
 import time
@@ -44,8 +44,8 @@
 
 
 def lose_changes(fleet, count=LOST_CHANGES):
-    """Make changes that all VMs see, and let the store return without them."""
-    fleet.copy_store()
+    """Make changes that all VMs see, and restore the store without them."""
+    fleet.back_up_store()
     for number in range(count):
         fleet.put("op", "config", config_with_route(f"r{8 + number}", "/lost/"))
     for vm in fleet.vms.values():
@@ -70,14 +70,14 @@
     return [name for name in names if name.startswith("target_")][-2:]
 
 
-def test_configuration_written_after_the_store_went_back_is_in_force_in_time(fleet):
+def test_configuration_written_after_the_store_was_restored_is_in_force_in_time(fleet):
     lose_changes(fleet)
     fleet.put("op", "config", config_with_route("r30"))
     time.sleep(CONFIG_SECONDS)
     assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
 
 
-def test_configuration_is_not_missed_when_versions_are_given_out_twice(fleet):
+def test_configuration_is_not_missed_when_versions_are_assigned_twice(fleet):
     lose_changes(fleet)
     fleet.put("op", "config", config_with_route("r30"))
     for number in range(2 * LOST_CHANGES):
@@ -90,7 +90,7 @@
     entry_sequence = 7
     fleet.put("servers", "i-2", None)
     time.sleep(READ_SECONDS)
-    fleet.copy_store()
+    fleet.back_up_store()
     fleet.announce("i-2", sequence=entry_sequence)
     time.sleep(READ_SECONDS)
     fleet.restore_store()
@@ -105,7 +105,7 @@
     restarted = fleet.vms["south-a-1"]
     fleet.stop_vm(restarted)
     wait_for(lambda: restarted.name not in fleet.registered_vms())
-    fleet.copy_store()
+    fleet.back_up_store()
     fleet.restart_vm(restarted)
     wait_for(lambda: restarted.name in fleet.registered_vms())
     fleet.restore_store()
@@ -113,7 +113,7 @@
     wait_for(lambda: sorted(fleet.registered_vms()) == sorted(fleet.vms))
 
 
-def test_target_that_leaves_after_the_store_went_back_gets_no_requests(fleet):
+def test_target_that_leaves_after_the_store_was_restored_gets_no_requests(fleet):
     lose_changes(fleet)
     fleet.announce("i-1", state="draining", sequence=2)
     time.sleep(DRAIN_SECONDS)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -1,4 +1,4 @@
-"""Tests of table copies while the store returns from older copies of itself."""
+"""Tests of table copies while the store is restored from backups."""
 
 import pytest
 from curio import TaskGroup, run, sleep
@@ -29,24 +29,24 @@
 
 
 class RestorableStore:
-    """A table in memory that can return to a copy of itself."""
+    """A table in memory that can be restored from a backup of itself."""
 
     def __init__(self):
         self.era = 0
         self.number = 0
         self.changes = []
-        self._copy = (0, [])
+        self._backup = (0, [])
 
     def put(self, key, value):
         self.number += 1
         self.changes.append((key, value, self.number))
 
-    def copy(self):
-        self._copy = (self.number, list(self.changes))
+    def back_up(self):
+        self._backup = (self.number, list(self.changes))
 
     def restore(self):
         self.era += 1
-        self.number, self.changes = self._copy[0], list(self._copy[1])
+        self.number, self.changes = self._backup[0], list(self._backup[1])
 
     @property
     def rows(self):
@@ -79,7 +79,7 @@
 
 
 class CopiesOfARestoredStore(RuleBasedStateMachine):
-    """VMs that read the store, or each other, between its returns from copies."""
+    """VMs that read the store, or each other, between its restores."""
 
     @initialize()
     def start(self):
@@ -99,8 +99,8 @@
             self.store.put(key, None)
 
     @rule()
-    def copy_store(self):
-        self.store.copy()
+    def back_up_store(self):
+        self.store.back_up()
 
     @rule()
     def restore_store(self):
@@ -184,7 +184,7 @@
 
 @pytest.fixture
 def restored_copy():
-    """A copy whose row was significant only before the return of the store."""
+    """A copy whose row was significant only before a restore of the store."""
     copy = TableCopy()
     copy.replace_all(make_snapshot(0, 9, a=2))
     copy.record_changes(["a"], copy.version)
@@ -210,7 +210,7 @@
 
 
 class RestoredTable:
-    """A follower of a store that returns from a copy while it runs."""
+    """A follower of a store that is restored while it runs."""
 
     def __init__(self):
         self.store = RestorableStore()
@@ -218,7 +218,7 @@
         self.proven = []
         self.restored_at = None
         self.store.put("a", b"1")
-        self.store.copy()
+        self.store.back_up()
         self.store.put("b", b"2")
 
     def run(self, seconds):
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -112,11 +112,9 @@
 
 
 @pytest.mark.parametrize("rewritten", [0, 1, 5])
-def test_changes_are_not_continued_after_the_store_returned_from_a_copy(
-    store, rewritten
-):
+def test_changes_are_not_continued_after_the_store_was_restored(store, rewritten):
     store.put("op", "a", {})
-    store.control("POST", "/copy")
+    store.control("POST", "/backup")
     for number in range(3):
         store.put("op", f"lost{number}", {})
     before = run_client(store.client.read, "op")
@@ -131,10 +129,10 @@
     assert all(row.version > before.version for row in after.rows)
 
 
-def test_table_whose_store_returns_between_two_pages_is_read_again(store):
+def test_table_whose_store_is_restored_between_two_pages_is_read_again(store):
     for number in range(PAGE_ROWS + 1):
         store.put("servers", f"k{number:04}", {})
-    store.control("POST", "/copy")
+    store.control("POST", "/backup")
     store.switch(slow_s=0.5)
     client = TableStoreClient(store.address, SystemClock(), 10.0)
     restoring = Timer(0.75, store.control, ("POST", "/restore"))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -69,7 +69,7 @@
         "if False:",
         "tests/test_table_store.py",
         "-k",
-        "returned_from_a_copy",
+        "store_was_restored",
     ),
     Mutation(
         "CONFIG-pages-of-two-eras",
@@ -125,7 +125,7 @@
         "tests/test_registry.py",
     ),
     Mutation(
-        "FAILBACK-report-given-out-again",
+        "FAILBACK-unchanged-report",
         f"{STEERING}/process/capacity/registry.py",
         "if before is not None and entry.is_same_report(before):",
         "if False:",
