--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -62,8 +62,10 @@
         return process
 
     def log(self, name):
-        """Return the JSON log lines of a process, parsed."""
-        lines = (self.folder / f"{name}.log").read_text().splitlines()
+        """Return the complete JSON log lines of a process, parsed."""
+        text = (self.folder / f"{name}.log").read_text()
+        # The process may be writing the last line.
+        lines = text[: text.rfind("\n") + 1].splitlines()
         return [json.loads(line) for line in lines if line.startswith("{")]
 
     def stop(self):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,6 +9,7 @@
 
 from heathercleat.events import Event
 from heathercleat.process.logs import WRITE_INTERVAL_SECONDS, Journal, LogWriter
+from standins.fleet import Processes
 
 
 def lines_of(log):
@@ -47,3 +48,13 @@
     assert len(pops) == 1
     writer.stop()
     assert not writer._thread.is_alive()
+
+
+def test_line_that_a_process_is_writing_is_not_read():
+    processes = Processes()
+    try:
+        path = processes.folder / "vm.log"
+        path.write_text('{"event": 1}\nplain\n{"event": 2, "na')
+        assert processes.log("vm") == [{"event": 1}]
+    finally:
+        processes.stop()
