--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -221,7 +221,7 @@
         self.store.back_up()
         self.store.put("b", b"2")
 
-    def run(self, seconds):
+    def run(self, seconds, fetches_from_peer=False):
         follower = TableFollower(
             "op",
             self.store,
@@ -245,6 +245,8 @@
                 await sleep(0.1)
                 self.store.restore()
                 self.restored_at = self.clock.now()
+                if fetches_from_peer:
+                    follower._apply_from_peer(self.store.snapshot())
                 await sleep(seconds)
                 await group.cancel_remaining()
 
@@ -265,3 +267,11 @@
     monkeypatch.setattr(follower_module, "WATCH_LAG_SECONDS", 0.0)
     restored.run(2 * REWRITE_SECONDS)
     assert max(restored.proven) >= restored.restored_at + REWRITE_SECONDS
+
+
+def test_read_after_a_restore_learned_from_a_peer_proves_nothing_at_once(
+    restored, monkeypatch
+):
+    monkeypatch.setattr(follower_module, "WATCH_LAG_SECONDS", 0.0)
+    restored.run(REWRITE_SECONDS / 2, fetches_from_peer=True)
+    assert max(restored.proven) < restored.restored_at
