Delay proofs also after a restore learned from another VM

A VM that learned of a restore of the store from another VM took its own next reads as proofs of the newest configuration at once, in place of after 2 s, so a key that a lost configuration had removed could have been accepted.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -334,7 +334,13 @@
             self._copy.record_changes(keys, self._copy.version)
 
     def _apply_from_peer(self, snapshot):
-        """Apply all or changed rows from another VM."""
+        """Apply all or changed rows from another VM.
+
+        A restore of the store that this VM learns of here delays the proofs of its own
+        next reads, too. The snapshot tells for how long lost rows are still used.
+        """
+        if self._is_of_later_era(snapshot):
+            self._expect_rewrites()
         if not snapshot.is_whole:
             self._apply(self._copy.merge_changes(snapshot))
         elif self._copy.replace_all(snapshot):
@@ -371,9 +377,9 @@
         Rows that the backup lacks are written again, so a row that is missing now may
         be lost rather than removed.
         """
-        known = self._copy.version
-        if not known or era_of(snapshot.version) <= era_of(known):
+        if not self._is_of_later_era(snapshot):
             return
+        known = self._copy.version
         self._journal.write(
             Event.STORE_RESTORED,
             table=self._table,
@@ -382,9 +388,17 @@
             era=era_of(snapshot.version),
             version=number_of(snapshot.version),
         )
-        now = self._clock.now()
-        self._complete_from = now + REWRITE_SECONDS
-        self._on_store_return(now)
+        self._expect_rewrites()
+        self._on_store_return(self._clock.now())
+
+    def _is_of_later_era(self, snapshot):
+        """Return whether the store was restored between this copy and a snapshot."""
+        known = self._copy.version
+        return bool(known) and era_of(snapshot.version) > era_of(known)
+
+    def _expect_rewrites(self):
+        """Count no read as complete until lost changes are written again."""
+        self._complete_from = self._clock.now() + REWRITE_SECONDS
 
     def _record_current(self, instant):
         """Report that all changes up to an instant are applied.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -101,6 +101,15 @@
         "if True:",
         "tests/test_store_eras.py",
     ),
+    Mutation(
+        "CONFIG-proof-after-a-restore-learned-from-a-peer",
+        f"{STEERING}/process/store/follower.py",
+        """            self._expect_rewrites()
+        if not snapshot""",
+        """            pass
+        if not snapshot""",
+        "tests/test_store_eras.py",
+    ),
     Mutation(
         "REVOKE-newer-version-elsewhere",
         f"{STEERING}/process/configuration_freshness.py",
