Let optional parts append reports to heartbeats; rank affinity targets

Change: parts of the product that only some deployments use report to the other VMs in one more message of a heartbeat, a table by name. VMs of earlier builds ignore it, and a report that cannot be read does not break the heartbeat. Nothing is sent while no part reports. AffinityTargets returns its targets in order, so that a later one may be taken. Settings tell whether callers compete for slots and memory.

Behaviour is unchanged.

--- a/src/heathercleat/platform/settings.py
+++ b/src/heathercleat/platform/settings.py
@@ -9,7 +9,7 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import Finding, FindingsError, HeathercleatError
 from heathercleat.platform.units import parse_duration
-from heathercleat.platform.wire_names import SETTINGS_VARIABLE
+from heathercleat.platform.wire_names import CONTENTION_CONTRACT, SETTINGS_VARIABLE
 from heathercleat.steering.process.settings import Address, Bounds, NodeSettings
 
 _MEGABYTE = 1 << 20
@@ -83,6 +83,8 @@
         cores=reader.read_field("limits.cpuShare", float, default=1.0)
         * reader.read_field("limits.cores", float, default=1.0),
         link_mbps=reader.read_field("limits.linkMbps", float, default=1000.0),
+        is_contended=CONTENTION_CONTRACT
+        in reader.read_field("contracts", _parse_names, default=()),
         bounds=reader.read_field("bounds", _parse_bounds, default=Bounds()),
         path=existing_path(name),
     )
@@ -128,6 +130,12 @@
     return Address(host, int(port))
 
 
+def _parse_names(names):
+    if not isinstance(names, list) or not all(isinstance(each, str) for each in names):
+        raise ValueError("not a list of names")
+    return tuple(names)
+
+
 def _parse_hosts(addresses):
     return tuple(_parse_address(each).host for each in addresses)
 
--- a/src/heathercleat/platform/wire_names.py
+++ b/src/heathercleat/platform/wire_names.py
@@ -41,3 +41,5 @@
 TARGET_TABLE = "servers"
 
 SETTINGS_VARIABLE = "HEATHERCLEAT_SETTINGS"
+#: Contract of deployments whose callers compete for slots and may read slowly.
+CONTENTION_CONTRACT = "pressure"
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -91,6 +91,7 @@
     :param suspects: the :class:`Suspects`.
     :param workspace_reports: the :class:`WorkspaceReports`.
     :param notices: the :class:`Notices`.
+    :param extensions: the :class:`Extensions`.
     :param compose: returns a new :class:`Heartbeat` for an interval.
     :param on_heartbeat: a coroutine function that is called after each heartbeat.
     """
@@ -106,6 +107,7 @@
         suspects,
         workspace_reports,
         notices,
+        extensions,
         compose,
         on_heartbeat,
         journal,
@@ -120,6 +122,7 @@
         self._suspects = suspects
         self._workspace_reports = workspace_reports
         self._notices = notices
+        self._extensions = extensions
         self._compose = compose
         self._on_heartbeat = on_heartbeat
         self._journal = journal
@@ -192,6 +195,7 @@
         sent_at, echoed_sent_at, echo_delay, asks_for_replies = unpacker.unpack()
         workspace_fields = _unpack_next(unpacker)
         notices = _unpack_next(unpacker) or ()
+        extension_reports = _unpack_next(unpacker) or {}
         before = self._members.find_live(heartbeat.own.vm)
         is_new = before is None or before.incarnation != heartbeat.own.incarnation
         member = self._members.record_heartbeat(heartbeat)
@@ -218,6 +222,7 @@
             )
         for fields in notices:
             self._notices.merge(NoticeUpdate.from_fields(fields))
+        self._extensions.merge(heartbeat.own.vm, extension_reports)
         return member if is_new else None
 
     async def welcome(self, newcomer):
@@ -289,12 +294,20 @@
             self._members.request_handling_vms(),
             self._interval(),
         )
-        packed = {}
+        packed, extension_reports = {}, None
         for member in members:
             kind = self._kind(member, request_handling_vms, usual_interval)
             if kind not in packed:
                 packed[kind] = self._pack(kind)
-            await self._send_to(member.ip, packed[kind], member.vm, are_newcomers)
+            if kind.includes_reports and extension_reports is None:
+                extension_reports = self._extensions.pack()
+            await self._send_to(
+                member.ip,
+                packed[kind],
+                member.vm,
+                are_newcomers,
+                extension_reports if kind.includes_reports else b"",
+            )
 
     def _kind(self, member, request_handling_vms, usual_interval):
         """Return the :class:`HeartbeatKind` of the heartbeat to a VM.
@@ -341,14 +354,18 @@
             return False
         return member.region != self._settings.region
 
-    async def _send_to(self, ip, body, vm, is_newcomer=False):
+    async def _send_to(self, ip, body, vm, is_newcomer=False, extension_reports=b""):
         # One instant for all times in the message, since the process may be paused.
         now = self._clock.now()
         trailer = [now, *self._echo(vm, now), self._asks_for_replies(vm)]
         member = self._members.find_live(vm)
         end = msgpack.packb(trailer) + self._workspace_reports.pack(member, now)
         if member is not None:
-            end += self._notices.pack(member.region, not is_newcomer)
+            notices = self._notices.pack(member.region, not is_newcomer)
+            if extension_reports and not notices:
+                # Messages are told apart by their position.
+                notices = msgpack.packb([])
+            end += notices + extension_reports
         address = ip, self._settings.gossip_port
         try:
             await self._sock.sendto(body + end, address)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -40,6 +40,7 @@
 from heathercleat.steering.process.directory import Directory
 from heathercleat.steering.process.handover import QUIET_SECONDS, Handover
 from heathercleat.steering.process.listeners import Listeners
+from heathercleat.steering.process.membership.extensions import Extensions
 from heathercleat.steering.process.membership.gossip import Gossip
 from heathercleat.steering.process.membership.heartbeat_composer import (
     HeartbeatComposer,
@@ -211,6 +212,7 @@
                 self._freshness, lambda: self._configuration_version, usage_exchange
             ),
             self._notices,
+            Extensions((), journal),
             composer.compose,
             self._tables.fetch_if_behind,
             journal,
--- a/src/heathercleat/steering/process/settings.py
+++ b/src/heathercleat/steering/process/settings.py
@@ -87,6 +87,8 @@
     :param memory: memory limit of the process, in bytes.
     :param cores: CPU limit of the process, in cores; may be fractional.
     :param link_mbps: bandwidth of the VM's link, in Mbit/s.
+    :param is_contended: whether callers compete for slots and memory, so that the VM
+        divides both among them.
     :param path: path of the settings file, for reloads.
     """
 
@@ -106,6 +108,7 @@
         "memory",
         "cores",
         "link_mbps",
+        "is_contended",
         "bounds",
         "path",
     )
--- a/src/heathercleat/steering/request/affinity.py
+++ b/src/heathercleat/steering/request/affinity.py
@@ -51,8 +51,10 @@
     def __init__(self, estimates):
         self._estimates = estimates
 
-    def select(self, eligible, is_large):
-        """Return the :class:`AffinityTarget` of a request, or ``None``.
+    def ranked(self, eligible, is_large):
+        """Return the :class:`AffinityTarget` objects of a request, best first.
+
+        There is one for each region that can respond in time.
 
         :param is_large: whether the body is too large to be sent to another region.
         """
@@ -62,10 +64,10 @@
         if not is_large:
             affinity_targets.extend(self._in_other_regions(eligible))
         affinity = eligible.call.affinity
-        return max(
+        return sorted(
             affinity_targets,
             key=lambda each: rendezvous_weight(affinity, each.candidate.entry.id),
-            default=None,
+            reverse=True,
         )
 
     def _in_other_regions(self, eligible):
--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -133,9 +133,8 @@
 
     def _affinity_target(self, eligible):
         """Return the :class:`AffinityTarget` of the request, or ``None``."""
-        return self._affinity_targets.select(
-            eligible, len(eligible.call.body) >= LARGE_BODY_BYTES
-        )
+        is_large = len(eligible.call.body) >= LARGE_BODY_BYTES
+        return next(iter(self._affinity_targets.ranked(eligible, is_large)), None)
 
     def _destination_at(self, affinity_target, target=None):
         owner = affinity_target.candidate.owner
--- a/standins/membership_simulation.py
+++ b/standins/membership_simulation.py
@@ -14,6 +14,7 @@
 from heathercleat.steering.process.configuration_freshness import (
     ConfigurationFreshness,
 )
+from heathercleat.steering.process.membership.extensions import Extensions
 from heathercleat.steering.process.membership.gossip import Gossip
 from heathercleat.steering.process.membership.heartbeat import Heartbeat
 from heathercleat.steering.process.membership.member import make_update
@@ -56,6 +57,7 @@
         self.updates_sent = Counter()
         self.suspect_updates_sent = 0
         self.is_cut = lambda sender, receiver: False
+        self.extensions_of = lambda vm: ()
         self._rng = random.Random(seed)
 
     def send(self, sender, ip, data):
@@ -139,6 +141,7 @@
             self.suspects,
             self.workspace_reports,
             self.notices,
+            Extensions(network.extensions_of(self), journal),
             self.compose,
             do_nothing,
             journal,
