Test that calls left by a silent outage of the store delay no later change

Cause looked for: a call that is made in the last moments of a silent outage gets no response. Readers then learn of a change only when it times out.

Two earlier forms of the test did not notice a timeout of 10 s (calls that were open before the outage, or made as it ended, were answered), this one does.

--- a/tests/test_steering_path.py
+++ b/tests/test_steering_path.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from heathercleat.steering.process.store.follower import RETRY_INTERVAL_SECONDS
 from heathercleat.steering.process.store.tables import OPERATOR_WAIT_SECONDS
 from standins.fleet import wait_for
 from standins.steering_fleet import FRONT_PORT, SteeringFleet
@@ -21,6 +22,11 @@
     "i-4": ("s2", "north-a", 2),
 }
 
+#: Seconds without disturbance after which a change has to be in force in time.
+STABLE_SECONDS = 3.0
+#: Seconds within which a change has to be in force after it was acknowledged.
+CONFIG_SECONDS = 2.0
+
 
 @pytest.fixture
 def fleet():
@@ -219,6 +225,25 @@
         assert fleet.send(vm, "GET", "/one/two/x", f"q{number}")[0] == 200
 
 
+def has_lost_operator_table(fleet, vm):
+    return any(
+        line["name"] == "store_lost" and line["table"] == "op" for line in fleet.log(vm)
+    )
+
+
+def test_change_after_a_silent_outage_is_in_force_in_time(fleet, vm):
+    # Calls that the outage left without a response must not delay later reads.
+    fleet.switch_store(down="silent")
+    for each in fleet.vms.values():
+        wait_for(lambda each=each: has_lost_operator_table(fleet, each))
+    # Each VM makes one more call, to which it gets no response.
+    time.sleep(2 * RETRY_INTERVAL_SECONDS)
+    fleet.switch_store(down=None)
+    time.sleep(STABLE_SECONDS)
+    fleet.put("op", "config", config("r9"))
+    wait_for(lambda: '"configuration"} 9.0' in fleet.metrics(vm), CONFIG_SECONDS)
+
+
 def test_table_is_read_again_after_its_history_is_dropped(fleet, vm):
     fleet.switch_store(history=1)
     for number in range(5):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -101,6 +101,14 @@
         "if True:",
         "tests/test_store_eras.py",
     ),
+    Mutation(
+        "CONFIG-call-left-by-a-silent-outage",
+        f"{STEERING}/process/store/tables.py",
+        "STORE_TIMEOUT_SECONDS = 1.0",
+        "STORE_TIMEOUT_SECONDS = 10.0",
+        "tests/test_steering_path.py::"
+        "test_change_after_a_silent_outage_is_in_force_in_time",
+    ),
     Mutation(
         "CONFIG-proof-after-a-restore-learned-from-a-peer",
         f"{STEERING}/process/store/follower.py",
