Limit the memory for bodies of requests and responses

Cause: callers that do not read filled the memory of a VM, since responses were buffered whole, were not counted, and had no deadline for the caller to read them.

Change: where callers compete (NodeSettings.is_contended), a budget covers bodies of requests and responses at the VM of the client and at the owner of the target. The usual size of a response of the route is reserved before its request is sent. What a peer has not acknowledged stays reserved, and a peer that takes no byte for 6 s loses its response by a reset. Socket buffers are limited, bodies are written without copies, and the request bodies that a target holds are limited. The fake nodes of test_steering_stop have a body memory now, which connections read when they start.

--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -11,9 +11,11 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 RECEIVE_BYTES = 64 * 1024
+#: Smaller messages are sent in one write, for which their parts are copied.
+MAX_JOINED_BYTES = 32 * 1024
 CONNECTION_ERRORS = (OSError, h11.ProtocolError, EOFError)
 #: Value of ``SO_LINGER``: enabled, with a timeout of 0.
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class HttpStream:
@@ -95,6 +97,31 @@
             self._bytes_sent += len(data)
             await self._sock.sendall(data)
 
+    async def send_counted(self, record_written, *events):
+        """Send h11 events without joining them to large bodies.
+
+        :param record_written: function that is called with the number of bytes after
+            each write to the socket.
+        """
+        parts = [
+            part
+            for event in events
+            for part in self._conn.send_with_data_passthrough(event) or ()
+        ]
+        if sum(map(len, parts)) <= MAX_JOINED_BYTES:
+            parts = [b"".join(parts)]
+        for part in parts:
+            await self._write(part, record_written)
+
+    async def _write(self, data, record_written):
+        with memoryview(data) as view:
+            offset = 0
+            while offset < len(view):
+                count = await self._sock.send(view[offset:])
+                offset += count
+                self._bytes_sent += count
+                record_written(count)
+
     async def wait_closed(self):
         """Wait until the peer closes the connection or sends the next message.
 
@@ -187,7 +214,7 @@
 
     async def reset(self):
         """Close the connection; data that the peer has not received yet is dropped."""
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         await self._sock.close()
 
     async def linger(self, limit):
--- a/src/heathercleat/connection/socket_options.py
+++ b/src/heathercleat/connection/socket_options.py
@@ -9,6 +9,10 @@
 KEEPALIVE_SECONDS = 1
 #: Number of unanswered probes after which the connection is closed.
 KEEPALIVE_PROBES = 2
+#: Bytes of the send and of the receive buffer of a connection, where callers compete
+#: for memory. A body of 360 KB takes two round trips with it. The kernel doubles the
+#: value for its own overhead.
+BUFFER_BYTES = 256 << 10
 
 
 def enable_keepalive(sock):
@@ -18,3 +22,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def limit_buffers(sock):
+    """Limit the memory that the kernel uses for the data of a connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+
+
+def limit_buffers_with_keepalive(sock):
+    """Apply :func:`enable_keepalive` and :func:`limit_buffers`."""
+    enable_keepalive(sock)
+    limit_buffers(sock)
--- a/src/heathercleat/steering/connection/call_reader.py
+++ b/src/heathercleat/steering/connection/call_reader.py
@@ -10,8 +10,10 @@
 from heathercleat.errors import RequestError
 from heathercleat.platform.headers import parse_client_head, replace_identity
 from heathercleat.request.headers import check_framing, end_to_end, find
+from heathercleat.steering.process.memory.responses import STEP_BYTES
 from heathercleat.steering.request.call import Call
 from heathercleat.steering.request.fingerprint import fingerprint
+from heathercleat.steering.request.response_body import body_chunks
 
 REQUEST_ID_BYTES = 8
 #: Seconds after which a refused client may retry, if there is no better estimate.
@@ -133,7 +135,7 @@
         limit = self._node.limits.body_bytes
         self._reserve(request, int(find(headers, "content-length") or 0))
         try:
-            reading = read_body(request.stream, limit)
+            reading = self._read_whole(request, limit)
             body = await with_deadline(deadline, self._clock, reading)
             # The length of a chunked body is only known now.
             self._reserve(request, len(body) - request.reserved_bytes)
@@ -146,6 +148,17 @@
         except h11.RemoteProtocolError as error:
             raise RequestError(ResultCode.BAD_REQUEST, str(error)) from None
 
+    async def _read_whole(self, request, limit):
+        if self._node.body_memory.responses is None:
+            return await read_body(request.stream, limit)
+        body = bytearray()
+        async for data in body_chunks(request.stream, limit):
+            # Only a chunked body exceeds what is reserved.
+            if len(body) + len(data) > request.reserved_bytes:
+                self._reserve(request, max(len(data), STEP_BYTES))
+            body += data
+        return bytes(body)
+
     def _reserve(self, request, size):
         """Reserve memory for a body.
 
@@ -154,6 +167,10 @@
         if size <= 0:
             return
         if not self._node.body_memory.reserve(size):
+            if self._node.body_memory.responses is not None:
+                raise self._node.body_memory.responses.refusal(
+                    f"a body of {size} bytes"
+                )
             message = f"not enough memory left for a body of {size} bytes"
             retry_at = self._clock.now() + DEFAULT_RETRY_SECONDS
             raise RequestError(ResultCode.NO_ROOM, message, retry_at)
--- a/src/heathercleat/steering/connection/client.py
+++ b/src/heathercleat/steering/connection/client.py
@@ -16,6 +16,7 @@
 from heathercleat.request.headers import find
 from heathercleat.steering.connection.call_reader import CallReader
 from heathercleat.steering.connection.pipeline import Pipeline, PipelinedRequest
+from heathercleat.steering.connection.response_writer import write_response
 
 #: Limits on reading and discarding data that a client sends after the last response.
 LINGER_SECONDS = 0.5
@@ -32,9 +33,10 @@
 
     :param sock: the accepted curio socket.
     :param node: the :class:`SteeringNode`.
+    :param peer: description of the client, for the log.
     """
 
-    def __init__(self, sock, node):
+    def __init__(self, sock, node, peer=None):
         self._stream = HttpStream(sock, h11.SERVER, node.limits.header_bytes)
         self._node = node
         self._clock = node.clock
@@ -42,6 +44,8 @@
         self._pipeline = Pipeline(MAX_PIPELINED_REQUESTS, self._abort)
         self._is_reading = False
         self._is_closed = False
+        self._memory = node.body_memory.responses
+        self._output = self._memory and self._memory.monitor.new_output(sock, peer)
 
     @property
     def is_busy(self):
@@ -60,6 +64,14 @@
 
     async def serve(self):
         """Read and serve requests until either side closes."""
+        try:
+            await self._serve_all()
+        finally:
+            if self._output is not None:
+                self._memory.monitor.forget(self._output)
+        self._pipeline.raise_failure()
+
+    async def _serve_all(self):
         try:
             while await self._read_next():
                 self._is_reading = False
@@ -67,6 +79,9 @@
             await self._pipeline.drain()
             if self._is_closed:
                 await self._linger()
+            if self._output is not None:
+                # After the close, the kernel would keep the rest without a deadline.
+                await self._output.wait_taken()
         except CancelledError:
             await self._pipeline.cancel()
             raise
@@ -75,7 +90,6 @@
             await self._pipeline.drain()
         finally:
             self._is_reading = False
-        self._pipeline.raise_failure()
 
     async def _read_next(self):
         """Read a request and start to serve it; return whether to read another."""
@@ -117,7 +131,11 @@
         call = None
         try:
             call = await self._reader.read(request)
+            if self._memory is not None:
+                reservation = await self._memory.reserve_or_refuse(call)
+                request.reservation = call.reservation = reservation
             response = await self._steer(request, call)
+            self._release_body(request, call)
             await self._send(request, response.status, response.headers, response.body)
             self._node.request_log.record_response(call, response, self._clock.now())
         except RequestError as error:
@@ -132,7 +150,20 @@
             self._abort()
             raise
         finally:
+            self._release(request)
+
+    def _release_body(self, request, call):
+        """Release the body of a request that has its response."""
+        if self._memory is not None:
             self._node.body_memory.release(request.reserved_bytes)
+            request.reserved_bytes = 0
+            request.body = call.body = b""
+
+    def _release(self, request):
+        """Release the memory of a request that has ended."""
+        self._node.body_memory.release(request.reserved_bytes)
+        if request.reservation is not None:
+            request.reservation.release()
 
     async def _steer(self, request, call):
         """Return the :class:`TargetResponse` to a call.
@@ -216,14 +247,23 @@
             headers.append((b"connection", b"close"))
         # The client may retry requests that were not read before the close.
         self._is_closed = self._is_closed or is_closing
-        events = [h11.Response(status_code=status, headers=headers)]
-        if body:
-            events.append(h11.Data(data=body))
-        await request.stream.send(*events, h11.EndOfMessage())
+        await self._write(
+            request, h11.Response(status_code=status, headers=headers), body
+        )
         request.is_sent = True
         if is_closing and request.task is not None:
             request.stream.shutdown_write()
 
+    async def _write(self, request, head, body):
+        if self._output is None:
+            events = [h11.Data(data=body)] if body else []
+            await request.stream.send(head, *events, h11.EndOfMessage())
+            return
+        self._memory.monitor.watch(self._output)
+        await write_response(
+            request.stream, head, body, self._output, request.reservation
+        )
+
     def _abort(self):
         self._stream.abort()
 
--- a/src/heathercleat/steering/connection/forwarded.py
+++ b/src/heathercleat/steering/connection/forwarded.py
@@ -6,15 +6,18 @@
 import msgpack
 
 from heathercleat.connection.http import CONNECTION_ERRORS, HttpStream, read_body
-from heathercleat.request.headers import end_to_end
+from heathercleat.request.headers import end_to_end, find
+from heathercleat.steering.connection.response_writer import write_response
+from heathercleat.steering.process.memory.responses import NO_MEMORY_REASON
 from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
-from heathercleat.steering.request.attempt_result import AttemptOutcome
+from heathercleat.steering.request.attempt_result import AttemptOutcome, AttemptResult
 from heathercleat.steering.request.forward import (
     ORDER_HEADER,
     ForwardOrder,
     call_from_order,
     result_header,
 )
+from heathercleat.steering.request.response_body import discard_body
 
 #: Path prefix of table requests; the table name and a version follow.
 STATE_PATH_PREFIX = b"/state/"
@@ -34,14 +37,21 @@
     :param active_requests: the :class:`ActiveRequests`, which detects disconnects.
     :param snapshot: function that returns a :class:`Snapshot` of the changes of a table
         since a version.
+    :param budget: the :class:`MemoryBudget` for bodies, or ``None``.
+    :param peer: description of the other VM, for the log.
     """
 
-    def __init__(self, sock, local, active_requests, snapshot, clock):
+    def __init__(
+        self, sock, local, active_requests, snapshot, clock, budget=None, peer=None
+    ):
         self._stream = HttpStream(sock, h11.SERVER)
         self._local = local
         self._active_requests = active_requests
         self._snapshot = snapshot
         self._clock = clock
+        self._budget = budget
+        self._memory = budget and budget.responses
+        self._output = self._memory and self._memory.monitor.new_output(sock, peer)
 
     async def serve(self):
         """Serve requests one at a time until either side closes."""
@@ -50,6 +60,9 @@
                 pass
         except CONNECTION_ERRORS:
             return
+        finally:
+            if self._output is not None:
+                self._memory.monitor.forget(self._output)
 
     async def _serve_next(self):
         """Serve one request; return whether the connection can be reused."""
@@ -58,11 +71,14 @@
             return False
         # Durations in a ForwardOrder start at the arrival of the head, not of the body.
         arrived_at = self._clock.now()
-        body = await read_body(self._stream, MAX_BODY_BYTES)
         if head.target.startswith(STATE_PATH_PREFIX):
+            await read_body(self._stream, MAX_BODY_BYTES)
             await self._send_state(*parse_state_path(head.target))
-        else:
+        elif self._budget is None:
+            body = await read_body(self._stream, MAX_BODY_BYTES)
             await self._serve_request(head, body, arrived_at)
+        else:
+            await self._serve_within_budget(head, arrived_at)
         return self._stream.next_cycle()
 
     async def _send_state(self, table, after):
@@ -70,6 +86,19 @@
             _NO_RESPONSE_STATUS, [], pack_state(self._snapshot(table, after))
         )
 
+    async def _serve_within_budget(self, head, arrived_at):
+        """Serve a request; if there is no memory for it, tell the other VM."""
+        size = int(find(head.headers, "content-length") or 0)
+        if size and not self._budget.reserve(size):
+            await discard_body(self._stream, MAX_BODY_BYTES)
+            await self._send_result(_no_memory_result())
+            return
+        try:
+            body = await read_body(self._stream, MAX_BODY_BYTES)
+            await self._serve_request(head, body, arrived_at)
+        finally:
+            self._budget.release(size)
+
     async def _serve_request(self, head, body, arrived_at):
         headers = list(head.headers)
         packed = next(value for name, value in headers if name == ORDER_HEADER)
@@ -84,25 +113,44 @@
         # Shutdown waits for watched calls, so the result is sent before the VM stops.
         with self._active_requests.watch(call):
             avoid = frozenset(order.avoid)
-            result = await self._local.run(call, order.preferred, avoid, wait_until)
-            if call.is_disconnected:
-                raise EOFError("the forwarding VM closed the connection")
-            await self._send_result(result)
-
-    async def _send_result(self, result):
+            try:
+                result = await self._run(call, order, avoid, wait_until)
+                if call.is_disconnected:
+                    raise EOFError("the forwarding VM closed the connection")
+                await self._send_result(result, call.reservation)
+            finally:
+                if call.reservation is not None:
+                    call.reservation.release()
+
+    async def _run(self, call, order, avoid, wait_until):
+        if self._memory is not None:
+            call.reservation = await self._memory.reserve(call)
+            if call.reservation is None:
+                return _no_memory_result()
+        return await self._local.run(call, order.preferred, avoid, wait_until)
+
+    async def _send_result(self, result, reservation=None):
         if result.outcome is AttemptOutcome.ANSWERED:
             response = result.response
             headers = [*response.headers, result_header(result)]
-            await self._send(response.status, headers, response.body)
+            await self._send(response.status, headers, response.body, reservation)
         else:
             await self._send(_NO_RESPONSE_STATUS, [result_header(result)], b"")
 
-    async def _send(self, status, headers, body):
+    async def _send(self, status, headers, body, reservation=None):
         headers = [*headers, (b"content-length", str(len(body)).encode())]
-        events = [h11.Response(status_code=status, headers=headers)]
-        if body:
-            events.append(h11.Data(data=body))
-        await self._stream.send(*events, h11.EndOfMessage())
+        head = h11.Response(status_code=status, headers=headers)
+        if self._output is not None:
+            self._memory.monitor.watch(self._output)
+            await write_response(self._stream, head, body, self._output, reservation)
+            return
+        events = [h11.Data(data=body)] if body else []
+        await self._stream.send(head, *events, h11.EndOfMessage())
+
+
+def _no_memory_result():
+    """Return the :class:`AttemptResult` for a request without memory."""
+    return AttemptResult(AttemptOutcome.NOT_SENT, reason=NO_MEMORY_REASON)
 
 
 def state_path(table, after):
--- a/src/heathercleat/steering/connection/pipeline.py
+++ b/src/heathercleat/steering/connection/pipeline.py
@@ -25,6 +25,7 @@
         "arrived_at",
         "body",
         "reserved_bytes",
+        "reservation",
         "id",
         "workspace",
         "charge",
@@ -43,6 +44,8 @@
         self.body = body
         #: Bytes of memory reserved for the body.
         self.reserved_bytes = 0
+        #: The :class:`ResponseReservation`, or ``None``.
+        self.reservation = None
         #: Id and name of the workspace, for the log; ``None`` until known.
         self.id = None
         self.workspace = None
--- a/src/heathercleat/steering/process/body_memory.py
+++ b/src/heathercleat/steering/process/body_memory.py
@@ -17,6 +17,11 @@
         self._limit = BODY_MEMORY_SHARE * memory
         self._reserved = 0
 
+    @property
+    def responses(self):
+        """Return ``None``: responses are not counted."""
+        return None
+
     @property
     def reserved(self):
         """Return the reserved bytes."""
--- a/src/heathercleat/steering/process/listeners.py
+++ b/src/heathercleat/steering/process/listeners.py
@@ -4,6 +4,7 @@
 from curio import tcp_server
 
 from heathercleat.connection.http import HttpStream, Message, serve_requests
+from heathercleat.connection.socket_options import limit_buffers
 from heathercleat.events import Event
 from heathercleat.platform.endpoints import handle_platform_request
 from heathercleat.steering.connection.client import ClientConnection
@@ -97,7 +98,8 @@
     async def _serve_client(self, sock, address):
         if self._is_closing:
             return
-        connection = ClientConnection(sock, self._node)
+        self._limit_buffers(sock)
+        connection = ClientConnection(sock, self._node, _peer_text(address))
         self._clients.add(connection)
         try:
             await self._serve_logging_errors(connection)
@@ -105,15 +107,23 @@
             self._clients.discard(connection)
 
     async def _serve_forwarded(self, sock, address):
+        self._limit_buffers(sock)
+        is_limited = self._settings.is_contended
         connection = ForwardedConnection(
             sock,
             self._local_dispatcher,
             self._node.active_requests,
             self._snapshot,
             self._clock,
+            self._node.body_memory if is_limited else None,
+            _peer_text(address),
         )
         await self._serve_logging_errors(connection)
 
+    def _limit_buffers(self, sock):
+        if self._settings.is_contended:
+            limit_buffers(sock)
+
     async def _serve_logging_errors(self, connection):
         """Serve a connection; log any error without affecting other connections."""
         try:
@@ -142,6 +152,11 @@
         )
 
 
+def _peer_text(address):
+    """Return the address of a peer for the log."""
+    return address and f"{address[0]}:{address[1]}"
+
+
 async def _listen(address, serve):
     """Accept connections at an address; serve each one in its own task."""
     await tcp_server(address.host, address.port, serve, backlog=BACKLOG)
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -6,7 +6,10 @@
 from curio import TaskGroup, sleep, spawn
 
 from heathercleat.connection.pool import ConnectionPool
-from heathercleat.connection.socket_options import enable_keepalive
+from heathercleat.connection.socket_options import (
+    enable_keepalive,
+    limit_buffers_with_keepalive,
+)
 from heathercleat.errors import FindingsError, HeathercleatError
 from heathercleat.events import Event
 from heathercleat.platform.settings import load_node_settings
@@ -50,6 +53,8 @@
 from heathercleat.steering.process.membership.workspace_reports import (
     WorkspaceReports,
 )
+from heathercleat.steering.process.memory.build import memory_gauges, new_budget
+from heathercleat.steering.process.memory.target_bodies import TargetBodies
 from heathercleat.steering.process.metrics import SteeringMetrics
 from heathercleat.steering.process.quarantine.suspects import Suspects
 from heathercleat.steering.process.quarantine.table import QuarantineTable
@@ -113,7 +118,8 @@
         self._splitters = {}
         self.retry_detector = RetryDetector()
         self.active_requests = ActiveRequests()
-        self.body_memory = BodyMemory(settings.memory)
+        self._target_bodies = None
+        self.body_memory = self._new_body_memory()
         # Each step uses the objects of earlier steps.
         self._build_state()
         self._build_store()
@@ -245,6 +251,7 @@
             self._reachability,
             journal,
             clock,
+            self._target_bodies,
         )
         self._members.on_change(self._forget_reports)
         self._registry.on_change(self._update_serving)
@@ -320,13 +327,23 @@
             clock,
         )
 
+    def _new_body_memory(self):
+        """Return the memory for bodies: a budget if callers compete for it."""
+        settings = self._settings
+        if not settings.is_contended:
+            return BodyMemory(settings.memory)
+        self._target_bodies = TargetBodies()
+        return new_budget(settings.memory, self._journal, self.clock)
+
     def _new_pool(self):
         fence = Fence()
         return ConnectionPool(
             self.clock,
             self._settings.ip,
             lambda: fence,
-            enable_keepalive,
+            limit_buffers_with_keepalive
+            if self._settings.is_contended
+            else enable_keepalive,
             IDLE_TIMEOUT_SECONDS,
         )
 
@@ -386,7 +403,9 @@
             await self._listeners.start(group)
 
     def _loops(self):
+        responses = self.body_memory.responses
         return (
+            *((responses.monitor.run,) if responses else ()),
             self._gossip.listen,
             self._gossip.run,
             self._tables.operator_rows.run,
@@ -547,6 +566,7 @@
             "closed_targets": self._notices.closed_count,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
+            **memory_gauges(self.body_memory),
         }
 
     def _reload(self):
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -79,6 +79,8 @@
     :param attempt_started_at: when the current attempt began.
     :param stop_estimate: the :class:`CompletionEstimate` made when a leaving VM
         accepted the request, or ``None``.
+    :param reservation: the :class:`ResponseReservation`, or ``None`` where memory is
+        not divided among callers.
     """
 
     __slots__ = (
@@ -111,6 +113,7 @@
         "destination",
         "attempt_started_at",
         "stop_estimate",
+        "reservation",
     )
 
     def __init__(self, id, method, path, headers, body, route, service, stream):
@@ -141,6 +144,7 @@
         self.destination = None
         self.attempt_started_at = 0.0
         self.stop_estimate = None
+        self.reservation = None
         self.is_disconnected = False
         #: The :class:`Interruptible` to interrupt when the client disconnects, or
         #: ``None``.
--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -3,7 +3,7 @@
 import h11
 
 from heathercleat.codes import ResultCode
-from heathercleat.connection.http import CONNECTION_ERRORS, read_body, with_deadline
+from heathercleat.connection.http import CONNECTION_ERRORS, with_deadline
 from heathercleat.errors import RequestError
 from heathercleat.platform.headers import parse_response_head, target_request_headers
 from heathercleat.request.headers import check_framing, end_to_end
@@ -13,6 +13,8 @@
     AttemptResult,
     TargetResponse,
 )
+from heathercleat.steering.request.response_body import read_response_body
+from heathercleat.steering.request.sending import send_request
 
 #: Responses are buffered whole, so that truncated ones are not passed on.
 MAX_RESPONSE_BYTES = 64 << 20
@@ -72,7 +74,7 @@
     async def _exchange(self):
         self._request_events = list(self._build_request())
         self._is_sent = True
-        await self._stream.send(*self._request_events)
+        await send_request(self._stream, self._call, self._request_events)
         for _ in range(MAX_STALE_RESPONSES):
             if await self._read_response():
                 return
@@ -99,7 +101,13 @@
         headers = list(event.headers)
         check_framing(headers, ResultCode.BAD_ANSWER)
         head = parse_response_head(event.status_code, headers)
-        body = await read_body(self._stream, MAX_RESPONSE_BYTES)
+        body = await read_response_body(
+            self._stream,
+            self._call,
+            headers,
+            MAX_RESPONSE_BYTES,
+            event.status_code < _FIRST_ERROR_STATUS,
+        )
         if head.request_id is not None and head.request_id != self._call.id:
             self._stream.reset_for_response(self._request_events)
             return False
--- a/src/heathercleat/steering/request/forward.py
+++ b/src/heathercleat/steering/request/forward.py
@@ -3,7 +3,8 @@
 import h11
 import msgpack
 
-from heathercleat.connection.http import CONNECTION_ERRORS, read_body, with_deadline
+from heathercleat.connection.http import CONNECTION_ERRORS, with_deadline
+from heathercleat.request.headers import find
 from heathercleat.steering.request.attempt_result import (
     CLIENT_LEFT_REASON,
     AttemptOutcome,
@@ -12,6 +13,8 @@
 )
 from heathercleat.steering.request.call import Call, StreamInterrupter
 from heathercleat.steering.request.exchange import MAX_RESPONSE_BYTES
+from heathercleat.steering.request.response_body import read_response_body
+from heathercleat.steering.request.sending import send_request
 from heathercleat.steering.version.routing import RequestKind
 
 #: Headers with the metadata and the result of a forwarded request, in hexadecimal.
@@ -234,21 +237,35 @@
         events = [h11.Request(method=call.method, target=call.path, headers=headers)]
         if call.body:
             events.append(h11.Data(data=call.body))
-        await stream.send(*events, h11.EndOfMessage())
+        events.append(h11.EndOfMessage())
+        await send_request(stream, call, events)
         head = await stream.next_event()
         if not isinstance(head, h11.Response):
             raise EOFError("connection closed before the response")
-        body = await read_body(stream, MAX_RESPONSE_BYTES)
+        is_learned = _is_answered(head)
+        body = await read_response_body(
+            stream, call, head.headers, MAX_RESPONSE_BYTES, is_learned
+        )
         return _read_result(head, body)
 
 
+def _result_fields(head):
+    """Return the fields of the result header of an owner's response."""
+    packed = find(head.headers, RESULT_HEADER.decode())
+    if packed is None:
+        raise ValueError(f"status {head.status_code} without the result header")
+    return msgpack.unpackb(bytes.fromhex(packed))
+
+
+def _is_answered(head):
+    """Return whether an owner's response carries the response of a target."""
+    return AttemptOutcome(_result_fields(head)[0]) is AttemptOutcome.ANSWERED
+
+
 def _read_result(head, body):
     """Parse the :class:`AttemptResult` from an owner's response."""
     headers = [each for each in head.headers if each[0] != b"content-length"]
-    packed = next((value for name, value in headers if name == RESULT_HEADER), None)
-    if packed is None:
-        raise ValueError(f"status {head.status_code} without the result header")
-    fields = msgpack.unpackb(bytes.fromhex(packed.decode()))
+    fields = _result_fields(head)
     outcome, target, response_time, wait, reason, crashed_incarnation = fields
     response_headers = [each for each in headers if each[0] != RESULT_HEADER]
     response = None
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -22,6 +22,8 @@
 #: Longest idle time in seconds of a connection for requests that must not run twice,
 #: since the target may be about to close an older one.
 MAX_UNSAFE_IDLE_SECONDS = 2.0
+#: Reason of an unsent attempt: the target holds as many bytes of bodies as it may.
+FULL_TARGET_REASON = "the target holds too many bytes"
 #: Seconds before the keep-alive timeout of the target at which to drop a connection.
 KEEP_ALIVE_MARGIN_SECONDS = 1.5
 
@@ -38,6 +40,7 @@
     :param ejection_limit: the :class:`EjectionLimit`, which limits ejected targets.
     :param suspects: the :class:`Suspects`.
     :param reachability: the :class:`TargetReachability`.
+    :param target_bodies: the :class:`TargetBodies`, or ``None`` for no limit.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         reachability,
         journal,
         clock,
+        target_bodies=None,
     ):
         self._admission = admission
         self._ledger = ledger
@@ -66,6 +70,7 @@
         self._reachability = reachability
         self._journal = journal
         self._clock = clock
+        self._target_bodies = target_bodies
 
     async def run(self, call, preferred, avoid, wait_until):
         """Return the :class:`AttemptResult` of one attempt.
@@ -82,7 +87,7 @@
             unsent_reason = self._reason_not_to_send(call)
             if unsent_reason is not None:
                 return AttemptResult(AttemptOutcome.NOT_SENT, reason=unsent_reason)
-            result = await self._send(call, slot_use, preferred)
+            result = await self._send_limited(call, slot_use, preferred)
             return result
         finally:
             responded = result is not None and result.outcome is AttemptOutcome.ANSWERED
@@ -123,6 +128,20 @@
         wait = self._admission.expected_wait_seconds(call)
         return AttemptResult(AttemptOutcome.NOT_SENT, wait=wait, reason=reason)
 
+    async def _send_limited(self, call, slot_use, preferred):
+        """Send a request if its target can hold its body."""
+        if self._target_bodies is None:
+            return await self._send(call, slot_use, preferred)
+        entry, size = slot_use.target.entry, len(call.body)
+        if not self._target_bodies.reserve(entry.incarnation_id, size):
+            return AttemptResult(
+                AttemptOutcome.NOT_SENT, target=entry.id, reason=FULL_TARGET_REASON
+            )
+        try:
+            return await self._send(call, slot_use, preferred)
+        finally:
+            self._target_bodies.release(entry.incarnation_id, size)
+
     async def _send(self, call, slot_use, preferred):
         target = slot_use.target
         entry = target.entry
--- a/tests/test_steering_stop.py
+++ b/tests/test_steering_stop.py
@@ -8,6 +8,7 @@
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
 from heathercleat.steering.connection.client import ClientConnection
+from heathercleat.steering.process.body_memory import BodyMemory
 from heathercleat.steering.process.capacity.run_times import RunTimes
 from heathercleat.steering.process.listeners import Listeners
 from heathercleat.steering.process.shutdown import Shutdown
@@ -25,6 +26,7 @@
         self.clock = ManualClock()
         self.limits = Limits(16 << 10, 1 << 20, 3.0, 15.0)
         self.shutdown = Shutdown(RunTimes(self.clock), lambda: True)
+        self.body_memory = BodyMemory(1 << 30)
         self.requests = 0
 
     @property
