--- a/src/heathercleat/steering/process/memory/response_sizes.py
+++ b/src/heathercleat/steering/process/memory/response_sizes.py
@@ -1,4 +1,4 @@
-"""Usual sizes of responses, by route."""
+"""Usual sizes of responses, by route and path."""
 
 from collections import OrderedDict, deque
 
@@ -13,23 +13,35 @@
 MIN_BYTES = 4 << 10
 #: Routes are those of the configuration; this limits what other VMs can add.
 MAX_ROUTES = 256
+#: Number of paths to remember; each takes some 150 bytes.
+MAX_PATHS = 2048
+#: Factor of the known size of a path that is still expected after a smaller response.
+PATH_DECAY = 0.75
 
 
 class ResponseSizes:
-    """The sizes of the last responses of each route.
+    """The sizes of the last responses of each route, and of the paths used last.
+
+    The size for a path is a moving maximum. It keeps callers of large responses from
+    making the VM refuse requests with small ones on the same route.
 
     :param max_bytes: the largest estimate in bytes. Without it, a route with a very
         large response would never be tried again.
     """
 
-    __slots__ = ("_max_bytes", "_samples")
+    __slots__ = ("_max_bytes", "_samples", "_paths")
 
     def __init__(self, max_bytes):
         self._max_bytes = max_bytes
         self._samples = OrderedDict()
+        self._paths = OrderedDict()
+
+    def record(self, route, path, size):
+        """Record the size of a response in bytes.
 
-    def record(self, route, size):
-        """Record the size of a response in bytes."""
+        :param path: the path of the request with its query.
+        """
+        self._record_path((route, hash(path)), size)
         samples = self._samples.get(route)
         if samples is None:
             samples = self._samples[route] = deque(maxlen=MAX_SAMPLES)
@@ -38,10 +50,20 @@
         while len(self._samples) > MAX_ROUTES:
             self._samples.popitem(last=False)
 
-    def expected(self, route):
-        """Return the bytes to reserve for the next response of a route."""
+    def expected(self, route, path):
+        """Return the bytes to reserve for the response to a request."""
+        known = self._paths.get((route, hash(path)))
+        size = self._expected_of_route(route) if known is None else known
+        return min(max(size, MIN_BYTES), self._max_bytes)
+
+    def _record_path(self, key, size):
+        self._paths[key] = max(size, int(PATH_DECAY * self._paths.get(key, 0)))
+        self._paths.move_to_end(key)
+        while len(self._paths) > MAX_PATHS:
+            self._paths.popitem(last=False)
+
+    def _expected_of_route(self, route):
         samples = self._samples.get(route)
         if not samples:
-            return min(INITIAL_BYTES, self._max_bytes)
-        size = sorted(samples)[int(QUANTILE * len(samples))]
-        return min(max(size, MIN_BYTES), self._max_bytes)
+            return INITIAL_BYTES
+        return sorted(samples)[int(QUANTILE * len(samples))]
--- a/src/heathercleat/steering/process/memory/responses.py
+++ b/src/heathercleat/steering/process/memory/responses.py
@@ -52,10 +52,10 @@
         Waits for memory for a short time.
         """
         route = call.route.name
-        size = self._sizes.expected(route)
+        size = self._sizes.expected(route, call.path)
         wait_until = min(call.deadline, self._clock.now() + MAX_WAIT_SECONDS)
         if await self._budget.acquire_response(size, wait_until):
-            return ResponseReservation(self, route, size)
+            return ResponseReservation(self, route, call.path, size)
         self._budget.record_refusal(route, size)
         return None
 
@@ -99,14 +99,16 @@
 
     :param memory: the :class:`ResponseMemory`.
     :param route: name of the route.
+    :param path: the path of the request with its query.
     :param size: the reserved bytes.
     """
 
-    __slots__ = ("_memory", "_route", "_size")
+    __slots__ = ("_memory", "_route", "_path", "_size")
 
-    def __init__(self, memory, route, size):
+    def __init__(self, memory, route, path, size):
         self._memory = memory
         self._route = route
+        self._path = path
         self._size = size
 
     @property
@@ -115,8 +117,8 @@
         return self._size
 
     def learn(self, size):
-        """Record the size of the response for later requests of the route."""
-        self._memory.sizes.record(self._route, size)
+        """Record the size of the response for later requests."""
+        self._memory.sizes.record(self._route, self._path, size)
 
     async def hold(self, size, deadline, step=0):
         """Reserve memory for a response of ``size`` bytes in all.
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -17,6 +17,8 @@
 ``leaving`` makes each response say that the target shuts down soon. ``rest_s`` is the
 time for which a refusal asks for no requests, in seconds.
 
+A request with the query ``?bytes=N`` gets a response of at least N bytes.
+
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
 ``entry`` under its new id to the table store at ``store`` (host and port). ``end``
@@ -207,7 +209,7 @@
             await sleep(work)
         finally:
             self._running -= 1
-        await self._respond(stream, id_header, body)
+        await self._respond(stream, id_header, body, _requested_bytes(path))
 
     def _work_seconds(self, object_key):
         """Return the seconds of work for an object, and cache the object."""
@@ -233,7 +235,7 @@
         if self._switches["leaving"]:
             yield LEAVING, b"1"
 
-    async def _respond(self, stream, id_header, body):
+    async def _respond(self, stream, id_header, body, size):
         load = f"{self._running},0,{self._slots}".encode()
         headers = [*id_header, (TARGET_LOAD, load), *self._notices()]
         if not self._switches["unsigned"]:
@@ -247,6 +249,7 @@
             stray = [(REQUEST_ID, b"another"), (RESPONSE_SIGNATURE, b"signed")]
             await stream.socket.sendall(_raw(200, stray, b"stray"))
         digest = sha256(body).hexdigest().encode()
+        digest += bytes(max(0, size - len(digest)))
         if self._switches["cut"]:
             data = _raw(200, headers, digest)
             await stream.socket.sendall(data[:-10])
@@ -262,6 +265,12 @@
         await stream.send(*events, h11.EndOfMessage())
 
 
+def _requested_bytes(path):
+    """Return the size of the response that a request asks for; 0 for the usual one."""
+    _, _, size = path.partition("?bytes=")
+    return int(size or 0)
+
+
 def _raw(status, headers, body):
     """Return the bytes of a response."""
     lines = [b"HTTP/1.1 %d X" % status]
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -135,8 +135,8 @@
 def test_size_of_the_usual_large_response_is_learned_and_refused_before_it_runs():
     memory = Memory()
     for _ in range(10):
-        memory.responses.sizes.record("large", LARGE_BYTES)
-        memory.responses.sizes.record("small", 500)
+        memory.responses.sizes.record("large", b"/a", LARGE_BYTES)
+        memory.responses.sizes.record("small", b"/b", 500)
     granted = 0
     while memory.reserve("large"):
         granted += 1
@@ -153,10 +153,22 @@
 
 def test_few_large_responses_do_not_make_small_ones_of_their_route_expensive():
     sizes = ResponseSizes(LIMIT)
-    assert sizes.expected("r1") == INITIAL_BYTES
+    assert sizes.expected("r1", b"/x") == INITIAL_BYTES
     for number in range(64):
-        sizes.record("r1", LARGE_BYTES if number % 16 == 0 else 1000)
-    assert sizes.expected("r1") < SMALL_BYTES
+        sizes.record("r1", b"/a", LARGE_BYTES if number % 16 == 0 else 1000)
+    assert sizes.expected("r1", b"/x") < SMALL_BYTES
+
+
+def test_many_large_responses_do_not_make_small_ones_of_other_paths_expensive():
+    sizes = ResponseSizes(LIMIT)
+    for _ in range(64):
+        sizes.record("r1", b"/large", LARGE_BYTES)
+        sizes.record("r1", b"/small", 1000)
+    assert sizes.expected("r1", b"/large") == LARGE_BYTES
+    assert sizes.expected("r1", b"/small") < SMALL_BYTES
+    for _ in range(64):
+        sizes.record("r1", b"/large", 1000)
+    assert sizes.expected("r1", b"/large") < SMALL_BYTES
 
 
 def test_released_memory_goes_to_a_request_that_waits():
