--- a/src/heathercleat/connection/socket_options.py
+++ b/src/heathercleat/connection/socket_options.py
@@ -24,6 +24,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def allow_slow_reader(sock, seconds):
+    """Let the peer of a connection read nothing for a time, in seconds.
+
+    Otherwise the kernel closes the connection when the peer's receive window stays
+    closed for ``USER_TIMEOUT_MS``, although the peer acknowledges each probe.
+    """
+    milliseconds = max(USER_TIMEOUT_MS, round(seconds * 1000))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
 def limit_buffers(sock):
     """Limit the memory that the kernel uses for the data of a connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
--- a/src/heathercleat/steering/process/memory/budget.py
+++ b/src/heathercleat/steering/process/memory/budget.py
@@ -8,6 +8,8 @@
 
 #: Bytes for the program, its tables and its connections; an idle VM uses 37 MB.
 PROGRAM_BYTES = 64 << 20
+#: Fraction of the memory that is shared out at least, for very small limits.
+MIN_SPARE_SHARE = 0.2
 #: Fraction of the other memory that bodies may use. The rest is for receive buffers of
 #: sockets, overhead of the kernel for each packet, data in transit through h11 and
 #: memory that the allocator keeps.
@@ -47,7 +49,8 @@
     )
 
     def __init__(self, memory, journal, clock):
-        self._limit = max(0, memory - PROGRAM_BYTES) * BODY_SHARE
+        spare = max(memory - PROGRAM_BYTES, MIN_SPARE_SHARE * memory)
+        self._limit = spare * BODY_SHARE
         self._request_bytes = 0
         self._response_bytes = 0
         self._waiters = []
--- a/src/heathercleat/steering/process/memory/outputs.py
+++ b/src/heathercleat/steering/process/memory/outputs.py
@@ -23,8 +23,8 @@
 IDLE_SECONDS = 1.0
 #: Seconds between two checks while responses or waiting requests are pending.
 CHECK_SECONDS = 0.05
-#: The same while there are none.
-IDLE_CHECK_SECONDS = 0.2
+#: The same while there are none; shorter than the wait of a request for memory.
+IDLE_CHECK_SECONDS = 0.1
 #: A longer time between two checks is a pause of this process, in which the kernel may
 #: have dropped what peers sent.
 MAX_CHECK_GAP_SECONDS = 0.5
--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -4,6 +4,7 @@
 
 from heathercleat.codes import ResultCode
 from heathercleat.connection.http import CONNECTION_ERRORS, with_deadline
+from heathercleat.connection.socket_options import allow_slow_reader
 from heathercleat.errors import RequestError
 from heathercleat.platform.headers import parse_response_head, target_request_headers
 from heathercleat.request.headers import check_framing, end_to_end
@@ -18,6 +19,8 @@
 
 #: Responses are buffered whole, so that truncated ones are not passed on.
 MAX_RESPONSE_BYTES = 64 << 20
+#: A target has received smaller bodies, in bytes, whether it reads them or not.
+SLOWLY_READ_BYTES = 32 << 10
 #: Maximum number of responses to read; those to earlier requests are skipped.
 MAX_STALE_RESPONSES = 4
 _FIRST_ERROR_STATUS = 400
@@ -74,12 +77,24 @@
     async def _exchange(self):
         self._request_events = list(self._build_request())
         self._is_sent = True
+        self._allow_slow_reader()
         await send_request(self._stream, self._call, self._request_events)
         for _ in range(MAX_STALE_RESPONSES):
             if await self._read_response():
                 return
         raise EOFError("only answers to other requests")
 
+    def _allow_slow_reader(self):
+        """Give a target until the deadline to read a body that may fill its buffer.
+
+        Where memory is divided among callers, targets may read slowly, too.
+        """
+        if self._call.reservation is None:
+            return
+        is_large = len(self._call.body) >= SLOWLY_READ_BYTES
+        seconds = self._call.deadline - self._clock.now() if is_large else 0.0
+        allow_slow_reader(self._stream.socket, seconds)
+
     def _build_request(self):
         call = self._call
         remaining = call.deadline - self._clock.now()
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -17,7 +17,8 @@
 ``leaving`` makes each response say that the target shuts down soon. ``rest_s`` is the
 time for which a refusal asks for no requests, in seconds.
 
-A request with the query ``?bytes=N`` gets a response of at least N bytes.
+``read_pause_s`` is the time before the body of a request is read, in seconds. A request
+with the query ``?bytes=N`` gets a response of at least N bytes.
 
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
@@ -80,6 +81,7 @@
         self._switches = {
             "id": instance,
             "work_s": 0.02,
+            "read_pause_s": 0.0,
             "shed": 0.0,
             "status": 200,
             "cut": False,
@@ -143,6 +145,7 @@
         head = await stream.next_event()
         if not isinstance(head, h11.Request):
             return False
+        await sleep(self._switches["read_pause_s"])
         body = await read_body(stream, MAX_BODY_BYTES)
         if head.target == b"/switch":
             changes = json.loads(body)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -23,6 +23,7 @@
 
 from heathercleat.errors import CallerDisconnectedError
 from heathercleat.process.clock import SystemClock
+from heathercleat.process.logs import Journal
 from heathercleat.steering.connection.client import (
     MAX_PIPELINED_REQUESTS,
     ClientConnection,
@@ -31,6 +32,7 @@
 from heathercleat.steering.process.active_requests import ActiveRequests
 from heathercleat.steering.process.body_memory import BodyMemory
 from heathercleat.steering.process.capacity.run_times import RunTimes
+from heathercleat.steering.process.memory.build import new_budget
 from heathercleat.steering.process.retry_detector import RetryDetector
 from heathercleat.steering.process.shutdown import KEEP_ALIVE_SECONDS, Shutdown
 from heathercleat.steering.request.attempt_result import TargetResponse
@@ -109,9 +111,12 @@
 class PipelinedConnection:
     """A client and its server connection in one thread."""
 
-    def __init__(self):
+    def __init__(self, has_budget=False):
         self.kernel = Kernel()
         self.node = FakeNode()
+        if has_budget:
+            journal = Journal("vm-1", "north-a")
+            self.node.body_memory = new_budget(1 << 30, journal, self.node.clock)
         with socket.create_server(("127.0.0.1", 0)) as listener:
             self.client = socket.create_connection(listener.getsockname())
             server, _ = listener.accept()
@@ -371,9 +376,10 @@
 class PipeliningMachine(RuleBasedStateMachine):
     """Requests and responses in any order on one connection."""
 
-    @initialize()
-    def connect(self):
-        self.pipelined = PipelinedConnection()
+    @initialize(has_budget=st.booleans())
+    def connect(self, has_budget):
+        self.has_budget = has_budget
+        self.pipelined = PipelinedConnection(has_budget)
         self.accepted_at_stop = None
         self.responded = 0
 
@@ -397,7 +403,7 @@
     @rule()
     def connect_again(self):
         self.pipelined.tear_down()
-        self.connect()
+        self.connect(self.has_budget)
 
     @precondition(lambda self: not self.pipelined.closed)
     @rule(method=st.sampled_from(["GET", "GET", "HEAD", "POST"]))
@@ -445,6 +451,8 @@
     def teardown(self):
         if hasattr(self, "pipelined"):
             self.pipelined.tear_down()
+            memory = self.pipelined.node.body_memory
+            assert memory.reserved == 0
 
 
 PipeliningMachine.TestCase.settings = settings(
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -7,6 +7,7 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -95,6 +96,15 @@
     return float(next(x for x in lines if x.startswith(prefix)).removeprefix(prefix))
 
 
+def wait_held(fleet, vm, sock):
+    """Wait until a VM holds a large response."""
+    try:
+        wait_for(lambda: gauge(fleet, vm, "memory_responses") > 7 * MEGABYTE, 4.0)
+    except TimeoutError:
+        received = sock.recv(300, socket.MSG_DONTWAIT | socket.MSG_PEEK)
+        raise AssertionError((received, fleet.log(vm)[-5:])) from None
+
+
 def has_event(fleet, vm, name):
     return name in str(fleet.log(vm))
 
@@ -144,10 +154,38 @@
     assert not has_event(fleet, vm, "response_dropped")
 
 
+def test_later_response_is_not_written_to_a_connection_that_was_cut(fleet):
+    """A later request must not wait for ever behind a response that is not read."""
+    vm = fleet.vms["north-a-1"]
+    sock = open_caller(vm, LARGE_BYTES)
+    later = "GET /one/two/b HTTP/1.1\r\nHost: a.example\r\nRequest-Id: later\r\n\r\n"
+    sock.sendall(later.encode())
+    wait_for(lambda: len(fleet.runs()) == 2)
+    wait_for(lambda: has_event(fleet, vm, "response_dropped"), 2 * PROGRESS_SECONDS)
+    wait_for(lambda: gauge(fleet, vm, "memory_responses") == 0)
+    received = b""
+    with suppress(ConnectionError):
+        while data := sock.recv(32 << 10):
+            received += data
+    assert received.count(b"HTTP/1.1") <= 1
+    assert len(received) < LARGE_BYTES
+    assert fleet.send(vm, "GET", SMALL_PATH, "next")[0] == 200
+
+
+def test_upload_to_a_target_that_reads_slowly_is_served(fleet):
+    """The kernel cut such connections after 1.4 s without a read."""
+    for target_id in TARGETS:
+        fleet.switch_target(target_id, read_pause_s=2.5)
+    for number, vm in enumerate(fleet.vms.values()):
+        body = bytes(900 << 10)
+        sent = fleet.send(vm, "POST", "/one/x", f"u{number}", body, wait_ms=4000)
+        assert sent[0] == 200
+
+
 def test_memory_of_a_pending_response_is_released_when_its_caller_disconnects(fleet):
     vm = fleet.vms["north-a-1"]
     sock = open_caller(vm, LARGE_BYTES)
-    wait_for(lambda: gauge(fleet, vm, "memory_responses") > 7 * MEGABYTE)
+    wait_held(fleet, vm, sock)
     sock.close()
     closed_at = time.monotonic()
     wait_for(lambda: gauge(fleet, vm, "memory_responses") == 0)
@@ -177,7 +215,7 @@
 def test_stopping_vm_sends_the_responses_that_are_ready(fleet):
     vm = fleet.vms["north-a-1"]
     sock = open_caller(vm, LARGE_BYTES)
-    wait_for(lambda: gauge(fleet, vm, "memory_responses") > 7 * MEGABYTE)
+    wait_held(fleet, vm, sock)
     fleet.stop_vm(vm)
     time.sleep(1.0)
     assert read_all(sock, LARGE_BYTES) >= LARGE_BYTES
@@ -186,7 +224,7 @@
 def test_reader_is_not_cut_off_when_its_vm_was_suspended(fleet):
     vm = fleet.vms["north-a-1"]
     sock = open_caller(vm, LARGE_BYTES)
-    wait_for(lambda: gauge(fleet, vm, "memory_responses") > 7 * MEGABYTE)
+    wait_held(fleet, vm, sock)
     fleet.stop_vm(vm, signal.SIGSTOP)
     time.sleep(PROGRESS_SECONDS + 1.0)
     fleet.stop_vm(vm, signal.SIGCONT)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1210,6 +1210,13 @@
         "is_minority = False and len(live | {own})",
         "tests/test_quota.py",
     ),
+    Mutation(
+        "MEMORY-send-buffer",
+        f"{STEERING}/process/memory/outputs.py",
+        "excess = self._held - self._unwritten - unacknowledged",
+        "excess = self._held - self._unwritten",
+        "tests/test_response_memory.py",
+    ),
     Mutation(
         "DRAINED-vm-polled",
         f"{PACKAGE}/process/capacity/readiness.py",
