Release the memory of a response that follows a dropped one

Cause: a response that became ready just after its connection was cut was handed over to the closed output and stayed reserved for ever.

Change: it is released, and the write fails.

--- a/src/heathercleat/steering/connection/call_reader.py
+++ b/src/heathercleat/steering/connection/call_reader.py
@@ -168,9 +168,7 @@
             return
         if not self._node.body_memory.reserve(size):
             if self._node.body_memory.responses is not None:
-                raise self._node.body_memory.responses.refusal(
-                    f"a body of {size} bytes"
-                )
+                raise self._node.body_memory.responses.refuse_body(size)
             message = f"not enough memory left for a body of {size} bytes"
             retry_at = self._clock.now() + DEFAULT_RETRY_SECONDS
             raise RequestError(ResultCode.NO_ROOM, message, retry_at)
--- a/src/heathercleat/steering/process/memory/outputs.py
+++ b/src/heathercleat/steering/process/memory/outputs.py
@@ -122,7 +122,11 @@
 
         :param reserved: its reserved bytes.
         :param size: its body in bytes.
+        :raises EOFError: if the connection was reset.
         """
+        if self._is_closed:
+            self._budget.release_response(reserved)
+            raise EOFError("the connection was reset")
         if not self.is_pending:
             self._progress_deadline = self._clock.now() + PROGRESS_SECONDS
         self._held += reserved
--- a/src/heathercleat/steering/process/memory/responses.py
+++ b/src/heathercleat/steering/process/memory/responses.py
@@ -66,14 +66,15 @@
         """
         reservation = await self.reserve(call)
         if reservation is None:
-            raise self.refusal("a response")
+            raise self._refusal("its response")
         return reservation
 
-    def refusal(self, subject):
-        """Return the :class:`RequestError` for a request without memory.
+    def refuse_body(self, size):
+        """Return the :class:`RequestError` for a body that found no memory."""
+        self._budget.record_refusal(None, size)
+        return self._refusal(f"a body of {size} bytes")
 
-        :param subject: what the memory was for.
-        """
+    def _refusal(self, subject):
         now = self._clock.now()
         budget = self._budget
         message = (
--- a/src/heathercleat/steering/request/response_body.py
+++ b/src/heathercleat/steering/request/response_body.py
@@ -63,7 +63,7 @@
         return await read_body(stream, limit)
     length = int(find(headers, "content-length") or 0)
     if call.method == b"HEAD":
-        length = 0
+        length, is_learned = 0, False
     if length > limit:
         raise ValueError(f"the body is larger than {limit} bytes")
     if is_learned:
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -216,6 +216,17 @@
     assert Event.RESPONSE_DROPPED in memory.journal.events
 
 
+def test_response_that_follows_a_dropped_one_is_not_written_and_holds_no_memory():
+    memory = Memory()
+    output, _ = memory.write(1000)
+    output.finish()
+    memory.advance(PROGRESS_SECONDS + 0.5)
+    assert run(memory.budget.acquire_response, 1000, 0.0)
+    with pytest.raises(EOFError):
+        output.begin(1000, 1000)
+    assert memory.budget.reserved == 0
+
+
 def test_response_in_the_send_buffer_is_counted_until_it_is_taken():
     memory = Memory()
     output, buffer = memory.write(100_000)
