Use the speed of the machines of targets to select targets

Cause: a load report with a fourth field was discarded entirely, so that the counts were lost and requests went to targets whose machine was slow.

Change: the field is decoded, and the counts are valid whatever other fields a report has. The slowdown is kept for each target with its age and falls to 1.0 until the expected end of the slow period. A request whose usual target is slow goes to another one if that is expected to finish clearly earlier, at the VM of the client and at the owner. Owners list their slow targets in the heartbeat report speeds; a VM that forwarded a request reads the field from the response. Without the field, all comparisons are as before.

--- a/src/heathercleat/platform/headers.py
+++ b/src/heathercleat/platform/headers.py
@@ -26,6 +26,8 @@
 _MISDIRECTED_STATUS = 421
 _OVERLOADED_STATUS = 503
 _OVERWRITTEN_HEADERS = (DEADLINE_MS, EXPECTED_INSTANCE)
+#: Upper bound of a reported slowdown; larger ones would not change a decision.
+MAX_SLOWDOWN = 20.0
 _IDENTITY_HEADERS = (WORKSPACE_KEY, WORKSPACE_NAME)
 
 
@@ -90,6 +92,7 @@
             head.is_encoded = True
         elif name == TARGET_LOAD:
             head.running_count, head.waiting_count = _parse_load(value)
+            head.slowdown = _parse_slowdown(value)
         elif name == RATE_LIMIT:
             head.rate_limit = _parse_amount(value)
         elif name == LEAVING:
@@ -107,6 +110,14 @@
     return head
 
 
+def find_slowdown(headers):
+    """Return the slowdown in the headers of a target's response, or ``None``."""
+    for name, value in headers:
+        if name == TARGET_LOAD:
+            return _parse_slowdown(value)
+    return None
+
+
 def retry_after_headers(wait):
     """Return the headers that ask a client to retry after ``wait`` seconds."""
     return [(RETRY_AFTER, f"{wait:.3f}".encode())]
@@ -129,18 +140,28 @@
 
 
 def _parse_load(value):
-    """Parse ``running,waiting,slots``.
+    """Parse ``running,waiting,slots``, which more fields may follow.
 
     Return the numbers of running and waiting requests, or ``(None, None)`` if the value
     is malformed.
     """
     try:
-        running_count, waiting_count, _ = value.split(b",")
+        running_count, waiting_count, _, *_ = value.split(b",")
         return int(running_count), int(waiting_count)
     except ValueError:
         return None, None
 
 
+def _parse_slowdown(value):
+    """Return the fourth field of a load report, 1.0 for 100 percent.
+
+    ``None`` if it is missing, malformed or not positive.
+    """
+    fields = value.split(b",", 4)
+    percent = _parse_amount(fields[3]) if len(fields) > 3 else None
+    return min(MAX_SLOWDOWN, percent / 100) if percent else None
+
+
 def _parse_amount(value):
     """Return a decimal number of 0 or more, or ``None`` if malformed."""
     try:
--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -5,6 +5,10 @@
 from curio import timeout_after
 from curio.errors import TaskTimeout
 
+from heathercleat.steering.process.capacity.machine_speed import (
+    UNCACHED_FACTOR,
+    select_earliest,
+)
 from heathercleat.steering.process.capacity.queue import (
     ServiceQueue,
     Waiter,
@@ -122,7 +126,9 @@
         queue = self._queue(service)
         if not queue.waiters:
             return
-        for target in self._ledger.of_service(service):
+        now = self._clock.now()
+        targets = self._ledger.of_service(service)
+        for target in sorted(targets, key=lambda each: each.slowdown(now)):
             await self._assign_free_slots(queue, target)
 
     async def admit_all_queued(self):
@@ -189,7 +195,17 @@
         def order(target):
             return waiter.preference_rank(target.entry.id), -target.free(now)
 
-        return min(free, key=order).claim(now, waiter.call.deadline)
+        best = min(free, key=order)
+        if best.speed.is_slow(now):
+            hold_seconds = self._queue(waiter.call.service).mean_hold_seconds
+
+            def finish_seconds(target):
+                is_cached = waiter.may_be_cached_at(target.entry.id)
+                usual = hold_seconds * (1.0 if is_cached else UNCACHED_FACTOR)
+                return target.speed.run_seconds(usual, now)
+
+            best = select_earliest(best, sorted(free, key=order), finish_seconds)
+        return best.claim(now, waiter.call.deadline)
 
     def _queue(self, service):
         queue = self._queues.get(service)
@@ -200,10 +216,12 @@
 
 def _next_waiter(queue, target, now):
     """Return the waiter that gets a slot of a target next, or ``None``."""
-    free = target.free(now)
+    free, slowdown = target.free(now), target.slowdown(now)
     if free:
-        return queue.next_for(target.entry, free, now)
+        return queue.next_for(target.entry, free, now, slowdown=slowdown)
     overdraft = target.overdraft(now)
     if not overdraft:
         return None
-    return queue.next_for(target.entry, overdraft, now, now - OVERDRAFT_WAIT_SECONDS)
+    return queue.next_for(
+        target.entry, overdraft, now, now - OVERDRAFT_WAIT_SECONDS, slowdown
+    )
--- a/src/heathercleat/steering/process/capacity/capacity_reports.py
+++ b/src/heathercleat/steering/process/capacity/capacity_reports.py
@@ -1,6 +1,7 @@
 """Reports of other VMs on the free slots of the targets that they own."""
 
 from heathercleat.process.clock import DISTANT_PAST
+from heathercleat.steering.process.capacity.machine_speed import MachineSpeed
 from heathercleat.steering.process.capacity.queue import WaitEstimate
 
 #: Seconds for which a report is valid.
@@ -32,7 +33,7 @@
     :param report: the :class:`OwnerReport` of the target's owner.
     """
 
-    __slots__ = ("_report", "_free", "_limit", "_used", "_valid_until")
+    __slots__ = ("_report", "_free", "_limit", "_used", "_valid_until", "speed")
 
     @property
     def used(self):
@@ -50,6 +51,7 @@
         self._limit = None
         self._used = 0
         self._valid_until = 0.0
+        self.speed = MachineSpeed()
 
     def is_known(self, now):
         """Return whether the owner reports to this VM.
@@ -66,6 +68,10 @@
         """Return the maximum number of concurrent requests, ``None`` if unknown."""
         return self._limit
 
+    def slowdown(self, now):
+        """Return the factor by which work takes longer on its machine now."""
+        return self.speed.slowdown(now)
+
     def announced_limit(self, now):
         """Return the limit that the owner announced, ``None`` if unknown."""
         return self._limit
@@ -151,6 +157,11 @@
         """Return the :class:`ReportedCapacity` of an owner's target, or ``None``."""
         return self._report(owner).capacities.get(target_id)
 
+    def capacities(self, owner):
+        """Return the :class:`ReportedCapacity` of each target of an owner, by id."""
+        report = self._reports.get(owner)
+        return report.capacities if report else {}
+
     def has_valid_report(self, owner):
         """Return whether an owner's last report or refusal is recent enough to use."""
         return self._clock.now() < self._report(owner).valid_until
@@ -177,6 +188,12 @@
         )
         report.valid_until = self._clock.now() + REPORT_TTL_SECONDS
 
+    def record_slowdown(self, target_id, owner, slowdown):
+        """Record the slowdown in a response that an owner passed on."""
+        capacity = self.capacities(owner).get(target_id)
+        if capacity is not None:
+            capacity.speed.record(slowdown, self._clock.now())
+
     def _report(self, owner):
         report = self._reports.get(owner)
         if report is None:
--- a/src/heathercleat/steering/process/capacity/owned_target.py
+++ b/src/heathercleat/steering/process/capacity/owned_target.py
@@ -4,6 +4,7 @@
 
 from heathercleat.process.clock import DISTANT_PAST
 from heathercleat.steering.process.capacity.health import TargetHealth
+from heathercleat.steering.process.capacity.machine_speed import MachineSpeed
 from heathercleat.steering.process.capacity.pacer import OVERDRAFT_FACTOR, Pacer
 
 #: Seconds for which a target's own report of its load is valid.
@@ -46,6 +47,7 @@
         "_notices",
         "_pacer",
         "health",
+        "speed",
         "uses",
         "cold_limit",
         "cold_until",
@@ -61,6 +63,7 @@
         self._notices = notices
         self._pacer = Pacer()
         self.health = TargetHealth()
+        self.speed = MachineSpeed()
         self.uses = []
         self.cold_limit = cold_limit
         self.cold_until = cold_until
@@ -90,6 +93,10 @@
             return free
         return min(free, self._pacer.available(self.rate, now))
 
+    def slowdown(self, now):
+        """Return the factor by which work takes longer on its machine now."""
+        return self.speed.slowdown(now)
+
     def overdraft(self, now):
         """Return the number of slots that are free for requests that have waited.
 
@@ -132,6 +139,8 @@
         self._notices.record_response(self.entry, head)
         if head.running_count is not None:
             self.record_reported_load(head.running_count, head.waiting_count, now)
+        if head.slowdown is not None:
+            self.speed.record(head.slowdown, now)
 
     def record_rejection(self, head, started_at, usual_rate, may_eject, now):
         """Record a request that the target rejected; return whether it is ejected.
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -97,6 +97,13 @@
             return entry.id in self.preferred
         return can_take_slot(entry, free, self.preferred)
 
+    def may_be_cached_at(self, target_id):
+        """Return whether a target may have the object of the request cached.
+
+        ``True`` also for a request without an object, which runs alike everywhere.
+        """
+        return self.call.affinity is None or target_id in self.preferred
+
     def preference_rank(self, target_id):
         """Return the rank of a target in the order of preference; 0 is best."""
         if target_id in self.preferred:
@@ -162,13 +169,15 @@
             not each.is_late(now, self._mean_hold_seconds) for each in self.waiters
         )
 
-    def next_for(self, entry, free, now, queued_until=None):
+    def next_for(self, entry, free, now, queued_until=None, slowdown=1.0):
         """Return the next waiter for one of the free slots of a target, or ``None``.
 
         :param entry: the :class:`TargetEntry`.
         :param queued_until: only requests that were queued by then; ``None`` for all.
+        :param slowdown: factor by which requests take longer at the target.
         """
         latest = now if queued_until is None else queued_until
+        hold_seconds = self._mean_hold_seconds * slowdown
         eligible = [
             each
             for each in self.waiters
@@ -176,7 +185,7 @@
         ]
         return min(
             eligible,
-            key=lambda each: each.sort_key(now, self._mean_hold_seconds, entry.id),
+            key=lambda each: each.sort_key(now, hold_seconds, entry.id),
             default=None,
         )
 
--- a/src/heathercleat/steering/process/capacity/view.py
+++ b/src/heathercleat/steering/process/capacity/view.py
@@ -8,6 +8,7 @@
 from math import ceil
 from typing import Protocol
 
+from heathercleat.steering.process.capacity.machine_speed import MachineSpeed
 from heathercleat.steering.process.capacity.slots import reaches_idle_share
 from heathercleat.version.hashing import part_of, rendezvous_weight
 
@@ -26,7 +27,12 @@
 
 
 class TargetCapacity(Protocol):
-    """The slots of one target, counted here or reported by its owner."""
+    """The slots of one target, counted here or reported by its owner.
+
+    ``speed`` is the :class:`MachineSpeed`.
+    """
+
+    speed: MachineSpeed
 
     def is_known(self, now):
         """Return whether this VM has a valid count of the free slots."""
@@ -40,6 +46,9 @@
     def announced_limit(self, now):
         """Return the limit by which VMs choose the target for its objects."""
 
+    def slowdown(self, now):
+        """Return the factor by which work takes longer on its machine now."""
+
 
 class Candidate:
     """A target that may run requests.
@@ -201,7 +210,7 @@
             if member is None:
                 continue
             region = self._members.region_of(entry.failure_domain)
-            capacity = self._capacity_of(entry.id, owner)
+            capacity = self._capacity_of(entry, owner)
             candidate = Candidate(entry, owner, member.region, capacity)
             groups.setdefault(region, []).append(candidate)
         return {
@@ -209,9 +218,13 @@
             for region, candidates in groups.items()
         }
 
-    def _capacity_of(self, target_id, owner):
-        owned = self._ledger.get(target_id) if self._is_own(owner) else None
-        return owned or self._reports.capacity(target_id, owner)
+    def _capacity_of(self, entry, owner):
+        owned = self._ledger.get(entry.id) if self._is_own(owner) else None
+        if owned is not None:
+            return owned
+        capacity = self._reports.capacity(entry.id, owner)
+        capacity.speed.keep_for(entry.incarnation_id)
+        return capacity
 
     def _is_own(self, owner):
         return owner == self._members.own.vm
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -32,6 +32,8 @@
 from heathercleat.steering.process.capacity.retry_budget import RetryBudgets
 from heathercleat.steering.process.capacity.run_times import RunTimes
 from heathercleat.steering.process.capacity.slots import SlotLedger
+from heathercleat.steering.process.capacity.speed_log import SpeedLog
+from heathercleat.steering.process.capacity.speed_reports import SpeedReports
 from heathercleat.steering.process.capacity.view import TargetView
 from heathercleat.steering.process.configuration_freshness import (
     ConfigurationFreshness,
@@ -200,6 +202,9 @@
             lambda: self._routing_table.services if self._routing_table else (),
             clock,
         )
+        self._speed_reports = SpeedReports(
+            self._ledger, self._capacity_reports, self._registry, clock
+        )
         self._gossip = Gossip(
             settings,
             self._members,
@@ -212,7 +217,7 @@
                 self._freshness, lambda: self._configuration_version, usage_exchange
             ),
             self._notices,
-            Extensions((), journal),
+            Extensions((self._speed_reports,), journal),
             composer.compose,
             self._tables.fetch_if_behind,
             journal,
@@ -267,6 +272,7 @@
             self._shift,
             self._notices,
             clock,
+            SpeedLog(journal),
         )
         dispatcher = Dispatcher(
             self._local,
@@ -545,6 +551,7 @@
             "limited_groups": self._suspects.limited_count,
             "limited_targets": self._notices.limited_count,
             "closed_targets": self._notices.closed_count,
+            "slow_machines": self._speed_reports.slow_count,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
         }
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -16,6 +16,8 @@
     :param is_encoded: whether a content encoding was applied to the body.
     :param running_count: number of requests running at the target, or ``None``.
     :param waiting_count: number of requests queued at the target, or ``None``.
+    :param slowdown: factor by which work takes longer than usual on the machine of the
+        target, 1.0 for as usual, or ``None``.
     :param rate_limit: requests per second that the target accepts from all VMs
         together, or ``None``.
     :param is_leaving: whether the target shuts down soon and accepts no new requests.
@@ -33,6 +35,7 @@
         "is_encoded",
         "running_count",
         "waiting_count",
+        "slowdown",
         "rate_limit",
         "is_leaving",
         "rest_seconds",
@@ -48,6 +51,7 @@
         self.is_encoded = False
         self.running_count = None
         self.waiting_count = None
+        self.slowdown = None
         self.rate_limit = None
         self.is_leaving = False
         self.rest_seconds = None
--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -7,6 +7,7 @@
 from heathercleat.steering.process.capacity.slots import can_take_slot
 from heathercleat.steering.request.affinity import AffinityTargets
 from heathercleat.steering.request.eligibility import EligibleTargets
+from heathercleat.steering.request.speed_choice import SpeedChoice
 
 #: From this size on, targets in the failure domain of this VM come before affinity
 #: targets, since sending the body costs more than the cache saves.
@@ -56,13 +57,25 @@
     :param loss_rates: the :class:`RegionLossRates`.
     :param shift: the :class:`RegionShiftLimit`.
     :param notices: the :class:`Notices`.
+    :param speed_log: the :class:`SpeedLog`, or ``None``.
     """
 
-    def __init__(self, view, members, estimates, loss_rates, shift, notices, clock):
+    def __init__(
+        self,
+        view,
+        members,
+        estimates,
+        loss_rates,
+        shift,
+        notices,
+        clock,
+        speed_log=None,
+    ):
         self._view = view
         self._members = members
         self._estimates = estimates
         self._affinity_targets = AffinityTargets(estimates)
+        self._speed_choice = SpeedChoice(estimates, shift, speed_log)
         self._loss_rates = loss_rates
         self._shift = shift
         self._notices = notices
@@ -75,6 +88,9 @@
         if isolated is not None:
             return isolated
         affinity_target = self._affinity_target(eligible)
+        faster = affinity_target and self._faster_than(affinity_target, eligible)
+        if faster is not None:
+            return faster
         if affinity_target is not None and affinity_target.may_have_free_slot(
             eligible.now
         ):
@@ -134,7 +150,31 @@
     def _affinity_target(self, eligible):
         """Return the :class:`AffinityTarget` of the request, or ``None``."""
         is_large = len(eligible.call.body) >= LARGE_BODY_BYTES
-        return next(iter(self._affinity_targets.ranked(eligible, is_large)), None)
+        ranked = self._affinity_targets.ranked(eligible, is_large)
+        return self._speed_choice.affinity_target(eligible.call, ranked, eligible.now)
+
+    def _faster_than(self, affinity_target, eligible):
+        """Return a :class:`Destination` in place of a slow affinity target.
+
+        It is in this region and does not have the object cached. ``None`` if there is
+        none. The owner may use any target then, hence the change of the call.
+        """
+        call, region_targets = eligible.call, eligible.own_region_targets
+        if region_targets is None or len(call.body) >= LARGE_BODY_BYTES:
+            return None
+        preferred, now = affinity_target.ids, eligible.now
+        best = self._speed_choice.target_without_affinity(
+            call,
+            affinity_target,
+            lambda: self._free_candidates(
+                region_targets, preferred, eligible.is_usable, now
+            ),
+            now,
+        )
+        if best is None:
+            return None
+        call.affinity_until = min(call.affinity_until, now)
+        return Destination(best.owner, best.entry.id, preferred, False)
 
     def _destination_at(self, affinity_target, target=None):
         owner = affinity_target.candidate.owner
@@ -302,20 +342,24 @@
         summary = region_targets.summary(now)
         if not (summary.idle if affinity_targets else summary.free):
             return None
-        best = min(
-            (
-                each
-                for each in region_targets.candidates
-                if self._is_free(each, preferred, now) and is_usable(each)
-            ),
-            key=lambda each: self._sort_key(each, now),
-            default=None,
-        )
-        if best is None:
+        candidates = self._free_candidates(region_targets, preferred, is_usable, now)
+        if not candidates:
             return None
+        best = self._speed_choice.free_target(
+            eligible.call, candidates, not affinity_targets, now
+        )
         target = best.entry.id
         return Destination(best.owner, target, preferred or (target,), is_remote)
 
+    def _free_candidates(self, region_targets, preferred, is_usable, now):
+        """Return the candidates of a region with enough free slots, best first."""
+        free = (
+            each
+            for each in region_targets.candidates
+            if self._is_free(each, preferred, now) and is_usable(each)
+        )
+        return sorted(free, key=lambda each: self._sort_key(each, now))
+
     def _is_free(self, candidate, preferred, now):
         free = candidate.capacity.free(now)
         return free > 0 and can_take_slot(candidate.entry, free, preferred)
--- a/src/heathercleat/steering/request/dispatch.py
+++ b/src/heathercleat/steering/request/dispatch.py
@@ -1,5 +1,6 @@
 """Sends one attempt to a target of this VM or through the VM that owns it."""
 
+from heathercleat.platform.headers import find_slowdown
 from heathercleat.steering.request.attempt_result import AttemptOutcome
 
 
@@ -62,8 +63,16 @@
         )
         if capacity is not None and result.outcome is not AttemptOutcome.NOT_SENT:
             capacity.release()
+        self._record_speed(destination.vm, result)
         return result
 
+    def _record_speed(self, owner, result):
+        """Record the speed of the machine that a forwarded response reports."""
+        response = result.response
+        slowdown = response and find_slowdown(response.headers)
+        if slowdown is not None:
+            self._capacity_reports.record_slowdown(result.target, owner, slowdown)
+
     def record_busy_owner(self, call, destination, wait):
         """Record that the owner of a destination had no free slot.
 
--- a/src/heathercleat/steering/request/estimates.py
+++ b/src/heathercleat/steering/request/estimates.py
@@ -1,5 +1,8 @@
 """Estimated waits and response times of requests."""
 
+from heathercleat.steering.process.capacity.machine_speed import UNCACHED_FACTOR
+from heathercleat.steering.process.capacity.owned_target import INITIAL_RUN_SECONDS
+
 
 class Estimates:
     """Estimates for selecting a destination; all durations in seconds.
@@ -71,6 +74,35 @@
         """Return the response time for a cached object, or ``None`` if unknown."""
         return self._response_times.for_cached_object(route.name)
 
+    def usual_run_seconds(self, call, is_cached):
+        """Return how long a request takes at a target whose machine is not slow.
+
+        :param is_cached: whether the target has the object cached.
+        """
+        times, route = self._response_times, call.route.name
+        if call.affinity is None or not call.route.sticky:
+            return times.mean(route) or INITIAL_RUN_SECONDS
+        cached = times.for_cached_object(route) or times.at_affinity_target(route)
+        if is_cached:
+            return cached or INITIAL_RUN_SECONDS
+        uncached = UNCACHED_FACTOR * (cached or INITIAL_RUN_SECONDS)
+        return max(uncached, times.at_other_target(route))
+
+    def finish_seconds(self, call, candidate, is_cached, now):
+        """Return when a request is expected to finish at a candidate, from now.
+
+        :param is_cached: whether the target has the object cached.
+        """
+        owner, capacity = candidate.owner, candidate.capacity
+        seconds = capacity.speed.run_seconds(
+            self.usual_run_seconds(call, is_cached), now
+        )
+        if capacity.is_known(now) and not capacity.free(now):
+            seconds += self.wait(owner, call) or 0.0
+        if owner != self._members.own.vm:
+            seconds += self._round_trip(owner)
+        return seconds
+
     def is_in_time(self, call, owner, is_affinity_target):
         """Return whether a response would be in time if the owner has a free slot."""
         expected = self._round_trip(owner) + self.response_time(
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -6,6 +6,7 @@
     CONNECT_TIMEOUT_SECONDS,
     CrashDetector,
 )
+from heathercleat.steering.process.capacity.speed_log import SpeedLog
 from heathercleat.steering.process.shutdown import LEAVING_REASON
 from heathercleat.steering.request.attempt_result import (
     CLIENT_LEFT_REASON,
@@ -64,6 +65,7 @@
         self._crash_detector = CrashDetector(pool, reachability.is_any_reachable, clock)
         self._suspects = suspects
         self._reachability = reachability
+        self._speed_log = SpeedLog(journal)
         self._journal = journal
         self._clock = clock
 
@@ -201,7 +203,9 @@
     def _record_result(self, call, slot_use, head, result, is_affinity_target):
         target, now = slot_use.target, self._clock.now()
         if head is not None:
+            was_slow = target.speed.is_slow(now)
             target.record_response(head, now)
+            self._speed_log.record_response(target, was_slow, now)
         if call.is_disconnected:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
