--- a/src/heathercleat/steering/process/capacity/machine_speed.py
+++ b/src/heathercleat/steering/process/capacity/machine_speed.py
@@ -59,7 +59,7 @@
 
     def end_slow_period(self, now):
         """Record that the owner of the target does not report it as slow now."""
-        self._ends_at = min(self._ends_at, now)
+        self._slowdown, self._ends_at = 1.0, min(self._ends_at, now)
 
     def keep_for(self, incarnation_id):
         """Drop the slowdown if it is of another incarnation of the target."""
--- a/src/heathercleat/steering/process/capacity/speed_reports.py
+++ b/src/heathercleat/steering/process/capacity/speed_reports.py
@@ -5,6 +5,9 @@
 from heathercleat.steering.process.capacity.machine_speed import SLOW_PERIOD_SECONDS
 from heathercleat.steering.process.membership.extensions import MAX_REPORT_BYTES
 
+#: Upper bound of a reported slowdown; see
+#: :data:`heathercleat.platform.headers.MAX_SLOWDOWN`.
+MAX_PERCENT = 2000
 #: Bytes of a report without its items, at most.
 _LIST_BYTES = 3
 
@@ -87,7 +90,12 @@
     """
     target_id, started_ms, percent, age_ms, remaining_ms = item
     remaining = remaining_ms / 1000
-    if percent < 100 or age_ms < 0 or not 0 <= remaining <= SLOW_PERIOD_SECONDS:
+    is_valid = (
+        100 <= percent <= MAX_PERCENT
+        and age_ms >= 0
+        and 0 <= remaining <= SLOW_PERIOD_SECONDS
+    )
+    if not is_valid:
         raise ValueError(f"speed of {target_id!r}: {item!r}")
     key = target_id, started_ms
     return key, (percent / 100, now - age_ms / 1000, now + remaining)
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -15,7 +15,8 @@
 
 ``limit`` is named in each response as the requests per second that the target accepts.
 ``leaving`` makes each response say that the target shuts down soon. ``rest_s`` is the
-time for which a refusal asks for no requests, in seconds.
+time for which a refusal asks for no requests, in seconds. ``slowdown`` multiplies the
+work and is the fourth field of the load in responses, in percent.
 
 ``fatal`` lists paths whose requests crash the target: all its connections are reset and
 new ones refused. After ``down_s`` seconds it starts as a new incarnation and writes
@@ -90,6 +91,7 @@
             "limit": None,
             "leaving": False,
             "rest_s": None,
+            "slowdown": None,
             "fatal": [],
             "down_s": 2.0,
             "store": None,
@@ -216,8 +218,11 @@
         self._cached_objects.move_to_end(object_key)
         while len(self._cached_objects) > self._switches["remembers"]:
             self._cached_objects.popitem(last=False)
-        return self._switches["work_s"] * (
-            1.0 if is_cached else self._switches["learning_x"]
+        return (
+            self._switches["work_s"]
+            * (1.0 if is_cached else self._switches["learning_x"])
+            * (self._switches["slowdown"] or 100)
+            / 100
         )
 
     def _must_shed(self):
@@ -235,6 +240,8 @@
 
     async def _respond(self, stream, id_header, body):
         load = f"{self._running},0,{self._slots}".encode()
+        if self._switches["slowdown"] is not None:
+            load += f",{self._switches['slowdown']}".encode()
         headers = [*id_header, (TARGET_LOAD, load), *self._notices()]
         if not self._switches["unsigned"]:
             headers.append((RESPONSE_SIGNATURE, b"signed"))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1210,6 +1210,13 @@
         "is_minority = False and len(live | {own})",
         "tests/test_quota.py",
     ),
+    Mutation(
+        "SPEED-of-machines-ignored",
+        f"{STEERING}/process/capacity/machine_speed.py",
+        "return best if is_earlier else first",
+        "return first",
+        "tests/test_machine_speed.py",
+    ),
     Mutation(
         "DRAINED-vm-polled",
         f"{PACKAGE}/process/capacity/readiness.py",
