Choose affinity targets by region, with overflow by demand

Each region has its own affinity target for an object where the targets of the service report the speed of their machines. A fraction of the objects of a region without the slots for its demand goes to the region with the most spare slots.

--- a/src/heathercleat/steering/process/metrics.py
+++ b/src/heathercleat/steering/process/metrics.py
@@ -12,10 +12,13 @@
     ``prometheus_client`` is imported on the first scrape, to keep the start fast.
 
     :param read_gauges: returns the current gauge values by name.
+    :param read_regions: yields the service, region, demand, usable slots and overflow
+        fraction of each service and region; see :meth:`RegionalDemand.gauges`.
     """
 
-    def __init__(self, read_gauges):
+    def __init__(self, read_gauges, read_regions=tuple):
         self._read_gauges = read_gauges
+        self._read_regions = read_regions
         self._requests = {}
         self._workspace_requests = {}
         self._latencies = {}
@@ -80,6 +83,34 @@
         for name, value in self._read_gauges().items():
             state.add_metric((name,), value)
         yield state
+        yield from self._region_gauges()
+
+    def _region_gauges(self):
+        """Yield the metric families by service and region."""
+        from prometheus_client.core import GaugeMetricFamily
+
+        labels = ("service", "region")
+        families = (
+            GaugeMetricFamily(
+                "heathercleat_region_demand_slots",
+                "Slots that the requests of a region's clients need",
+                labels=labels,
+            ),
+            GaugeMetricFamily(
+                "heathercleat_region_usable_slots",
+                "Usable slots of a region's targets",
+                labels=labels,
+            ),
+            GaugeMetricFamily(
+                "heathercleat_region_overflow",
+                "Fraction of a region's objects that other regions serve",
+                labels=labels,
+            ),
+        )
+        for service, region, *values in self._read_regions():
+            for family, value in zip(families, values, strict=True):
+                family.add_metric((service, region), value)
+        yield from families
 
     def render(self):
         """Return the metrics page as bytes."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -27,6 +27,7 @@
 from heathercleat.steering.process.capacity.reachability import TargetReachability
 from heathercleat.steering.process.capacity.region_loss_rates import RegionLossRates
 from heathercleat.steering.process.capacity.region_shift import RegionShiftLimit
+from heathercleat.steering.process.capacity.regional_demand import RegionalDemand
 from heathercleat.steering.process.capacity.registry import TargetRegistry
 from heathercleat.steering.process.capacity.response_times import ResponseTimes
 from heathercleat.steering.process.capacity.retry_budget import RetryBudgets
@@ -69,6 +70,7 @@
 from heathercleat.steering.request.estimates import Estimates
 from heathercleat.steering.request.forward import ForwardDispatcher
 from heathercleat.steering.request.local import LocalDispatcher
+from heathercleat.steering.request.object_overflow import ObjectOverflow
 from heathercleat.steering.request.steer import Steering
 from heathercleat.steering.version.routing import Limits
 from heathercleat.steering.version.split import Splitter
@@ -150,6 +152,16 @@
         self._suspects = Suspects(journal, clock)
         self._crash_limits = CrashLimits(self._suspects, clock)
         self._shift = RegionShiftLimit(settings.bounds.shift_share, clock)
+        self._view = TargetView(
+            self._members,
+            self._registry,
+            self._owners,
+            self._ledger,
+            self._capacity_reports,
+        )
+        self._regional_demand = RegionalDemand(
+            self._members, self._view, settings, journal, clock
+        )
 
     def _build_store(self):
         """Build the followers and writers of the store's tables."""
@@ -212,7 +224,7 @@
                 self._freshness, lambda: self._configuration_version, usage_exchange
             ),
             self._notices,
-            Extensions((), journal),
+            Extensions((self._regional_demand,), journal),
             composer.compose,
             self._tables.fetch_if_behind,
             journal,
@@ -222,13 +234,6 @@
     def _build_steering(self):
         """Build target selection and request attempts."""
         settings, journal, clock = self._settings, self._journal, self.clock
-        view = TargetView(
-            self._members,
-            self._registry,
-            self._owners,
-            self._ledger,
-            self._capacity_reports,
-        )
         self._target_pool = self._new_pool()
         self._reachability = TargetReachability(
             self._registry, self._members, self._target_pool, journal, clock
@@ -240,11 +245,12 @@
             self._target_pool,
             self._response_times,
             self.shutdown,
-            EjectionLimit(view, clock),
+            EjectionLimit(self._view, clock),
             self._suspects,
             self._reachability,
             journal,
             clock,
+            self._regional_demand.record_speed_report,
         )
         self._members.on_change(self._forget_reports)
         self._registry.on_change(self._update_serving)
@@ -259,14 +265,16 @@
             self._response_times,
             clock,
         )
+        self._overflow = ObjectOverflow(self._regional_demand, self._members, estimates)
         destinations = DestinationSelector(
-            view,
+            self._view,
             self._members,
             estimates,
             region_loss_rates,
             self._shift,
             self._notices,
             clock,
+            self._overflow,
         )
         dispatcher = Dispatcher(
             self._local,
@@ -275,6 +283,7 @@
             self._capacity_reports,
             self._gossip.round_trip,
             self._crash_limits,
+            self._overflow,
         )
         self._steering = Steering(
             destinations,
@@ -306,7 +315,7 @@
             settings.bounds.lookup_ttl,
             clock,
         )
-        self._metrics = SteeringMetrics(self._read_gauges)
+        self._metrics = SteeringMetrics(self._read_gauges, self._regional_demand.gauges)
         self.request_log = RequestLog(self._metrics, journal, clock)
         self._listeners = Listeners(
             self,
@@ -363,6 +372,7 @@
 
     async def steer(self, call):
         """Return the final response to a call; see :meth:`Steering.run`."""
+        self._overflow.record_request(call)
         return await self._steering.run(call)
 
     def choose_service(self, route):
--- a/src/heathercleat/steering/request/affinity.py
+++ b/src/heathercleat/steering/request/affinity.py
@@ -2,7 +2,8 @@
 
 A target responds faster to requests for objects in its cache. Hashing over all regions
 gives each target its share of the objects, wherever the clients are, and avoids caching
-each object in every region.
+each object in every region. Where response times leave no time for a trip to another
+region, :class:`ObjectOverflow` selects the target in place of it.
 """
 
 from heathercleat.steering.request.wait_policy import RESPONSE_TIME_FACTOR
@@ -46,10 +47,13 @@
     """Finds the affinity targets of requests.
 
     :param estimates: the :class:`Estimates`.
+    :param overflow: the :class:`ObjectOverflow`; without it, objects have one affinity
+        target over all regions.
     """
 
-    def __init__(self, estimates):
+    def __init__(self, estimates, overflow=None):
         self._estimates = estimates
+        self._overflow = overflow
 
     def ranked(self, eligible, is_large):
         """Return the :class:`AffinityTarget` objects of a request, best first.
@@ -63,7 +67,10 @@
         ]
         if not is_large:
             affinity_targets.extend(self._in_other_regions(eligible))
-        affinity = eligible.call.affinity
+        call = eligible.call
+        if self._overflow is not None and self._overflow.is_in_effect(call.service):
+            return self._overflow.rank(call, affinity_targets)
+        affinity = call.affinity
         return sorted(
             affinity_targets,
             key=lambda each: rendezvous_weight(affinity, each.candidate.entry.id),
--- a/src/heathercleat/steering/request/attempt_result.py
+++ b/src/heathercleat/steering/request/attempt_result.py
@@ -22,6 +22,8 @@
     :param rest_seconds: seconds for which the target asks for no requests after it
         rejected this one for overload, or ``None``.
     :param keep_alive_seconds: keep-alive timeout of the connection, or ``None``.
+    :param slowdown: how much longer work takes on the target's machine now, 1.0 for as
+        usual; ``None`` if the target does not tell.
     """
 
     __slots__ = (
@@ -37,6 +39,7 @@
         "is_leaving",
         "rest_seconds",
         "keep_alive_seconds",
+        "slowdown",
     )
 
     def __init__(self):
@@ -52,6 +55,7 @@
         self.is_leaving = False
         self.rest_seconds = None
         self.keep_alive_seconds = None
+        self.slowdown = None
 
     @property
     def has_notice(self):
--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -56,13 +56,24 @@
     :param loss_rates: the :class:`RegionLossRates`.
     :param shift: the :class:`RegionShiftLimit`.
     :param notices: the :class:`Notices`.
+    :param overflow: the :class:`ObjectOverflow`, or ``None``.
     """
 
-    def __init__(self, view, members, estimates, loss_rates, shift, notices, clock):
+    def __init__(
+        self,
+        view,
+        members,
+        estimates,
+        loss_rates,
+        shift,
+        notices,
+        clock,
+        overflow=None,
+    ):
         self._view = view
         self._members = members
         self._estimates = estimates
-        self._affinity_targets = AffinityTargets(estimates)
+        self._affinity_targets = AffinityTargets(estimates, overflow)
         self._loss_rates = loss_rates
         self._shift = shift
         self._notices = notices
--- a/src/heathercleat/steering/request/dispatch.py
+++ b/src/heathercleat/steering/request/dispatch.py
@@ -12,10 +12,19 @@
     :param capacity_reports: the :class:`CapacityReports`.
     :param round_trip: function that returns the round-trip time to a VM in seconds.
     :param crash_limits: the :class:`CrashLimits`, which records the results.
+    :param overflow: the :class:`ObjectOverflow`, which records response times, or
+        ``None``.
     """
 
     def __init__(
-        self, local, forward, members, capacity_reports, round_trip, crash_limits
+        self,
+        local,
+        forward,
+        members,
+        capacity_reports,
+        round_trip,
+        crash_limits,
+        overflow=None,
     ):
         self._local = local
         self._forward = forward
@@ -23,6 +32,7 @@
         self._capacity_reports = capacity_reports
         self._round_trip = round_trip
         self._crash_limits = crash_limits
+        self._overflow = overflow
 
     def is_local(self, destination):
         """Return whether this VM is the owner of a destination."""
@@ -46,6 +56,8 @@
         else:
             result = await self._run_forwarded(call, destination, avoid, wait_until)
         self._crash_limits.record_result(call, result, is_local)
+        if self._overflow is not None:
+            self._overflow.record_run(call, result, not destination.is_remote)
         return result
 
     async def _run_forwarded(self, call, destination, avoid, wait_until):
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -38,6 +38,8 @@
     :param ejection_limit: the :class:`EjectionLimit`, which limits ejected targets.
     :param suspects: the :class:`Suspects`.
     :param reachability: the :class:`TargetReachability`.
+    :param record_speed_report: called with the service of a target that reported the
+        speed of its machine.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         reachability,
         journal,
         clock,
+        record_speed_report=lambda service: None,
     ):
         self._admission = admission
         self._ledger = ledger
@@ -66,6 +69,7 @@
         self._reachability = reachability
         self._journal = journal
         self._clock = clock
+        self._record_speed_report = record_speed_report
 
     async def run(self, call, preferred, avoid, wait_until):
         """Return the :class:`AttemptResult` of one attempt.
@@ -202,6 +206,8 @@
         target, now = slot_use.target, self._clock.now()
         if head is not None:
             target.record_response(head, now)
+            if head.slowdown is not None:
+                self._record_speed_report(call.service)
         if call.is_disconnected:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
--- /dev/null
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -0,0 +1,98 @@
+"""Affinity targets by region: in the own region unless the object overflows."""
+
+from heathercleat.steering.request.destinations import LARGE_BODY_BYTES
+from heathercleat.version.hashing import rendezvous_weight
+
+#: Multiple of the time for a cached object that the latency objective has to cover in
+#: addition to the round trip. On a machine that others slow down, work takes up to 2.5
+#: times as long; such requests would otherwise be late in another region only.
+MAX_SLOWDOWN = 2.5
+
+
+class ObjectOverflow:
+    """Ranks the affinity targets of a request, and counts the demand of requests.
+
+    :param demand: the :class:`RegionalDemand`.
+    :param members: the live VMs.
+    :param estimates: the :class:`Estimates`.
+    """
+
+    def __init__(self, demand, members, estimates):
+        self._demand = demand
+        self._members = members
+        self._estimates = estimates
+
+    def is_in_effect(self, service):
+        """Return whether objects of a service have an affinity target by region."""
+        return self._demand.is_in_effect(service)
+
+    def record_request(self, call):
+        """Record the arrival of a client's request.
+
+        A retry of a refused request is not counted, since the request itself was.
+        """
+        if not call.is_client_retry and self.is_in_effect(call.service):
+            self._demand.record_request(
+                call.service, call.route.name, self._is_movable(call)
+            )
+
+    def record_run(self, call, result, in_own_region):
+        """Record how long a request took at a target.
+
+        :param result: the :class:`AttemptResult`.
+        """
+        if result.response_time is not None and not result.outcome.not_run:
+            self._demand.record_run(
+                call.service, call.route.name, result.response_time, in_own_region
+            )
+
+    def rank(self, call, affinity_targets):
+        """Return the :class:`AffinityTarget` objects, best first.
+
+        That is the one of the own region, or that of the region to which the object
+        overflows. The others follow by their rendezvous weight.
+        """
+        region = self._demand.region_for(call.service, call.affinity)
+        own_region = self._demand.own_region
+
+        def sort_key(affinity_target):
+            candidate = affinity_target.candidate
+            target_region = self._members.region_of(candidate.entry.failure_domain)
+            is_first = target_region == region and (
+                not affinity_target.is_remote
+                or self._bears_round_trip(
+                    call.route, self._estimates.round_trip(candidate.owner)
+                )
+            )
+            weight = rendezvous_weight(call.affinity, candidate.entry.id)
+            return is_first, target_region == own_region, weight
+
+        return sorted(affinity_targets, key=sort_key, reverse=True)
+
+    def _is_movable(self, call):
+        """Return whether another region may serve a request."""
+        if call.affinity is None or not call.route.sticky:
+            return False
+        if len(call.body) >= LARGE_BODY_BYTES:
+            return False
+        round_trips = [
+            self._estimates.round_trip(member.vm)
+            for member in self._members.strong_serving()
+            if member.region != self._demand.own_region
+            and call.route.allows(member.region)
+        ]
+        return bool(round_trips) and self._bears_round_trip(
+            call.route, min(round_trips)
+        )
+
+    def _bears_round_trip(self, route, round_trip):
+        """Return whether responses of another region are in time.
+
+        Not while the time for a cached object is unknown, since the first response
+        times are those of objects that are not cached yet.
+        """
+        cached = self._estimates.cached_response_time(route)
+        return (
+            cached is not None
+            and MAX_SLOWDOWN * cached + round_trip <= route.latency_objective
+        )
