Hold the peak of a region's demand; test the fractions of objects that overflow

With demand that rises and falls by 55% in 36 s, a fraction that followed it brought objects home uncached in each trough. The demand that a region plans for is now the highest of the last 40 s.

--- a/src/heathercleat/steering/process/capacity/demand_reports.py
+++ b/src/heathercleat/steering/process/capacity/demand_reports.py
@@ -7,9 +7,10 @@
 
 #: Seconds for which the report of another VM is valid.
 REPORT_TTL_SECONDS = 1.5
-#: Units of slots and of fractions in a report, so that most numbers take 3 bytes.
+#: Units of slots, fractions and seconds in a report, so that numbers take 1 to 3 bytes.
 SLOT_UNITS = 100
 FRACTION_UNITS = 10_000
+SECOND_UNITS = 10
 #: Total demand in a report of a VM that has not observed its clients for long enough.
 UNKNOWN_DEMAND = -1
 
@@ -90,21 +91,25 @@
         region: round(fraction * FRACTION_UNITS)
         for region, fraction in report.fractions.items()
     }
-    return [service, total, movable, round(report.speed_seconds, 2), fractions]
+    speed_seconds = int(report.speed_seconds * SECOND_UNITS)
+    return [service, total, movable, speed_seconds, fractions]
 
 
 def _unpack_entry(service, total, movable, speed_seconds, fractions):
     if not isinstance(service, str):
         raise ValueError(f"service {service!r}")
-    if not 0 <= movable <= max(0, total) < float("inf"):
+    if total != UNKNOWN_DEMAND and not 0 <= movable <= total < float("inf"):
         raise ValueError(f"demand for {service}: {total!r}, {movable!r}")
     if not 0 <= speed_seconds < float("inf"):
-        raise ValueError(f"speed reports for {service}: {speed_seconds!r} s")
-    if not all(0 <= each <= FRACTION_UNITS for each in fractions.values()):
+        raise ValueError(f"speed reports for {service}: {speed_seconds!r}")
+    if not isinstance(fractions, dict) or not all(
+        isinstance(region, str) and 0 <= each <= FRACTION_UNITS
+        for region, each in fractions.items()
+    ):
         raise ValueError(f"fractions for {service}: {fractions!r}")
     demand = Demand(total / SLOT_UNITS, movable / SLOT_UNITS)
     return ServiceReport(
         None if total == UNKNOWN_DEMAND else demand,
         {region: each / FRACTION_UNITS for region, each in fractions.items()},
-        speed_seconds,
+        speed_seconds / SECOND_UNITS,
     )
--- a/src/heathercleat/steering/process/capacity/overflow_fractions.py
+++ b/src/heathercleat/steering/process/capacity/overflow_fractions.py
@@ -9,10 +9,6 @@
 #: Increase of the fraction, or decrease, that is not worth the uncached objects.
 MIN_RISE = 0.02
 MIN_FALL = 0.1
-#: Rate of a fall as a multiple of the rate of a rise. An object that returns to its
-#: region is uncached there, and its first request is late. An object that stays away
-#: costs bytes only. In a wave of 36 s, the fraction falls by a sixth of its rise.
-FALL_FACTOR = 0.1
 
 
 class RegionLoad:
@@ -84,7 +80,7 @@
     if missing > MIN_RISE:
         _raise(fractions, spare, own.movable, min(left, missing))
     elif missing < -MIN_FALL or not required:
-        _lower(fractions, spare, min(FALL_FACTOR * left, -missing))
+        _lower(fractions, spare, min(left, -missing))
     return {region: each for region, each in fractions.items() if each > 0.0}
 
 
--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -20,6 +20,7 @@
     RegionLoad,
     next_fractions,
 )
+from heathercleat.steering.process.capacity.peak_demand import PeakDemand
 from heathercleat.version.hashing import part_of
 
 #: Seconds for which a target's report of its machine's speed puts affinity by region
@@ -57,6 +58,7 @@
 
     :ivar fractions: fraction of the own region's objects for each other region.
     :ivar loads: the :class:`RegionLoad` of each region.
+    :ivar peak: the :class:`PeakDemand` of the own region.
     :ivar starts_until: instant until which this VM counts as just started; ``None``
         while the demand of its clients is not known.
     :ivar follows_peers: whether to take the fractions of the other VMs of the region
@@ -67,6 +69,7 @@
     __slots__ = (
         "fractions",
         "loads",
+        "peak",
         "starts_until",
         "follows_peers",
         "peers_since",
@@ -77,6 +80,7 @@
     def __init__(self):
         self.fractions = {}
         self.loads = {}
+        self.peak = PeakDemand()
         self.starts_until = None
         self.follows_peers = True
         self.peers_since = None
@@ -288,16 +292,27 @@
 
         :param peers: the fractions at the other VMs of this region.
         """
+        loads = self._with_peak(overflow, now)
         if not overflow.is_starting(now):
-            fractions = next_fractions(self.own_region, overflow.loads, max_change)
+            fractions = next_fractions(self.own_region, loads, max_change)
             return _limit_deviation(fractions, peers)
         if not overflow.follows_peers:
-            return next_fractions(self.own_region, overflow.loads, 1.0)
+            return next_fractions(self.own_region, loads, 1.0)
         if peers:
             return _median(peers)
         if now < self._held_until:
             return overflow.fractions
-        return next_fractions(self.own_region, overflow.loads, max_change)
+        return next_fractions(self.own_region, loads, max_change)
+
+    def _with_peak(self, overflow, now):
+        """Return the loads with the peak demand of this region."""
+        load = overflow.loads[self.own_region]
+        if not load.demand:
+            return overflow.loads
+        peak = overflow.peak.record(load.demand, now)
+        movable = load.movable * peak / load.demand
+        planned = RegionLoad(peak, movable, load.slots, load.fractions)
+        return {**overflow.loads, self.own_region: planned}
 
     def _peer_fractions(self, service):
         """Return the fractions in use at the other VMs of this region."""
--- a/standins/region_simulation.py
+++ b/standins/region_simulation.py
@@ -71,15 +71,19 @@
         self._phase = phase
 
     def is_known(self, now):
+        """Return ``True``: all VMs know the free slots."""
         return True
 
     def free(self, now):
+        """Return the number of free slots."""
         return SLOTS - self.used if self.is_usable else 0
 
     def limit(self, now):
+        """Return the maximum number of concurrent requests."""
         return SLOTS if self.is_usable else 0
 
     def announced_limit(self, now):
+        """Return the same limit."""
         return self.limit(now)
 
     def run_seconds(self, request, now):
@@ -148,9 +152,11 @@
         )
 
     def strong_serving(self):
+        """Return the VMs that are live for this one."""
         return [each for each in self._simulation.vms if self._sees(each)]
 
     def find_live(self, name):
+        """Return the live VM with a name, or ``None``."""
         return next((each for each in self.strong_serving() if each.vm == name), None)
 
     def regions(self, service):
@@ -191,10 +197,6 @@
         self.region_targets = {}
         for region, count in TARGETS.items():
             self.set_targets(region, count)
-        self.all_targets = RegionTargets(
-            None,
-            [c for each in self.region_targets.values() for c in each.candidates],
-        )
         self.vms = []
         for region in REGIONS:
             for number in range(VMS_PER_REGION):
@@ -222,6 +224,10 @@
             )
             candidates.append(Candidate(entry, f"{region}-0", region, target))
         self.region_targets[region] = RegionTargets(region, candidates)
+        regions = self.region_targets.values()
+        self.all_targets = RegionTargets(
+            None, [each for targets in regions for each in targets.candidates]
+        )
 
     def is_cut(self, vm, other):
         """Return whether the link between two VMs is cut."""
@@ -281,7 +287,7 @@
             targets = regions[vm.region]
         else:
             region = vm.demand.region_for(SERVICE, affinity)
-            targets = regions.get(region) or regions[vm.region]
+            targets = regions.get(region) or regions.get(vm.region) or self.all_targets
         found = targets.affinity_targets(affinity, 1, lambda each: True, self.time)
         return found[0].capacity
 
@@ -304,7 +310,9 @@
         if request.has_started or request.is_over:
             return
         candidates = self.region_targets[request.vm.region].candidates
-        best = max((each.capacity for each in candidates), key=lambda each: each.free(0))
+        best = max(
+            (each.capacity for each in candidates), key=lambda each: each.free(0)
+        )
         if best.free(self.time):
             request.target.queue.remove(request)
             request.target = best
@@ -353,9 +361,7 @@
             in_region = other.region == vm.region
             is_lost = self._random.random() < self.loss or self.is_cut(vm, other)
             if other is not vm and not is_lost and (in_region or count % 2 == 0):
-                self._push(
-                    ONE_WAY_SECONDS[in_region], self._deliver, vm, other, packed
-                )
+                self._push(ONE_WAY_SECONDS[in_region], self._deliver, vm, other, packed)
 
     def _deliver(self, vm, other, packed):
         if other.is_running:
@@ -372,9 +378,7 @@
         self._start = start
 
     def _share(self, counts, region=None):
-        requests = [
-            each for each in self._requests if region in (None, each.vm.region)
-        ]
+        requests = [each for each in self._requests if region in (None, each.vm.region)]
         return sum(map(counts, requests)) / len(requests)
 
     @property
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1219,6 +1219,13 @@
         "-k",
         "takes_over",
     ),
+    Mutation(
+        "SHIFT-overflow-fraction",
+        f"{STEERING}/process/capacity/overflow_fractions.py",
+        "_raise(fractions, spare, own.movable, min(left, missing))",
+        "_raise(fractions, spare, own.movable, missing)",
+        "tests/test_overflow_fractions.py",
+    ),
 )
 
 
