--- a/src/heathercleat/steering/request/destinations.py
+++ b/src/heathercleat/steering/request/destinations.py
@@ -58,6 +58,7 @@
     :param shift: the :class:`RegionShiftLimit`.
     :param notices: the :class:`Notices`.
     :param speed_log: the :class:`SpeedLog`, or ``None``.
+    :param overflow: the :class:`ObjectOverflow`, or ``None``.
     """
 
     def __init__(
@@ -70,11 +71,12 @@
         notices,
         clock,
         speed_log=None,
+        overflow=None,
     ):
         self._view = view
         self._members = members
         self._estimates = estimates
-        self._affinity_targets = AffinityTargets(estimates)
+        self._affinity_targets = AffinityTargets(estimates, overflow)
         self._speed_choice = SpeedChoice(estimates, shift, speed_log)
         self._loss_rates = loss_rates
         self._shift = shift
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -39,6 +39,8 @@
     :param ejection_limit: the :class:`EjectionLimit`, which limits ejected targets.
     :param suspects: the :class:`Suspects`.
     :param reachability: the :class:`TargetReachability`.
+    :param record_speed_report: called with the service of a target that reported the
+        speed of its machine.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         reachability,
         journal,
         clock,
+        record_speed_report=lambda service: None,
     ):
         self._admission = admission
         self._ledger = ledger
@@ -68,6 +71,7 @@
         self._speed_log = SpeedLog(journal)
         self._journal = journal
         self._clock = clock
+        self._record_speed_report = record_speed_report
 
     async def run(self, call, preferred, avoid, wait_until):
         """Return the :class:`AttemptResult` of one attempt.
@@ -206,6 +210,8 @@
             was_slow = target.speed.is_slow(now)
             target.record_response(head, now)
             self._speed_log.record_response(target, was_slow, now)
+            if head.slowdown is not None:
+                self._record_speed_report(call.service)
         if call.is_disconnected:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
