--- a/src/heathercleat/steering/process/capacity/demand_meter.py
+++ b/src/heathercleat/steering/process/capacity/demand_meter.py
@@ -78,9 +78,12 @@
 
     def demand(self, service):
         """Return the :class:`Demand` for a service, ``None`` if it is not known yet."""
-        if self._observed_seconds < MIN_OBSERVED_SECONDS:
-            return None
         routes = [each for (name, _), each in self._routes.items() if name == service]
+        observed = max(
+            (each.observed_seconds for each in routes), default=self._observed_seconds
+        )
+        if observed < MIN_OBSERVED_SECONDS:
+            return None
         known = [each.run_seconds for each in routes if each.run_seconds is not None]
         if routes and not known:
             return None
@@ -109,10 +112,8 @@
 
     def _end_interval(self, seconds):
         self._observed_seconds += seconds
-        # A plain mean at first, since the rate starts at 0.
-        weight = max(1 - exp(-seconds / RATE_SECONDS), seconds / self._observed_seconds)
         for route_meter in self._routes.values():
-            route_meter.update(seconds, weight)
+            route_meter.update(seconds)
         self._routes = {
             key: each for key, each in self._routes.items() if each.rate > MIN_RATE
         }
@@ -134,12 +135,14 @@
     :ivar count: requests in this interval.
     :ivar movable_count: those of them that other regions may serve.
     :ivar rate: smoothed requests per second.
+    :ivar observed_seconds: time for which requests have been counted.
     """
 
     __slots__ = (
         "count",
         "movable_count",
         "rate",
+        "observed_seconds",
         "_lagging_rate",
         "_movable_rate",
         "_own_region_mean",
@@ -148,6 +151,7 @@
 
     def __init__(self):
         self.rate = self._lagging_rate = self._movable_rate = 0.0
+        self.observed_seconds = 0.0
         self._own_region_mean = _DecayingMean()
         self._other_region_mean = _DecayingMean()
         self.start_interval()
@@ -170,11 +174,11 @@
         mean = self._own_region_mean if in_own_region else self._other_region_mean
         mean.record(seconds)
 
-    def update(self, seconds, weight):
-        """Add the counts of an interval.
-
-        :param weight: weight of the interval in the smoothed rate.
-        """
+    def update(self, seconds):
+        """Add the counts of an interval."""
+        self.observed_seconds += seconds
+        # A plain mean at first, since the rate starts at 0.
+        weight = max(1 - exp(-seconds / RATE_SECONDS), seconds / self.observed_seconds)
         self.rate += weight * (self.count / seconds - self.rate)
         self._lagging_rate += weight * (self.rate - self._lagging_rate)
         movable_rate = self.movable_count / seconds
