--- /dev/null
+++ b/src/heathercleat/steering/process/capacity/cache_shortage.py
@@ -0,0 +1,57 @@
+"""Objects that the targets of a region cannot keep cached, from the times they take.
+
+Demand shows them only while slots are short: with few requests, a region has the slots
+to serve them uncached, and these requests are late all the same.
+"""
+
+#: Time for an uncached object as a multiple of that for a cached one.
+UNCACHED_FACTOR = 1 / 0.3
+#: Multiple of the time that another region's targets take from which objects count as
+#: uncached; means over a region's requests of some seconds differ by up to a sixth.
+MIN_TIME_RATIO = 1.2
+#: Highest fraction to which missing cache leads. If requests still take longer with
+#: this fraction elsewhere, there is another cause, such as slow machines.
+MAX_FRACTION = 0.6
+#: Seconds after a start in which objects are uncached because they are new.
+WARM_UP_SECONDS = 15.0
+#: Change of the fraction per second. It rises slowly, since the mean time follows it
+#: by some seconds, and falls by a twentieth of the objects in 25 s.
+RISE_PER_SECOND = 0.02
+FALL_PER_SECOND = 0.002
+
+
+class CacheShortage:
+    """The fraction of a region's objects that its targets cannot keep cached.
+
+    :param now: when the requests of the region were first observed.
+    """
+
+    __slots__ = ("_fraction", "_updated_at", "_warm_at")
+
+    def __init__(self, now):
+        self._fraction = 0.0
+        self._updated_at = now
+        self._warm_at = now + WARM_UP_SECONDS
+
+    def update(self, load, shortest_run, now):
+        """Return the fraction after a new report.
+
+        :param load: the :class:`RegionLoad` of the region.
+        :param shortest_run: mean seconds of a request at the targets of the region
+            where they are lowest, or ``None`` if unknown.
+        """
+        seconds, self._updated_at = now - self._updated_at, now
+        if now < self._warm_at or not load.run_seconds or not shortest_run:
+            return self._fraction
+        ratio = load.run_seconds / shortest_run
+        if ratio >= MIN_TIME_RATIO:
+            uncached = min(1.0, (ratio - 1) / (UNCACHED_FACTOR - 1))
+            sent = sum(load.fractions.values())
+            required = min(MAX_FRACTION, sent + (1 - sent) * uncached)
+            risen = self._fraction + RISE_PER_SECOND * seconds
+            # What goes elsewhere already need not rise again.
+            risen = max(risen, min(sent, required))
+            self._fraction = max(self._fraction, min(required, risen))
+        else:
+            self._fraction = max(0.0, self._fraction - FALL_PER_SECOND * seconds)
+        return self._fraction
--- a/src/heathercleat/steering/process/capacity/demand_meter.py
+++ b/src/heathercleat/steering/process/capacity/demand_meter.py
@@ -30,18 +30,21 @@
 
     :param total: all requests.
     :param movable: the requests that other regions may serve.
+    :param rate: number of requests per second.
     """
 
-    __slots__ = ("total", "movable")
+    __slots__ = ("total", "movable", "rate")
 
-    def __init__(self, total=0.0, movable=0.0):
+    def __init__(self, total=0.0, movable=0.0, rate=0.0):
         self.total = total
         self.movable = movable
+        self.rate = rate
 
     def add(self, other, factor=1.0):
         """Add other :class:`Demand`, multiplied by a factor."""
         self.total += factor * other.total
         self.movable += factor * other.movable
+        self.rate += factor * other.rate
 
 
 class DemandMeter:
@@ -194,8 +197,9 @@
         if not self.rate:
             return Demand()
         rise = max(0.0, self.rate - self._lagging_rate)
-        total = run_seconds * (self.rate + rise * LOOKAHEAD_SECONDS / RATE_SECONDS)
-        return Demand(total, total * self._movable_rate / self.rate)
+        rate = self.rate + rise * LOOKAHEAD_SECONDS / RATE_SECONDS
+        total = run_seconds * rate
+        return Demand(total, total * self._movable_rate / self.rate, rate)
 
 
 class _DecayingMean:
--- a/src/heathercleat/steering/process/capacity/demand_reports.py
+++ b/src/heathercleat/steering/process/capacity/demand_reports.py
@@ -7,8 +7,10 @@
 
 #: Seconds for which the report of another VM is valid.
 REPORT_TTL_SECONDS = 1.5
-#: Units of slots, fractions and seconds in a report, so that numbers take 1 to 3 bytes.
+#: Units of slots, requests per second, fractions and seconds in a report, so that
+#: numbers take 1 to 3 bytes.
 SLOT_UNITS = 100
+RATE_UNITS = 100
 FRACTION_UNITS = 10_000
 SECOND_UNITS = 10
 #: Total demand in a report of a VM that has not observed its clients for long enough.
@@ -83,23 +85,26 @@
 
 
 def _pack_entry(service, report):
-    total, movable = UNKNOWN_DEMAND, 0
+    total, movable, rate = UNKNOWN_DEMAND, 0, 0
     if report.demand is not None:
         total = round(report.demand.total * SLOT_UNITS)
         movable = min(total, round(report.demand.movable * SLOT_UNITS))
+        rate = round(report.demand.rate * RATE_UNITS)
     fractions = {
         region: round(fraction * FRACTION_UNITS)
         for region, fraction in report.fractions.items()
     }
     speed_seconds = int(report.speed_seconds * SECOND_UNITS)
-    return [service, total, movable, speed_seconds, fractions]
+    return [service, total, movable, rate, speed_seconds, fractions]
 
 
-def _unpack_entry(service, total, movable, speed_seconds, fractions):
+def _unpack_entry(service, total, movable, rate, speed_seconds, fractions):
     if not isinstance(service, str):
         raise ValueError(f"service {service!r}")
     if total != UNKNOWN_DEMAND and not 0 <= movable <= total < float("inf"):
         raise ValueError(f"demand for {service}: {total!r}, {movable!r}")
+    if not 0 <= rate < float("inf"):
+        raise ValueError(f"rate of {service}: {rate!r}")
     if not 0 <= speed_seconds < float("inf"):
         raise ValueError(f"speed reports for {service}: {speed_seconds!r}")
     if not isinstance(fractions, dict) or not all(
@@ -107,7 +112,7 @@
         for region, each in fractions.items()
     ):
         raise ValueError(f"fractions for {service}: {fractions!r}")
-    demand = Demand(total / SLOT_UNITS, movable / SLOT_UNITS)
+    demand = Demand(total / SLOT_UNITS, movable / SLOT_UNITS, rate / RATE_UNITS)
     return ServiceReport(
         None if total == UNKNOWN_DEMAND else demand,
         {region: each / FRACTION_UNITS for region, each in fractions.items()},
--- a/src/heathercleat/steering/process/capacity/overflow_fractions.py
+++ b/src/heathercleat/steering/process/capacity/overflow_fractions.py
@@ -9,6 +9,8 @@
 #: Increase of the fraction, or decrease, that is not worth the uncached objects.
 MIN_RISE = 0.02
 MIN_FALL = 0.1
+#: Lowest movable demand in slots by which spare slots are divided.
+MIN_MOVABLE = 0.01
 
 
 class RegionLoad:
@@ -17,15 +19,17 @@
     :param demand: slots that the requests of the region's clients need, or ``None`` if
         unknown.
     :param movable: slots that those of them need which other regions may serve.
+    :param run_seconds: mean time of a request at the region's targets, or ``None``.
     :param slots: usable slots of the region.
     :param fractions: fraction of the region's objects that go to each other region.
     """
 
-    __slots__ = ("demand", "movable", "slots", "fractions")
+    __slots__ = ("demand", "movable", "run_seconds", "slots", "fractions")
 
-    def __init__(self, demand, movable, slots, fractions):
+    def __init__(self, demand, movable, run_seconds, slots, fractions):
         self.demand = demand
         self.movable = movable
+        self.run_seconds = run_seconds
         self.slots = slots
         self.fractions = fractions
 
@@ -34,6 +38,21 @@
         """Return the slots for which demand is planned."""
         return TARGET_UTILISATION * self.slots
 
+    @property
+    def utilisation(self):
+        """Return the slots that the objects which stay need, divided by all slots."""
+        stays = self.demand - sum(self.fractions.values()) * self.movable
+        return stays / self.slots if self.slots else float("inf")
+
+    def movable_at(self, other):
+        """Return the slots that the movable requests need in another region.
+
+        They take less time there if that region keeps more of its objects cached.
+        """
+        if not self.run_seconds or not other.run_seconds:
+            return self.movable
+        return self.movable * other.run_seconds / self.run_seconds
+
 
 def required_fraction(load):
     """Return the fraction of a region's movable objects that it has no slots for."""
@@ -53,59 +72,59 @@
     if load.demand is None or load.fractions.get(own_region):
         return None
     used = load.demand + sum(
-        other.fractions.get(region, 0.0) * other.movable for other in loads.values()
+        other.fractions.get(region, 0.0) * other.movable_at(load)
+        for other in loads.values()
     )
-    return load.planned_slots - used
+    # Where slots are short everywhere, both regions are used alike.
+    utilisation = min(1.0, max(TARGET_UTILISATION, loads[own_region].utilisation))
+    return utilisation * load.slots - used
 
 
-def next_fractions(own_region, loads, max_change):
+def next_fractions(own_region, loads, required, max_change):
     """Return the next fractions of a region's objects for each other region.
 
     :param loads: the :class:`RegionLoad` of each region.
+    :param required: sum of the fractions that the region needs.
     :param max_change: maximum change of the fractions, in sum.
     """
     own = loads[own_region]
     if own.demand is None:
         return own.fractions
     spare = {
-        region: slots
+        region: slots / max(own.movable_at(loads[region]), MIN_MOVABLE)
         for region in sorted(loads)
         if region != own_region
         and (slots := spare_slots(region, loads, own_region)) is not None
     }
     fractions = dict(own.fractions)
-    left = _withdraw(fractions, spare, own.movable, max_change)
-    required = required_fraction(own)
+    left = _withdraw(fractions, spare, max_change)
     missing = required - sum(fractions.values())
     if missing > MIN_RISE:
-        _raise(fractions, spare, own.movable, min(left, missing))
+        _raise(fractions, spare, min(left, missing))
     elif missing < -MIN_FALL or not required:
         _lower(fractions, spare, min(left, -missing))
     return {region: each for region, each in fractions.items() if each > 0.0}
 
 
-def _withdraw(fractions, spare, movable, max_change):
-    """Lower the fractions for regions without the slots; return the change left."""
+def _withdraw(fractions, spare, max_change):
+    """Lower the fractions for regions without the slots; return the change left.
+
+    :param spare: fraction of the objects that each region can take in addition.
+    """
     left = max_change
     for region, fraction in fractions.items():
-        slots = spare.get(region)
-        if slots is None:
-            excess = fraction
-        elif slots < 0.0 and movable:
-            excess = min(fraction, -slots / movable)
-        else:
-            continue
-        change = min(left, excess)
+        excess = min(fraction, -spare[region]) if region in spare else fraction
+        change = min(left, max(0.0, excess))
         fractions[region] -= change
         left -= change
     return left
 
 
-def _raise(fractions, spare, movable, change):
+def _raise(fractions, spare, change):
     """Raise the fraction for the region with the most spare slots."""
     region = max(spare, key=lambda each: spare[each], default=None)
     if region is not None and spare[region] > 0.0:
-        change = min(change, spare[region] / movable)
+        change = min(change, spare[region])
         fractions[region] = fractions.get(region, 0.0) + change
 
 
--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -8,6 +8,7 @@
 
 from heathercleat.events import Event
 from heathercleat.process.clock import DISTANT_PAST
+from heathercleat.steering.process.capacity.cache_shortage import CacheShortage
 from heathercleat.steering.process.capacity.demand_meter import Demand, DemandMeter
 from heathercleat.steering.process.capacity.demand_reports import (
     REPORT_TTL_SECONDS,
@@ -19,6 +20,7 @@
 from heathercleat.steering.process.capacity.overflow_fractions import (
     RegionLoad,
     next_fractions,
+    required_fraction,
 )
 from heathercleat.steering.process.capacity.peak_demand import PeakDemand
 from heathercleat.version.hashing import part_of
@@ -59,6 +61,7 @@
     :ivar fractions: fraction of the own region's objects for each other region.
     :ivar loads: the :class:`RegionLoad` of each region.
     :ivar peak: the :class:`PeakDemand` of the own region.
+    :ivar cache_shortage: the :class:`CacheShortage` of the own region.
     :ivar starts_until: instant until which this VM counts as just started; ``None``
         while the demand of its clients is not known.
     :ivar follows_peers: whether to take the fractions of the other VMs of the region
@@ -70,6 +73,7 @@
         "fractions",
         "loads",
         "peak",
+        "cache_shortage",
         "starts_until",
         "follows_peers",
         "peers_since",
@@ -77,10 +81,11 @@
         "_next_log_at",
     )
 
-    def __init__(self):
+    def __init__(self, now):
         self.fractions = {}
         self.loads = {}
         self.peak = PeakDemand()
+        self.cache_shortage = CacheShortage(now)
         self.starts_until = None
         self.follows_peers = True
         self.peers_since = None
@@ -272,7 +277,7 @@
     def _update_service(self, service, max_change, now):
         overflow = self._services.get(service)
         if overflow is None:
-            overflow = self._services[service] = ServiceOverflow()
+            overflow = self._services[service] = ServiceOverflow(now)
             self._journal.write(
                 Event.AFFINITY_SCOPE_CHANGED, service=service, by_region=True
             )
@@ -292,27 +297,36 @@
 
         :param peers: the fractions at the other VMs of this region.
         """
-        loads = self._with_peak(overflow, now)
+        required = self._required_fraction(overflow, now)
+        own_region, loads = self.own_region, overflow.loads
         if not overflow.is_starting(now):
-            fractions = next_fractions(self.own_region, loads, max_change)
+            fractions = next_fractions(own_region, loads, required, max_change)
             return _limit_deviation(fractions, peers)
         if not overflow.follows_peers:
-            return next_fractions(self.own_region, loads, 1.0)
+            return next_fractions(own_region, loads, required, 1.0)
         if peers:
             return _median(peers)
         if now < self._held_until:
             return overflow.fractions
-        return next_fractions(self.own_region, loads, max_change)
+        return next_fractions(own_region, loads, required, max_change)
 
-    def _with_peak(self, overflow, now):
-        """Return the loads with the peak demand of this region."""
+    def _required_fraction(self, overflow, now):
+        """Return the fraction that this region needs, for slots and cached objects."""
         load = overflow.loads[self.own_region]
         if not load.demand:
-            return overflow.loads
+            return 0.0
         peak = overflow.peak.record(load.demand, now)
         movable = load.movable * peak / load.demand
-        planned = RegionLoad(peak, movable, load.slots, load.fractions)
-        return {**overflow.loads, self.own_region: planned}
+        planned = RegionLoad(
+            peak, movable, load.run_seconds, load.slots, load.fractions
+        )
+        others = (
+            each.run_seconds
+            for region, each in overflow.loads.items()
+            if region != self.own_region and each.run_seconds
+        )
+        uncached = overflow.cache_shortage.update(load, min(others, default=None), now)
+        return max(required_fraction(planned), uncached)
 
     def _peer_fractions(self, service):
         """Return the fractions in use at the other VMs of this region."""
@@ -334,9 +348,11 @@
         demand = self._demand(service, region)
         candidates = region_targets.candidates if region_targets else ()
         now = self._clock.now()
+        is_known = demand is not None
         return RegionLoad(
-            None if demand is None else demand.total,
-            0.0 if demand is None else demand.movable,
+            demand.total if is_known else None,
+            demand.movable if is_known else 0.0,
+            demand.total / demand.rate if is_known and demand.rate else None,
             sum(_usable_slots(each, now) for each in candidates),
             self._fractions(service, region),
         )
--- a/tests/test_overflow_fractions.py
+++ b/tests/test_overflow_fractions.py
@@ -7,6 +7,7 @@
     MIN_RISE,
     RegionLoad,
     next_fractions,
+    required_fraction,
     spare_slots,
 )
 
@@ -15,15 +16,18 @@
 
 def load(demand, slots, movable=None, **fractions):
     movable = (demand or 0.0) if movable is None else movable
-    return RegionLoad(demand, movable, slots, fractions)
+    return RegionLoad(demand, movable, 0.3, slots, fractions)
+
+
+def advance(region, loads):
+    required = required_fraction(loads[region]) if loads[region].demand else 0.0
+    return next_fractions(region, loads, required, MAX_CHANGE)
 
 
 def settle(loads, rounds=200):
     """Let every region change its fractions until they settle."""
     for _ in range(rounds):
-        changed = {
-            region: next_fractions(region, loads, MAX_CHANGE) for region in loads
-        }
+        changed = {region: advance(region, loads) for region in loads}
         for region, fractions in changed.items():
             loads[region].fractions = fractions
     return loads
@@ -38,7 +42,7 @@
 def test_fraction_rises_by_at_most_the_allowed_change():
     """A jump moves more of a region's requests at once than is allowed."""
     loads = {"a": load(100, 400), "b": load(400, 90)}
-    assert next_fractions("b", loads, MAX_CHANGE) == {"a": MAX_CHANGE}
+    assert advance("b", loads) == {"a": MAX_CHANGE}
 
 
 def test_short_regions_do_not_exchange_work():
@@ -49,7 +53,7 @@
 def test_region_sends_nothing_to_one_that_sends_work_to_it():
     loads = {"a": load(50, 100, b=0.1), "b": load(100, 90)}
     assert spare_slots("a", loads, "b") is None
-    assert next_fractions("b", loads, MAX_CHANGE) == {}
+    assert advance("b", loads) == {}
 
 
 def test_two_short_regions_share_the_spare_slots_of_the_third():
@@ -62,7 +66,7 @@
     """Guards against a fraction that follows each report."""
     for demand in (99, 100, 101, 102):
         loads = {"a": load(100, 400), "b": load(demand, 90, a=0.24)}
-        assert next_fractions("b", loads, MAX_CHANGE) == {"a": 0.24}
+        assert advance("b", loads) == {"a": 0.24}
 
 
 @pytest.mark.parametrize(
@@ -71,7 +75,7 @@
 def test_fraction_falls_where_the_other_region_cannot_take_it(other):
     """Demand not reported, work sent the other way, or too few slots."""
     loads = {"a": other, "b": load(100, 90, a=0.24)}
-    assert next_fractions("b", loads, MAX_CHANGE) == {"a": 0.24 - MAX_CHANGE}
+    assert advance("b", loads) == {"a": 0.24 - MAX_CHANGE}
 
 
 def test_fraction_ends_when_demand_fits():
