Send objects that a region cannot keep cached elsewhere, too

With few requests, a region has the slots to serve objects uncached, so that demand does not show that its targets cannot keep them. Spare slots are measured by what the requests need there, and regions are used alike where one is short; they are chosen by the peak of their demand.

--- a/src/heathercleat/steering/process/capacity/overflow_fractions.py
+++ b/src/heathercleat/steering/process/capacity/overflow_fractions.py
@@ -6,9 +6,16 @@
 #: Share of the usable slots for which demand is planned. Demand rises by up to 55% in
 #: 9 s, faster than the fractions may, and requests for the same object arrive together.
 TARGET_UTILISATION = 0.85
+#: Highest utilisation of a region by its own demand and that of a region that is short.
+#: Above 1, callers of both wait; without it, all callers of the smaller one are late.
+MAX_UTILISATION = 1.5
 #: Increase of the fraction, or decrease, that is not worth the uncached objects.
 MIN_RISE = 0.02
-MIN_FALL = 0.1
+MIN_FALL = 0.05
+#: Difference of headroom, as a fraction of the objects, from which objects move from
+#: one other region to another, and the share of the allowed change that this may use.
+MIN_IMBALANCE = 0.2
+BALANCE_SHARE = 0.1
 #: Lowest movable demand in slots by which spare slots are divided.
 MIN_MOVABLE = 0.01
 
@@ -75,15 +82,19 @@
         other.fractions.get(region, 0.0) * other.movable_at(load)
         for other in loads.values()
     )
-    # Where slots are short everywhere, both regions are used alike.
-    utilisation = min(1.0, max(TARGET_UTILISATION, loads[own_region].utilisation))
-    return utilisation * load.slots - used
+    if load.demand >= load.slots:
+        return load.planned_slots - used
+    # Where the region that sends is short of slots all the same, both are used alike.
+    utilisation = max(TARGET_UTILISATION, loads[own_region].utilisation)
+    return min(MAX_UTILISATION, utilisation) * load.slots - used
 
 
-def next_fractions(own_region, loads, required, max_change):
+def next_fractions(own_region, loads, peaks, required, max_change):
     """Return the next fractions of a region's objects for each other region.
 
     :param loads: the :class:`RegionLoad` of each region.
+    :param peaks: the highest recent demand of each region. It decides which of several
+        regions serves the objects, so that they do not move with each wave.
     :param required: sum of the fractions that the region needs.
     :param max_change: maximum change of the fractions, in sum.
     """
@@ -98,14 +109,26 @@
     }
     fractions = dict(own.fractions)
     left = _withdraw(fractions, spare, max_change)
+    headroom = {
+        region: _headroom(loads[region], peaks.get(region, 0.0), own)
+        - fractions.get(region, 0.0)
+        for region in spare
+    }
     missing = required - sum(fractions.values())
     if missing > MIN_RISE:
-        _raise(fractions, spare, min(left, missing))
+        _raise(fractions, spare, headroom, min(left, missing))
     elif missing < -MIN_FALL or not required:
-        _lower(fractions, spare, min(left, -missing))
+        _lower(fractions, headroom, min(left, -missing))
+    else:
+        _balance(fractions, spare, headroom, BALANCE_SHARE * left)
     return {region: each for region, each in fractions.items() if each > 0.0}
 
 
+def _headroom(load, peak, own):
+    """Return the fraction of the own region's objects that fits at peak demand."""
+    return (load.planned_slots - peak) / max(own.movable_at(load), MIN_MOVABLE)
+
+
 def _withdraw(fractions, spare, max_change):
     """Lower the fractions for regions without the slots; return the change left.
 
@@ -120,17 +143,29 @@
     return left
 
 
-def _raise(fractions, spare, change):
-    """Raise the fraction for the region with the most spare slots."""
-    region = max(spare, key=lambda each: spare[each], default=None)
-    if region is not None and spare[region] > 0.0:
+def _raise(fractions, spare, headroom, change):
+    """Raise the fraction for the region with spare slots and the most headroom."""
+    regions = [each for each, fraction in spare.items() if fraction > 0.0]
+    region = max(regions, key=lambda each: headroom[each], default=None)
+    if region is not None:
         change = min(change, spare[region])
         fractions[region] = fractions.get(region, 0.0) + change
 
 
-def _lower(fractions, spare, change):
-    """Lower the fractions, first the one for the region with the fewest spare slots."""
-    for region in sorted(fractions, key=lambda each: spare.get(each, 0.0)):
+def _balance(fractions, spare, headroom, max_change):
+    """Move objects from the region with the least headroom to that with the most."""
+    regions = sorted(headroom, key=lambda each: headroom[each])
+    used = [each for each in regions if fractions.get(each)]
+    if not used or headroom[regions[-1]] - headroom[used[0]] < MIN_IMBALANCE:
+        return
+    change = min(max_change, fractions[used[0]], max(0.0, spare[regions[-1]]))
+    fractions[used[0]] -= change
+    fractions[regions[-1]] = fractions.get(regions[-1], 0.0) + change
+
+
+def _lower(fractions, headroom, change):
+    """Lower the fractions, first the one for the region with the least headroom."""
+    for region in sorted(fractions, key=lambda each: headroom.get(each, 0.0)):
         lowered = min(change, fractions[region])
         fractions[region] -= lowered
         change -= lowered
--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -40,9 +40,11 @@
 SHIFT_SHARE = 0.5
 #: Period of the allowed shift, in seconds.
 SHIFT_SECONDS = 2.0
-#: Seconds after a start of all VMs of a region in which the fractions may change at any
-#: rate. All objects are uncached then, so that a region with few slots cannot wait.
+#: Seconds after a start of all VMs of a region in which fractions may change faster,
+#: and by how much. All objects are uncached then, so that a region with few slots
+#: cannot wait; the change is small enough to use several regions alike.
 START_SECONDS = 4.0
+START_CHANGE = 0.1
 #: Seconds for which other VMs of the region have to have reported their demand for a
 #: VM that starts to follow them; VMs that start together differ by less.
 FOLLOW_SECONDS = 1.0
@@ -60,7 +62,7 @@
 
     :ivar fractions: fraction of the own region's objects for each other region.
     :ivar loads: the :class:`RegionLoad` of each region.
-    :ivar peak: the :class:`PeakDemand` of the own region.
+    :ivar peaks: the :class:`PeakDemand` of each region.
     :ivar cache_shortage: the :class:`CacheShortage` of the own region.
     :ivar starts_until: instant until which this VM counts as just started; ``None``
         while the demand of its clients is not known.
@@ -72,7 +74,7 @@
     __slots__ = (
         "fractions",
         "loads",
-        "peak",
+        "peaks",
         "cache_shortage",
         "starts_until",
         "follows_peers",
@@ -84,7 +86,7 @@
     def __init__(self, now):
         self.fractions = {}
         self.loads = {}
-        self.peak = PeakDemand()
+        self.peaks = {}
         self.cache_shortage = CacheShortage(now)
         self.starts_until = None
         self.follows_peers = True
@@ -108,6 +110,14 @@
         self.starts_until = now + START_SECONDS
         self.follows_peers = True
 
+    def record_peaks(self, now):
+        """Record the present demand; return the highest recent one of each region."""
+        return {
+            region: self.peaks.setdefault(region, PeakDemand()).record(load.demand, now)
+            for region, load in self.loads.items()
+            if load.demand is not None
+        }
+
     def pop_logged_change(self, now):
         """Return the fractions logged last if a change has to be logged now."""
         regions = self.fractions.keys() | self._logged.keys()
@@ -297,25 +307,30 @@
 
         :param peers: the fractions at the other VMs of this region.
         """
-        required = self._required_fraction(overflow, now)
-        own_region, loads = self.own_region, overflow.loads
-        if not overflow.is_starting(now):
-            fractions = next_fractions(own_region, loads, required, max_change)
-            return _limit_deviation(fractions, peers)
-        if not overflow.follows_peers:
-            return next_fractions(own_region, loads, required, 1.0)
-        if peers:
-            return _median(peers)
-        if now < self._held_until:
-            return overflow.fractions
-        return next_fractions(own_region, loads, required, max_change)
-
-    def _required_fraction(self, overflow, now):
+        peaks = overflow.record_peaks(now)
+        required = self._required_fraction(overflow, peaks, now)
+        is_starting = overflow.is_starting(now)
+        if is_starting and overflow.follows_peers:
+            if peers:
+                return _median(peers)
+            if now < self._held_until:
+                return overflow.fractions
+        is_first = is_starting and not overflow.follows_peers
+        fractions = next_fractions(
+            self.own_region,
+            overflow.loads,
+            peaks,
+            required,
+            START_CHANGE if is_first else max_change,
+        )
+        return fractions if is_starting else _limit_deviation(fractions, peers)
+
+    def _required_fraction(self, overflow, peaks, now):
         """Return the fraction that this region needs, for slots and cached objects."""
         load = overflow.loads[self.own_region]
         if not load.demand:
             return 0.0
-        peak = overflow.peak.record(load.demand, now)
+        peak = peaks[self.own_region]
         movable = load.movable * peak / load.demand
         planned = RegionLoad(
             peak, movable, load.run_seconds, load.slots, load.fractions
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1222,8 +1222,8 @@
     Mutation(
         "SHIFT-overflow-fraction",
         f"{STEERING}/process/capacity/overflow_fractions.py",
-        "_raise(fractions, spare, min(left, missing))",
-        "_raise(fractions, spare, missing)",
+        "_raise(fractions, spare, headroom, min(left, missing))",
+        "_raise(fractions, spare, headroom, missing)",
         "tests/test_overflow_fractions.py",
     ),
 )
