--- a/src/heathercleat/steering/process/capacity/overflow_fractions.py
+++ b/src/heathercleat/steering/process/capacity/overflow_fractions.py
@@ -82,11 +82,11 @@
         other.fractions.get(region, 0.0) * other.movable_at(load)
         for other in loads.values()
     )
-    if load.demand >= load.slots:
-        return load.planned_slots - used
     # Where the region that sends is short of slots all the same, both are used alike.
     utilisation = max(TARGET_UTILISATION, loads[own_region].utilisation)
-    return min(MAX_UTILISATION, utilisation) * load.slots - used
+    spare = min(MAX_UTILISATION, utilisation) * load.slots - used
+    # A region that its own demand makes short gets no more.
+    return min(0.0, spare) if load.demand >= load.slots else spare
 
 
 def next_fractions(own_region, loads, peaks, required, max_change):
--- a/standins/region_simulation.py
+++ b/standins/region_simulation.py
@@ -179,10 +179,12 @@
 
     :param approach: ``global`` for one affinity target over all regions, ``regional``
         for one in each region, or ``overflow`` for the latter with overflow by demand.
+    :param wave: share by which the demand rises and falls.
     :param loss: share of the reports that are lost.
+    :param load: factor of the rate of all requests.
     """
 
-    def __init__(self, approach, seed=1, wave=WAVE_SHARE, loss=0.025):
+    def __init__(self, approach, seed=1, wave=WAVE_SHARE, loss=0.025, load=1.0):
         self.approach = approach
         self.time = 0.0
         self.requests = []
@@ -190,6 +192,7 @@
         self.cut_regions = set()
         self.loss = loss
         self._wave = wave
+        self._load = load
         self._random = Random(seed)
         self._events = []
         self._number = 0
@@ -262,7 +265,7 @@
         """Return the requests per second of a region's callers."""
         phase = self.time / WAVE_SECONDS + REGIONS.index(region) / len(REGIONS)
         mean = sum(each.rate for each in ROUTES) / len(REGIONS)
-        return mean * (1.0 + self._wave * sin(2 * pi * phase))
+        return self._load * mean * (1.0 + self._wave * sin(2 * pi * phase))
 
     def _arrive(self, region):
         self._push(self._random.expovariate(self._rate(region)), self._arrive, region)
--- a/tests/test_region_overflow.py
+++ b/tests/test_region_overflow.py
@@ -86,6 +86,14 @@
             assert max(simulations["overflow"].fractions(region)) == 0.0
 
 
+def test_objects_that_a_region_cannot_keep_cached_go_elsewhere():
+    """With few requests, slots suffice for uncached objects, but these are late."""
+    simulation = RegionSimulation("overflow", load=0.4)
+    simulation.run_until(END_SECONDS)
+    assert outcome(simulation).served(SHORT_REGION) > 0.9
+    assert max(simulation.fractions("east") + simulation.fractions("west")) == 0.0
+
+
 def test_cut_link_brings_objects_home_and_back(running):
     running.cut_regions = {SHORT_REGION}
     running.run_until(WARM_SECONDS + 2.0)
