--- a/src/heathercleat/steering/process/capacity/cache_shortage.py
+++ b/src/heathercleat/steering/process/capacity/cache_shortage.py
@@ -20,27 +20,46 @@
 FALL_PER_SECOND = 0.002
 
 
+def uneven_fraction(region, loads):
+    """Return the fraction of a region's objects beyond its share of all slots.
+
+    Without it, each target of a region with few targets has to cache more objects than
+    those of other regions.
+
+    :param loads: the :class:`RegionLoad` of each region.
+    """
+    total = sum(each.slots for each in loads.values())
+    even = total / len(loads)
+    return max(0.0, 1.0 - loads[region].slots / even) if even else 0.0
+
+
 class CacheShortage:
     """The fraction of a region's objects that its targets cannot keep cached.
 
+    It starts with what is beyond the region's share of all slots, since missing cache
+    shows in response times only seconds after the objects have been evicted.
+
     :param now: when the requests of the region were first observed.
     """
 
     __slots__ = ("_fraction", "_updated_at", "_warm_at")
 
     def __init__(self, now):
-        self._fraction = 0.0
+        self._fraction = None
         self._updated_at = now
         self._warm_at = now + WARM_UP_SECONDS
 
-    def update(self, load, shortest_run, now):
+    def update(self, load, shortest_run, uneven, now):
         """Return the fraction after a new report.
 
+        :param uneven: see :func:`uneven_fraction`.
         :param load: the :class:`RegionLoad` of the region.
         :param shortest_run: mean seconds of a request at the targets of the region
             where they are lowest, or ``None`` if unknown.
         """
         seconds, self._updated_at = now - self._updated_at, now
+        if self._fraction is None:
+            self._fraction = uneven
         if now < self._warm_at or not load.run_seconds or not shortest_run:
             return self._fraction
         ratio = load.run_seconds / shortest_run
--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -8,7 +8,10 @@
 
 from heathercleat.events import Event
 from heathercleat.process.clock import DISTANT_PAST
-from heathercleat.steering.process.capacity.cache_shortage import CacheShortage
+from heathercleat.steering.process.capacity.cache_shortage import (
+    CacheShortage,
+    uneven_fraction,
+)
 from heathercleat.steering.process.capacity.demand_meter import Demand, DemandMeter
 from heathercleat.steering.process.capacity.demand_reports import (
     REPORT_TTL_SECONDS,
@@ -340,7 +343,12 @@
             for region, each in overflow.loads.items()
             if region != self.own_region and each.run_seconds
         )
-        uncached = overflow.cache_shortage.update(load, min(others, default=None), now)
+        uncached = overflow.cache_shortage.update(
+            load,
+            min(others, default=None),
+            uneven_fraction(self.own_region, overflow.loads),
+            now,
+        )
         return max(required_fraction(planned), uncached)
 
     def _peer_fractions(self, service):
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -7,6 +7,9 @@
 #: addition to the round trip. On a machine that others slow down, work takes up to 2.5
 #: times as long; such requests would otherwise be late in another region only.
 MAX_SLOWDOWN = 2.5
+#: Time for a cached object as a share of the latency objective, until measured. Work on
+#: an object that is not cached takes as long as the objective, or longer.
+USUAL_CACHED_SHARE = 0.35
 
 
 class ObjectOverflow:
@@ -88,11 +91,11 @@
     def _bears_round_trip(self, route, round_trip):
         """Return whether responses of another region are in time.
 
-        Not while the time for a cached object is unknown, since the first response
-        times are those of objects that are not cached yet.
+        While the time for a cached object is unknown, it is assumed to be a usual part
+        of the latency objective: the first response times are those of objects that are
+        not cached yet.
         """
         cached = self._estimates.cached_response_time(route)
-        return (
-            cached is not None
-            and MAX_SLOWDOWN * cached + round_trip <= route.latency_objective
-        )
+        if cached is None:
+            cached = USUAL_CACHED_SHARE * route.latency_objective
+        return MAX_SLOWDOWN * cached + round_trip <= route.latency_objective
