--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -166,8 +166,12 @@
 
     def is_in_effect(self, service):
         """Return whether the objects of a service have an affinity target by region."""
+        return self._settings.is_contended or self.has_speed_reports(service)
+
+    def has_speed_reports(self, service):
+        """Return whether targets of a service reported the speed of their machines."""
         until = self._speed_reports_until.get(service, DISTANT_PAST)
-        return self._settings.is_contended or self._clock.now() < until
+        return self._clock.now() < until
 
     def record_speed_report(self, service):
         """Record that a target of a service reported the speed of its machine."""
@@ -274,6 +278,11 @@
         self._reports = {
             vm: each for vm, each in self._reports.items() if each.is_valid(now)
         }
+        self._speed_reports_until = {
+            service: until
+            for service, until in self._speed_reports_until.items()
+            if now < until
+        }
         services = self._services_in_effect()
         self._drop_services_except(services)
         shift_rate = SHIFT_SHARE * self._settings.bounds.shift_share / SHIFT_SECONDS
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -1,15 +1,18 @@
 """Affinity targets by region: in the own region unless the object overflows."""
 
 from heathercleat.steering.request.destinations import LARGE_BODY_BYTES
+from heathercleat.steering.request.wait_policy import RESPONSE_TIME_FACTOR
 from heathercleat.version.hashing import rendezvous_weight
 
-#: Multiple of the time for a cached object that the latency objective has to cover in
-#: addition to the round trip. On a machine that others slow down, work takes up to 2.5
-#: times as long; such requests would otherwise be late in another region only.
-MAX_SLOWDOWN = 2.5
-#: Time for a cached object as a share of the latency objective, until measured. Work on
-#: an object that is not cached takes as long as the objective, or longer.
-USUAL_CACHED_SHARE = 0.35
+#: Multiple of the usual time for a cached object that the latency objective has to cover
+#: in addition to the round trip, if targets share their machines. On a slow one, work
+#: takes 2.5 times as long for about 0.6 s, so that most requests take less than 2.25
+#: times as long. Without this margin, they would be late in another region only.
+MAX_SLOWDOWN = 2.25
+#: Time for a cached object as a share of the latency objective, until measured. A
+#: target that has an object cached does 0.3 of the work, and all of the work takes about
+#: as long as the objective.
+USUAL_CACHED_SHARE = 0.3
 
 
 class ObjectOverflow:
@@ -64,7 +67,7 @@
             is_first = target_region == region and (
                 not affinity_target.is_remote
                 or self._bears_round_trip(
-                    call.route, self._estimates.round_trip(candidate.owner)
+                    call, self._estimates.round_trip(candidate.owner)
                 )
             )
             weight = rendezvous_weight(call.affinity, candidate.entry.id)
@@ -84,18 +87,19 @@
             if member.region != self._demand.own_region
             and call.route.allows(member.region)
         ]
-        return bool(round_trips) and self._bears_round_trip(
-            call.route, min(round_trips)
-        )
+        return bool(round_trips) and self._bears_round_trip(call, min(round_trips))
 
-    def _bears_round_trip(self, route, round_trip):
+    def _bears_round_trip(self, call, round_trip):
         """Return whether responses of another region are in time.
 
         While the time for a cached object is unknown, it is assumed to be a usual part
         of the latency objective: the first response times are those of objects that are
         not cached yet.
         """
-        cached = self._estimates.cached_response_time(route)
+        objective = call.route.latency_objective
+        cached = self._estimates.cached_response_time(call.route)
         if cached is None:
-            cached = USUAL_CACHED_SHARE * route.latency_objective
-        return MAX_SLOWDOWN * cached + round_trip <= route.latency_objective
+            cached = USUAL_CACHED_SHARE * objective
+        has_slow_machines = self._demand.has_speed_reports(call.service)
+        slowdown = MAX_SLOWDOWN if has_slow_machines else 1.0
+        return RESPONSE_TIME_FACTOR * slowdown * cached + round_trip <= objective
