--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -165,11 +165,11 @@
         return self._members.own.region
 
     def is_in_effect(self, service):
-        """Return whether the objects of a service have an affinity target by region."""
-        return self._settings.is_contended or self.has_speed_reports(service)
+        """Return whether the objects of a service have an affinity target by region.
 
-    def has_speed_reports(self, service):
-        """Return whether targets of a service reported the speed of their machines."""
+        This is so while its targets report the speed of their machines: on a slow one,
+        a request takes so long that a round trip to another region makes it late.
+        """
         until = self._speed_reports_until.get(service, DISTANT_PAST)
         return self._clock.now() < until
 
@@ -214,7 +214,7 @@
         # Most VMs only answer lookups and have no clients.
         if self._members.own not in self._members.strong_serving():
             services = [each for each in services if each in self._meter.services]
-        if not services and not self._settings.is_contended:
+        if not services:
             return None
         return pack_report({service: self._own_report(service) for service in services})
 
@@ -246,14 +246,9 @@
     def _services_in_effect(self):
         """Return the names of the services in effect."""
         now = self._clock.now()
-        services = {
+        return sorted(
             each for each, until in self._speed_reports_until.items() if now < until
-        }
-        if self._settings.is_contended:
-            services |= self._meter.services
-            for report in self._reports.values():
-                services |= report.services.keys()
-        return sorted(services)
+        )
 
     def _own_report(self, service):
         """Return the :class:`ServiceReport` of this VM."""
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -4,14 +4,14 @@
 from heathercleat.steering.request.wait_policy import RESPONSE_TIME_FACTOR
 from heathercleat.version.hashing import rendezvous_weight
 
-#: Multiple of the usual time for a cached object that the latency objective has to cover
-#: in addition to the round trip, if targets share their machines. On a slow one, work
-#: takes 2.5 times as long for about 0.6 s, so that most requests take less than 2.25
-#: times as long. Without this margin, they would be late in another region only.
+#: Multiple of the usual time for a cached object that the latency objective has to
+#: cover in addition to the round trip. On a slow machine, work takes 2.5 times as long
+#: for about 0.6 s, so that most requests take less than 2.25 times as long. Without
+#: this margin, they would be late in another region only.
 MAX_SLOWDOWN = 2.25
 #: Time for a cached object as a share of the latency objective, until measured. A
-#: target that has an object cached does 0.3 of the work, and all of the work takes about
-#: as long as the objective.
+#: target that has an object cached does 0.3 of the work, and all of the work takes
+#: about as long as the objective.
 USUAL_CACHED_SHARE = 0.3
 
 
@@ -100,6 +100,5 @@
         cached = self._estimates.cached_response_time(call.route)
         if cached is None:
             cached = USUAL_CACHED_SHARE * objective
-        has_slow_machines = self._demand.has_speed_reports(call.service)
-        slowdown = MAX_SLOWDOWN if has_slow_machines else 1.0
-        return RESPONSE_TIME_FACTOR * slowdown * cached + round_trip <= objective
+        run_seconds = RESPONSE_TIME_FACTOR * MAX_SLOWDOWN * cached
+        return run_seconds + round_trip <= objective
