--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -6,6 +6,7 @@
     CONNECT_TIMEOUT_SECONDS,
     CrashDetector,
 )
+from heathercleat.steering.process.capacity.speed_log import SpeedLog
 from heathercleat.steering.process.shutdown import LEAVING_REASON
 from heathercleat.steering.request.attempt_result import (
     CLIENT_LEFT_REASON,
@@ -41,6 +42,8 @@
     :param suspects: the :class:`Suspects`.
     :param reachability: the :class:`TargetReachability`.
     :param target_bodies: the :class:`TargetBodies`, or ``None`` for no limit.
+    :param record_speed_report: called with the service of a target that reported the
+        speed of its machine.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         journal,
         clock,
         target_bodies=None,
+        record_speed_report=lambda service: None,
     ):
         self._admission = admission
         self._ledger = ledger
@@ -68,9 +72,11 @@
         self._crash_detector = CrashDetector(pool, reachability.is_any_reachable, clock)
         self._suspects = suspects
         self._reachability = reachability
+        self._speed_log = SpeedLog(journal)
         self._journal = journal
         self._clock = clock
         self._target_bodies = target_bodies
+        self._record_speed_report = record_speed_report
 
     async def run(self, call, preferred, avoid, wait_until):
         """Return the :class:`AttemptResult` of one attempt.
@@ -220,7 +226,11 @@
     def _record_result(self, call, slot_use, head, result, is_affinity_target):
         target, now = slot_use.target, self._clock.now()
         if head is not None:
+            was_slow = target.speed.is_slow(now)
             target.record_response(head, now)
+            self._speed_log.record_response(target, was_slow, now)
+            if head.slowdown is not None:
+                self._record_speed_report(call.service)
         if call.is_disconnected:
             return
         if result.outcome is AttemptOutcome.ANSWERED:
--- a/standins/slotted_target.py
+++ b/standins/slotted_target.py
@@ -15,7 +15,8 @@
 
 ``limit`` is named in each response as the requests per second that the target accepts.
 ``leaving`` makes each response say that the target shuts down soon. ``rest_s`` is the
-time for which a refusal asks for no requests, in seconds.
+time for which a refusal asks for no requests, in seconds. ``slowdown`` multiplies the
+work and is the fourth field of the load in responses, in percent.
 
 ``read_pause_s`` is the time before the body of a request is read, in seconds. A request
 with the query ``?bytes=N`` gets a response of at least N bytes.
@@ -94,6 +95,7 @@
             "limit": None,
             "leaving": False,
             "rest_s": None,
+            "slowdown": None,
             "fatal": [],
             "down_s": 2.0,
             "store": None,
@@ -221,8 +223,11 @@
         self._cached_objects.move_to_end(object_key)
         while len(self._cached_objects) > self._switches["remembers"]:
             self._cached_objects.popitem(last=False)
-        return self._switches["work_s"] * (
-            1.0 if is_cached else self._switches["learning_x"]
+        return (
+            self._switches["work_s"]
+            * (1.0 if is_cached else self._switches["learning_x"])
+            * (self._switches["slowdown"] or 100)
+            / 100
         )
 
     def _must_shed(self):
@@ -240,6 +245,8 @@
 
     async def _respond(self, stream, id_header, body, size):
         load = f"{self._running},0,{self._slots}".encode()
+        if self._switches["slowdown"] is not None:
+            load += f",{self._switches['slowdown']}".encode()
         headers = [*id_header, (TARGET_LOAD, load), *self._notices()]
         if not self._switches["unsigned"]:
             headers.append((RESPONSE_SIGNATURE, b"signed"))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -1225,6 +1225,13 @@
         "excess = self._held - self._unwritten",
         "tests/test_response_memory.py",
     ),
+    Mutation(
+        "SPEED-of-machines-ignored",
+        f"{STEERING}/process/capacity/machine_speed.py",
+        "return best if is_earlier else first",
+        "return first",
+        "tests/test_machine_speed.py",
+    ),
     Mutation(
         "DRAINED-vm-polled",
         f"{PACKAGE}/process/capacity/readiness.py",
@@ -1234,6 +1241,13 @@
         "-k",
         "takes_over",
     ),
+    Mutation(
+        "SHIFT-overflow-fraction",
+        f"{STEERING}/process/capacity/overflow_fractions.py",
+        "_raise(fractions, spare, headroom, min(left, missing))",
+        "_raise(fractions, spare, headroom, missing)",
+        "tests/test_overflow_fractions.py",
+    ),
 )
 
 
