--- a/src/heathercleat/steering/process/capacity/owned_target.py
+++ b/src/heathercleat/steering/process/capacity/owned_target.py
@@ -20,14 +20,17 @@
     """A request that holds a slot of a target.
 
     :param deadline: instant at which the request ends at the latest.
+    :ivar user: the rank and the workspace of the request, see :class:`ShareUsage`;
+        ``None`` until set.
     """
 
-    __slots__ = ("target", "started_at", "deadline")
+    __slots__ = ("target", "started_at", "deadline", "user")
 
     def __init__(self, target, started_at, deadline):
         self.target = target
         self.started_at = started_at
         self.deadline = deadline
+        self.user = None
 
 
 class OwnedTarget:
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -103,16 +103,22 @@
             return self.preferred.index(target_id)
         return len(self.preferred)
 
-    def sort_key(self, now, hold_seconds, target_id):
+    def sort_key(self, now, hold_seconds, target_id, claims=None):
         """Return the sort key by which waiters get a slot of a target, lowest first.
 
         On-time requests come before late ones. Among the on-time requests, retries by
         clients after a refusal come first; then the order is by priority of the route,
         preference for the target and latency objective. Late requests are ordered by
         priority, preference and deadline.
+
+        :param claims: the :class:`Claims`, which put requests of workspaces over their
+            share after others; ``None`` if slots are not divided.
         """
         call = self.call
         preference = self.preference_rank(target_id)
+        if claims is not None:
+            is_late = self.is_late(now, hold_seconds)
+            return claims.sort_key(call, is_late, preference)
         if self.is_late(now, hold_seconds):
             return True, True, call.route.priority, preference, call.deadline
         return (
@@ -123,18 +129,30 @@
             call.soft_deadline,
         )
 
+    def is_deferred(self, now, hold_seconds, claims):
+        """Return whether the request gets only slots that others leave."""
+        is_late = self.is_late(now, hold_seconds)
+        return is_late if claims is None else claims.is_deferred(self.call, is_late)
+
     def is_late(self, now, hold_seconds):
         """Return whether the request would be late if it started now."""
         return now + hold_seconds > self.call.soft_deadline
 
 
 class ServiceQueue:
-    """The waiters of one service at one VM."""
+    """The waiters of one service at one VM.
+
+    :param shares: the :class:`FairShares`; ``None`` if slots are not divided among
+        workspaces.
+    """
 
-    __slots__ = ("waiters", "_mean_hold_seconds", "_spare_share")
+    __slots__ = ("waiters", "_shares", "_mean_hold_seconds", "_spare_share")
 
-    def __init__(self):
+    def __init__(self, shares=None):
         self.waiters = []
+        self._shares = shares
+        if shares is not None:
+            shares.attach(self)
         self._mean_hold_seconds = INITIAL_HOLD_SECONDS
         self._spare_share = 1.0
 
@@ -143,15 +161,25 @@
         """Return the mean time for which a request holds a slot, in seconds."""
         return self._mean_hold_seconds
 
+    @property
+    def spare_share(self):
+        """Return the share of slots left for requests that come after the others."""
+        return max(MIN_SPARE_SHARE, self._spare_share)
+
+    def claims(self):
+        """Return the :class:`Claims` as of now, ``None`` if slots are not divided."""
+        return self._shares and self._shares.claims()
+
     def record_hold(self, seconds):
         """Record the time for which a request held a slot, in seconds."""
         self._mean_hold_seconds += HOLD_WEIGHT * (seconds - self._mean_hold_seconds)
 
     def record_free_slot(self, entry, free, now):
         """Record whether any on-time request can use a released slot."""
+        claims = self.claims() if self.waiters else None
         is_wanted = any(
             each.can_use(entry, free, now)
-            and not each.is_late(now, self._mean_hold_seconds)
+            and not each.is_deferred(now, self._mean_hold_seconds, claims)
             for each in self.waiters
         )
         self._spare_share += SPARE_WEIGHT * ((not is_wanted) - self._spare_share)
@@ -174,9 +202,10 @@
             for each in self.waiters
             if each.queued_at <= latest and each.can_use(entry, free, now)
         ]
+        hold_seconds, claims = self._mean_hold_seconds, self.claims()
         return min(
             eligible,
-            key=lambda each: each.sort_key(now, self._mean_hold_seconds, entry.id),
+            key=lambda each: each.sort_key(now, hold_seconds, entry.id, claims),
             default=None,
         )
 
@@ -191,10 +220,8 @@
             late_ahead = len(self.waiters) - on_time_count
         slot_interval = self._mean_hold_seconds / slots
         on_time_wait = (on_time_count + 1) * slot_interval
-        spare_share = max(MIN_SPARE_SHARE, self._spare_share)
-        return WaitEstimate(
-            on_time_wait, on_time_wait + (late_ahead + 1) * slot_interval / spare_share
-        )
+        late_wait = (late_ahead + 1) * slot_interval / self.spare_share
+        return WaitEstimate(on_time_wait, on_time_wait + late_wait)
 
     def count_late_before(self, call, now):
         """Return the number of late waiters ahead of a late call."""
--- a/src/heathercleat/steering/version/workspaces.py
+++ b/src/heathercleat/steering/version/workspaces.py
@@ -39,6 +39,11 @@
         self._by_name = {}
         self._by_digest = {}
 
+    @property
+    def names(self):
+        """Return the names of the workspaces, as a set."""
+        return self._by_name.keys()
+
     def add(self, workspace, keys):
         """Add a :class:`Workspace` with its keys.
 
