Use the slots that others leave under shortage

A request of a workspace over its share was refused while any other request waited, also where those wait for affinity targets and leave slots of others free.

A request is queued if a slot is free that no waiting request can use, or if it is expected to wait no longer than a request holds a slot.

--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -105,10 +105,11 @@
             use = self._claim_free_slot(waiter)
             if use is not None:
                 return use
-        if self._refuse_for_share(call, queue):
-            return None
-        if wait_until <= self._clock.now() or self.is_wait_too_long(call):
-            return None
+        if not self._gets_spare_slot(waiter, queue):
+            if self._refuse_for_share(call, queue):
+                return None
+            if wait_until <= self._clock.now() or self.is_wait_too_long(call):
+                return None
         call.was_queued = True
         queue.waiters.append(waiter)
         await self.admit_queued(call.service)
@@ -162,6 +163,20 @@
             or self._clock.now() + wait > call.give_up_at + WAIT_TOLERANCE_SECONDS
         )
 
+    def _gets_spare_slot(self, waiter, queue):
+        """Return whether a slot is free that no waiting request can use.
+
+        Requests that wait for affinity targets leave slots of others free. Only checked
+        where slots are divided among workspaces.
+        """
+        if queue.claims() is None:
+            return False
+        now = self._clock.now()
+        return any(
+            waiter.can_use(target.entry, target.free(now), now)
+            for target in self._ledger.of_service(waiter.call.service)
+        )
+
     def _refuse_for_share(self, call, queue):
         """Refuse a new request of a workspace over its share while others wait.
 
@@ -174,25 +189,22 @@
             return False
         hold_seconds = queue.mean_hold_seconds
         share_wait = claims.refusal_wait(call, queue.waiters, hold_seconds)
-        if share_wait is None or self._can_be_on_time(call, claims):
+        if share_wait is None or self._is_wait_short(call, claims):
             return False
         call.share_wait = share_wait
         self._shares.record_refusal(call, claims)
         return True
 
-    def _can_be_on_time(self, call, claims):
-        """Return whether a request is on time after the wait that is expected for it.
+    def _is_wait_short(self, call, claims):
+        """Return whether a request would wait no longer than a request holds a slot.
 
-        It takes a slot that the others leave. If it were refused, too few requests
-        would wait for these slots: 0.93 of them were used in place of all, in a trial
-        with 8% more requests than slots.
+        Such a wait keeps the slots that others leave in use. In a trial with affinity
+        and 8% more requests than slots, 240 per second were served, but 212 if only
+        requests could wait that were on time thereafter (235 without shares).
         """
         estimate = self.wait_estimate(call.service, call, claims)
-        if estimate is None:
-            return False
         hold_seconds = self._queue(call.service).mean_hold_seconds
-        starts_at = self._clock.now() + estimate.on_time
-        return starts_at + hold_seconds <= call.soft_deadline
+        return estimate is not None and estimate.on_time <= hold_seconds
 
     def _record_slot(self, call, use):
         """Record whether a request got a slot; one that may still wait is not final."""
--- a/standins/share_simulation.py
+++ b/standins/share_simulation.py
@@ -20,6 +20,9 @@
 #: Slots of a target and mean seconds for which a request holds one.
 SLOTS_PER_TARGET, HOLD_SECONDS = 6, 0.2
 HEARTBEAT_SECONDS = 0.15
+#: Factor of that at a target that has not cached the object of a request, and seconds
+#: for which a request waits for one that has.
+UNCACHED_FACTOR, AFFINITY_SECONDS = 3.3, 0.12
 #: Rounds of the event loop after which all tasks that can run have run.
 SETTLE_ROUNDS = 4
 #: Seconds before the deadline at which a request stops waiting.
@@ -101,12 +104,14 @@
     """A run with some owners and streams of requests.
 
     :param events: pairs of an instant and a function that is called then.
+    :param has_affinity: whether each request has an affinity target, at random.
     """
 
-    def __init__(self, owners, streams, seconds, seed=1, events=()):
+    def __init__(self, owners, streams, seconds, seed=1, events=(), has_affinity=False):
         self.owners = owners
         self.streams = streams
         self.seconds = seconds
+        self._has_affinity = has_affinity
         #: Requests, and served requests, by workspace and route.
         self.sent, self.served, self.on_time = Counter(), Counter(), Counter()
         #: Seconds to wait that refused requests were told, by workspace.
@@ -183,7 +188,13 @@
         await spawn(self._serve, owner, request, daemon=True)
 
     async def _serve(self, owner, request):
-        use = await owner.admission.acquire(request, (), (), request.give_up_at)
+        preferred = ()
+        if self._has_affinity:
+            targets = list(owner.parts.ledger.all())
+            preferred = (self._rng.choice(targets).entry.id,)
+            request.affinity_until = request.arrived_at + AFFINITY_SECONDS
+        acquire = owner.admission.acquire
+        use = await acquire(request, preferred, (), request.give_up_at)
         if use is None:
             if request.share_wait is not None:
                 waits = self.waits.setdefault(request.workspace, [])
@@ -192,6 +203,8 @@
         key = request.workspace, request.route.name
         self.served[key] += 1
         hold_seconds = HOLD_SECONDS * self._rng.uniform(0.75, 1.25)
+        if preferred and use.target.entry.id not in preferred:
+            hold_seconds *= UNCACHED_FACTOR
         self.on_time[key] += self._now + hold_seconds <= request.soft_deadline
         self._at(self._now + hold_seconds, owner.admission.release, use, True)
 
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -107,6 +107,17 @@
     assert not simulation.waits
 
 
+def test_slots_that_others_leave_are_used_while_requests_wait_for_affinity_targets():
+    # 8% more requests than the slots can serve.
+    requests = [*streams()[:-1], Stream("large", 140)]
+    with_shares, without = (
+        Simulation([Owner(1, 8, names)], requests, SECONDS, has_affinity=True).run()
+        for names in (NAMES, None)
+    )
+    assert_small_are_served(with_shares)
+    assert with_shares.rate >= 0.95 * without.rate
+
+
 def cut(simulation):
     first, second = simulation.owners
     first.members.dead.add(second.name)
