Count a slot for its workspace from its assignment on

A slot counted as held by a workspace only after the task of the request had run again. Of slots that became free together, a workspace over its share could get more than its share.

The user of a slot is set when it is claimed.

--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -209,7 +209,6 @@
     def _record_slot(self, call, use):
         """Record whether a request got a slot; one that may still wait is not final."""
         if use is not None:
-            use.user = call.route.priority, call.workspace
             self._shares.record_slot(call, True)
         elif not call.was_queued or self._clock.now() >= call.give_up_at:
             self._shares.record_slot(call, False)
@@ -228,7 +227,7 @@
             if waiter is None:
                 return
             queue.waiters.remove(waiter)
-            waiter.slot_use = target.claim(now, waiter.call.deadline)
+            waiter.slot_use = _claim(target, waiter.call, now)
             await waiter.signal.set()
 
     async def _wait(self, waiter, wait_until):
@@ -259,7 +258,7 @@
         def order(target):
             return waiter.preference_rank(target.entry.id), -target.free(now)
 
-        return min(free, key=order).claim(now, waiter.call.deadline)
+        return _claim(min(free, key=order), waiter.call, now)
 
     def _queue(self, service):
         queue = self._queues.get(service)
@@ -269,6 +268,13 @@
         return queue
 
 
+def _claim(target, call, now):
+    """Claim a slot of a target for a request; it counts for its user from now on."""
+    use = target.claim(now, call.deadline)
+    use.user = call.route.priority, call.workspace
+    return use
+
+
 def _next_waiter(queue, target, now):
     """Return the waiter that gets a slot of a target next, or ``None``."""
     free = target.free(now)
--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -5,7 +5,8 @@
 
 import msgpack
 import pytest
-from curio import run
+from curio import run, spawn
+from curio import sleep as settle
 
 from heathercleat import ResultCode
 from heathercleat.errors import RequestError
@@ -118,6 +119,32 @@
     assert with_shares.rate >= 0.95 * without.rate
 
 
+def test_slots_that_become_free_together_are_divided():
+    owner = Owner(1, 1, NAMES)
+    (target,) = owner.parts.ledger.all()
+    now = owner.parts.clock.now()
+    uses = [target.claim(now) for _ in range(6)]
+    served = []
+
+    async def wait(name):
+        request = call(owner.parts.clock)
+        request.workspace, request.give_up_at = name, now + 1.0
+        await owner.admission.acquire(request, (), (), now + 1.0)
+        served.append(name)
+
+    async def main():
+        tasks = [await spawn(wait, name) for name in ["large"] * 6 + ["w1"] * 3]
+        await settle(0.02)
+        for use in uses:
+            owner.parts.ledger.release(use)
+        await owner.admission.admit_queued("s1")
+        for task in tasks:
+            await task.join()
+
+    run(main)
+    assert sorted(served[:6]) == ["large"] * 3 + ["w1"] * 3
+
+
 def cut(simulation):
     first, second = simulation.owners
     first.members.dead.add(second.name)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -72,6 +72,15 @@
         "-k",
         "does_not_favour",
     ),
+    Mutation(
+        "SHARES-held",
+        f"{STEERING}/process/capacity/admission.py",
+        "    use.user = call.route.priority, call.workspace\n",
+        "",
+        "tests/test_fair_shares.py",
+        "-k",
+        "together",
+    ),
     Mutation(
         "SHARES-floor",
         f"{STEERING}/process/capacity/served_fractions.py",
