--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -28,12 +28,15 @@
 
     :param ledger: the :class:`SlotLedger`.
     :param region_of: returns the region of a failure domain.
+    :param shares: the :class:`WorkspaceShares`; ``None`` if slots are not divided
+        among workspaces.
     """
 
-    def __init__(self, ledger, region_of, clock):
+    def __init__(self, ledger, region_of, clock, shares=None):
         self._ledger = ledger
         self._region_of = region_of
         self._clock = clock
+        self._shares = shares
         self._queues = {}
 
     def waiting_count(self, service):
@@ -50,12 +53,13 @@
         on_time_count = self._queue(target.entry.service).on_time_count(now)
         return 0 if on_time_count else target.free(now)
 
-    def wait_estimate(self, service, call=None):
+    def wait_estimate(self, service, call=None, claims=None):
         """Return the :class:`WaitEstimate` at the targets of a service.
 
         ``None`` if no target of the service has a usable slot.
 
         :param call: the request to be queued; ``None`` for any new request.
+        :param claims: the :class:`Claims` as of now, if they are known already.
         """
         now, queue = self._clock.now(), self._queue(service)
         targets = self._ledger.of_service(service)
@@ -70,6 +74,11 @@
             reopens_at = min((each.closed_until for each in resting), default=now)
         if not slots:
             return None
+        claims = claims or (call and queue.claims())
+        if claims is not None:
+            slot_interval = queue.mean_hold_seconds / slots
+            estimate = claims.wait_estimate(call, queue, slot_interval, now)
+            return estimate.after(reopens_at - now)
         late_ahead = call and queue.count_late_before(call, now)
         return queue.wait_estimate(slots, now, late_ahead).after(reopens_at - now)
 
@@ -86,6 +95,12 @@
         :param avoid: ids of excluded targets.
         :param wait_until: instant at which the wait ends.
         """
+        use = await self._acquire(call, preferred, avoid, wait_until)
+        if self._shares is not None:
+            self._record_slot(call, use)
+        return use
+
+    async def _acquire(self, call, preferred, avoid, wait_until):
         queue = self._queue(call.service)
         if preferred and not self._accepts_requests(preferred):
             call.affinity_until = min(call.affinity_until, self._clock.now())
@@ -94,8 +109,12 @@
             use = self._claim_free_slot(waiter)
             if use is not None:
                 return use
-        if wait_until <= self._clock.now() or self.is_wait_too_long(call):
-            return None
+        if not self._gets_spare_slot(waiter, queue):
+            if self._refuse_for_share(call, queue):
+                return None
+            if wait_until <= self._clock.now() or self.is_wait_too_long(call):
+                return None
+        call.was_queued = True
         queue.waiters.append(waiter)
         await self.admit_queued(call.service)
         try:
@@ -150,6 +169,56 @@
             or self._clock.now() + wait > call.give_up_at + WAIT_TOLERANCE_SECONDS
         )
 
+    def _gets_spare_slot(self, waiter, queue):
+        """Return whether a slot is free that no waiting request can use.
+
+        Requests that wait for affinity targets leave slots of others free. Only checked
+        where slots are divided among workspaces.
+        """
+        if queue.claims() is None:
+            return False
+        now = self._clock.now()
+        return any(
+            waiter.can_use(target.entry, target.free(now), now)
+            for target in self._ledger.of_service(waiter.call.service)
+        )
+
+    def _refuse_for_share(self, call, queue):
+        """Refuse a new request of a workspace over its share while others wait.
+
+        Return whether it is refused; ``call.share_wait`` is set then. A request that
+        has been queued keeps its place.
+        """
+        call.share_wait = None
+        claims = None if call.was_queued else queue.claims()
+        if claims is None:
+            return False
+        hold_seconds = queue.mean_hold_seconds
+        share_wait = claims.refusal_wait(call, queue.waiters, hold_seconds)
+        if share_wait is None or self._is_wait_short(call, claims):
+            return False
+        call.share_wait = share_wait
+        self._shares.record_refusal(call, claims)
+        return True
+
+    def _is_wait_short(self, call, claims):
+        """Return whether a request would wait no longer than a request holds a slot.
+
+        Such a wait keeps the slots that others leave in use. In a trial with affinity
+        and 8% more requests than slots, 240 per second were served, but 212 if only
+        requests could wait that were on time thereafter (235 without shares).
+        """
+        estimate = self.wait_estimate(call.service, call, claims)
+        hold_seconds = self._queue(call.service).mean_hold_seconds
+        return estimate is not None and estimate.on_time <= hold_seconds
+
+    def _record_slot(self, call, use):
+        """Record whether a request got a slot; one that may still wait is not final."""
+        if use is not None:
+            self._shares.record_slot(call, True)
+        elif not call.was_queued or self._clock.now() >= call.give_up_at:
+            self._shares.record_slot(call, False)
+
     def _accepts_requests(self, target_ids):
         """Return whether one of some targets is owned and accepts requests now."""
         now = self._clock.now()
@@ -164,7 +233,7 @@
             if waiter is None:
                 return
             queue.waiters.remove(waiter)
-            waiter.slot_use = target.claim(now, waiter.call.deadline)
+            waiter.slot_use = _claim(target, waiter.call, now)
             await waiter.signal.set()
 
     async def _wait(self, waiter, wait_until):
@@ -205,15 +274,23 @@
                 return target.speed.run_seconds(usual, now)
 
             best = select_earliest(best, sorted(free, key=order), finish_seconds)
-        return best.claim(now, waiter.call.deadline)
+        return _claim(best, waiter.call, now)
 
     def _queue(self, service):
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = ServiceQueue()
+            shares = self._shares and self._shares.of_service(service)
+            queue = self._queues[service] = ServiceQueue(shares)
         return queue
 
 
+def _claim(target, call, now):
+    """Claim a slot of a target for a request; it counts for its user from now on."""
+    use = target.claim(now, call.deadline)
+    use.user = call.route.priority, call.workspace
+    return use
+
+
 def _next_waiter(queue, target, now):
     """Return the waiter that gets a slot of a target next, or ``None``."""
     free, slowdown = target.free(now), target.slowdown(now)
--- a/src/heathercleat/steering/process/metrics.py
+++ b/src/heathercleat/steering/process/metrics.py
@@ -14,11 +14,14 @@
     :param read_gauges: returns the current gauge values by name.
     :param read_regions: yields the service, region, demand, usable slots and overflow
         fraction of each service and region; see :meth:`RegionalDemand.gauges`.
+    :param shares: the :class:`WorkspaceShares`; ``None`` if slots are not divided among
+        workspaces.
     """
 
-    def __init__(self, read_gauges, read_regions=tuple):
+    def __init__(self, read_gauges, read_regions=tuple, shares=None):
         self._read_gauges = read_gauges
         self._read_regions = read_regions
+        self._shares = shares
         self._requests = {}
         self._workspace_requests = {}
         self._latencies = {}
@@ -67,6 +70,7 @@
         for key, number in self._workspace_requests.items():
             by_workspace.add_metric(key, number)
         yield by_workspace
+        yield from self._share_families()
         seconds = HistogramMetricFamily(
             "heathercleat_steered_seconds",
             "Seconds from the head of a request to its final answer",
@@ -112,6 +116,31 @@
                 family.add_metric((service, region), value)
         yield from families
 
+    def _share_families(self):
+        """Yield the metric families of :class:`WorkspaceShares`."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+        slots = GaugeMetricFamily(
+            "heathercleat_workspace_slots",
+            "Slots of the region by workspace: held, waited for, share",
+            labels=("workspace", "service", "rank", "name"),
+        )
+        refusals = CounterMetricFamily(
+            "heathercleat_workspace_share_refusals",
+            "Requests refused since their workspace was over its share",
+            labels=("workspace", "service"),
+        )
+        shares = self._shares
+        for workspace, service, rank, *values in shares.usages() if shares else ():
+            names = ("held", "waiting", "share")
+            for name, value in zip(names, values, strict=True):
+                slots.add_metric((workspace or "", service, str(rank), name), value)
+        for key, count in shares.refusal_counts.items() if shares else ():
+            service, workspace = key
+            refusals.add_metric((workspace or "", service), count)
+        yield slots
+        yield refusals
+
     def render(self):
         """Return the metrics page as bytes."""
         from prometheus_client import CollectorRegistry, generate_latest
--- a/src/heathercleat/steering/request/call.py
+++ b/src/heathercleat/steering/request/call.py
@@ -65,8 +65,9 @@
     :param client_wait: timeout of the client in seconds; ``None`` at the owner.
     :param fingerprint: equal for all retries of a request; see
         :mod:`heathercleat.steering.request.fingerprint`.
-    :param workspace: name of the workspace that the request counts against; ``None`` at
-        the owner and on public routes.
+    :param workspace: name of the workspace that the request counts against, ``None`` on
+        public routes. At the owner it only divides slots; quotas and metrics of
+        requests count at the VM of the client.
     :param charge: the :class:`Charge` to the quota of the workspace, or ``None``.
     :param sender: digest of the sender's credentials, or ``None`` if there are none or
         they were not needed; see :mod:`heathercleat.steering.request.fingerprint`.
@@ -81,6 +82,9 @@
         accepted the request, or ``None``.
     :param reservation: the :class:`ResponseReservation`, or ``None`` where memory is
         not divided among callers.
+    :param was_queued: whether the request has waited for a slot of this VM.
+    :param share_wait: seconds until the share of its workspace allows one more request,
+        if it was refused a slot of this VM for that; otherwise ``None``.
     """
 
     __slots__ = (
@@ -114,6 +118,8 @@
         "attempt_started_at",
         "stop_estimate",
         "reservation",
+        "was_queued",
+        "share_wait",
     )
 
     def __init__(self, id, method, path, headers, body, route, service, stream):
@@ -145,6 +151,8 @@
         self.attempt_started_at = 0.0
         self.stop_estimate = None
         self.reservation = None
+        self.was_queued = False
+        self.share_wait = None
         self.is_disconnected = False
         #: The :class:`Interruptible` to interrupt when the client disconnects, or
         #: ``None``.
