--- a/standins/soak.py
+++ b/standins/soak.py
@@ -5,8 +5,9 @@
 a store that is unavailable, slow, refuses a VM, or loses replies or its change history;
 targets that lose, truncate, refuse or delay responses; evacuations and new
 configurations; network faults of :mod:`standins.fault_proxy`; and the restores of
-the store and partitions from all targets of :mod:`standins.soak_restores`. It
-checks, from what clients and targets observe:
+the store and partitions from all targets of :mod:`standins.soak_restores`. With even
+seeds, callers compete and some do not read, and machines of targets become slow; see
+:mod:`standins.soak_pressure`. It checks, from what clients and targets observe:
 
 - a request that is not idempotent runs at most once;
 - a request refused with 503 has not run and does not run later;
@@ -16,6 +17,7 @@
 - after the last fault, requests are served again;
 - a target gets no more requests than it asks for in its responses; see
   :mod:`standins.soak_notices`;
+- no VM exceeds its memory limit while callers do not read;
 - a planned stop aborts no request that is running at a target; see
   :mod:`standins.soak_stops`.
 """
@@ -30,8 +32,10 @@
 from hashlib import sha256
 from http.client import HTTPException
 
+from heathercleat.platform.wire_names import CONTENTION_CONTRACT
 from standins.fleet import STOP_SECONDS, wait_for
 from standins.soak_notices import TargetNotices
+from standins.soak_pressure import Pressure
 from standins.soak_restores import RestoresAndPartitions
 from standins.soak_stops import PlannedStops, long_routes
 from standins.steering_fleet import (
@@ -365,6 +369,7 @@
     config["hosts"][0]["paths"].extend(long_routes())
     # With odd seeds, a paused process behaves like a suspended VM.
     suspends = seed % 2 == 1
+    is_contended = not suspends
     with SteeringFleet(
         config,
         DOMAINS,
@@ -373,21 +378,29 @@
         subnet=SUBNET,
         proxied=True,
         suspends=suspends,
+        contracts=[CONTENTION_CONTRACT] if is_contended else [],
     ) as fleet:
         faults = FaultInjector(fleet, rng, iter(range(100, 10_000)))
         clients = Clients(fleet, seed)
         # A separate generator keeps the random choices of the faults independent.
         stops = PlannedStops(fleet, DOMAINS, seed, random.Random(f"{seed}-stops"))
         restores = RestoresAndPartitions(fleet, random.Random(f"{seed}-restores"))
+        pressure = Pressure(fleet, TARGETS, random.Random(f"{seed}-pressure"))
         clients.start()
         stops.start_clients()
         try:
+            if is_contended:
+                pressure.start(seconds)
             if with_restores:
                 restores.start(seconds)
             faults.run(seconds)
             if with_restores:
                 restores.join()
-            violations = list(check_target_removal(fleet, seed))
+            violations = []
+            if is_contended:
+                pressure.join()
+                violations.extend(pressure.check())
+            violations.extend(check_target_removal(fleet, seed))
             if with_notices:
                 violations.extend(TargetNotices(fleet, seed).check())
         finally:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -74,7 +74,8 @@
 REGRESSION_SEEDS = [12, 14]
 
 
-@pytest.mark.parametrize("seed", [1, *REGRESSION_SEEDS])
+#: With even seeds, callers compete and some do not read.
+@pytest.mark.parametrize("seed", [1, 2, *REGRESSION_SEEDS])
 def test_guarantees_hold_under_faults(seed):
     # The regression seeds need only faults, without what follows them.
     is_whole = seed not in REGRESSION_SEEDS
