Decide with hysteresis which routes may leave their region

A region without movable demand kept a fraction that applied at once when a route became movable, and requests that the own region may not serve counted as its demand.

Change: a route that may leave stays so within 15% of the threshold; no movable demand is no fraction; only requests that the region may serve count.

--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -335,7 +335,7 @@
     def _required_fraction(self, overflow, peaks, now):
         """Return the fraction that this region needs, for slots and cached objects."""
         load = overflow.loads[self.own_region]
-        if not load.demand:
+        if not load.demand or not load.movable:
             return 0.0
         peak = peaks[self.own_region]
         movable = load.movable * peak / load.demand
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -13,6 +13,10 @@
 #: target that has an object cached does 0.3 of the work, and all of the work takes
 #: about as long as the objective.
 USUAL_CACHED_SHARE = 0.3
+#: Factor of that time for a route whose requests may go to other regions already. A
+#: route just beyond the threshold would change the region of its requests again and
+#: again, since the measured time varies by some per cent.
+KEPT_MARGIN = 0.85
 
 
 class ObjectOverflow:
@@ -27,6 +31,8 @@
         self._demand = demand
         self._members = members
         self._estimates = estimates
+        # Names of the routes whose requests may go to other regions.
+        self._movable_routes = set()
 
     def is_in_effect(self, service):
         """Return whether objects of a service have an affinity target by region."""
@@ -37,7 +43,10 @@
 
         A retry of a refused request is not counted, since the request itself was.
         """
-        if not call.is_client_retry and self.is_in_effect(call.service):
+        if call.is_client_retry or not self.is_in_effect(call.service):
+            return
+        # Others never use the slots of this region.
+        if call.route.allows(self._demand.own_region):
             self._demand.record_request(
                 call.service, call.route.name, self._is_movable(call)
             )
@@ -100,5 +109,11 @@
         cached = self._estimates.cached_response_time(call.route)
         if cached is None:
             cached = USUAL_CACHED_SHARE * objective
-        run_seconds = RESPONSE_TIME_FACTOR * MAX_SLOWDOWN * cached
-        return run_seconds + round_trip <= objective
+        margin = KEPT_MARGIN if call.route.name in self._movable_routes else 1.0
+        run_seconds = margin * RESPONSE_TIME_FACTOR * MAX_SLOWDOWN * cached
+        is_movable = run_seconds + round_trip <= objective
+        if is_movable:
+            self._movable_routes.add(call.route.name)
+        else:
+            self._movable_routes.discard(call.route.name)
+        return is_movable
