Let no report that was sent before a response end a slow period

Cause, found in review: a heartbeat composed before the response that this VM has just seen ended the slow period, and the owner's next report was rejected as older.

Change: only responses older than 0.2 s are overruled; targets that never reported are skipped.

Measured: test_speed_reports passes, with a test of the race.

--- a/src/heathercleat/steering/process/capacity/speed_reports.py
+++ b/src/heathercleat/steering/process/capacity/speed_reports.py
@@ -8,6 +8,9 @@
 #: Upper bound of a reported slowdown; see
 #: :data:`heathercleat.platform.headers.MAX_SLOWDOWN`.
 MAX_PERCENT = 2000
+#: Seconds within which a report arrives after it was composed: the longest way between
+#: regions and the interval of heartbeats.
+MAX_REPORT_DELAY_SECONDS = 0.2
 #: Bytes of a report without its items, at most.
 _LIST_BYTES = 3
 
@@ -53,10 +56,14 @@
         now = self._clock.now()
         speeds = dict(_parse_item(item, now) for item in report)
         for target_id, capacity in self._capacity_reports.capacities(vm).items():
+            if not capacity.speed.is_reported(now) and not speeds:
+                continue
             entry = self._registry.entry(target_id)
             speed = entry and speeds.get((target_id, entry.started_ms))
             if speed is None:
-                capacity.speed.end_slow_period(now)
+                # The report may have been sent before the response that this VM saw.
+                if capacity.speed.age(now) > MAX_REPORT_DELAY_SECONDS:
+                    capacity.speed.end_slow_period(now)
             else:
                 capacity.speed.keep_for(entry.incarnation_id)
                 capacity.speed.record_report(*speed)
--- a/tests/test_speed_reports.py
+++ b/tests/test_speed_reports.py
@@ -7,7 +7,10 @@
 from heathercleat.events import Event
 from heathercleat.steering.process.capacity.machine_speed import REPORTED_TTL_SECONDS
 from heathercleat.steering.process.capacity.owned_target import OwnedTarget
-from heathercleat.steering.process.capacity.speed_reports import SpeedReports
+from heathercleat.steering.process.capacity.speed_reports import (
+    MAX_REPORT_DELAY_SECONDS,
+    SpeedReports,
+)
 from heathercleat.steering.process.membership.extensions import MAX_REPORT_BYTES
 from heathercleat.steering.request.attempt_result import TargetResponseHead
 from standins.speed_simulation import PeerLedger
@@ -82,10 +85,20 @@
     exchange.send()
     exchange.respond(exchange.owned[0], 1.0)
     assert exchange.sender.report() == []
+    exchange.clock.time += MAX_REPORT_DELAY_SECONDS + 0.01
+    assert max(exchange.slowdowns().values()) > 1.0
     exchange.send()
     assert set(exchange.slowdowns().values()) == {1.0}
 
 
+def test_report_that_crosses_a_newer_response_ends_no_slow_period(exchange):
+    exchange.send()
+    exchange.clock.time += MAX_REPORT_DELAY_SECONDS / 2
+    slow = exchange.slowdowns()
+    exchange.receiver.merge("vm-3", [])
+    assert exchange.slowdowns() == slow and max(slow.values()) > 1.0
+
+
 def test_nothing_is_sent_unless_targets_report_their_speed(exchange):
     exchange.clock.time += REPORTED_TTL_SECONDS
     assert exchange.sender.report() is None
