Compute shares of workspaces less often; tell the true time to return

The time after which a refused workspace may return assumed that its slots end at the rate of its share: 4.96 s in place of 0.53 s. Starved routes were told to return after 25 ms, since the wait of 0 that selects a queue was reported.

Change: no claims for one waiting request or for the check whether slots are divided; the other owners' sums are kept for 20 ms; the slots held end within one hold time; the override is for the choice of a queue only.

--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -175,7 +175,7 @@
         Requests that wait for affinity targets leave slots of others free. Only checked
         where slots are divided among workspaces.
         """
-        if queue.claims() is None:
+        if not queue.is_divided:
             return False
         now = self._clock.now()
         return any(
--- a/src/heathercleat/steering/process/capacity/fair_shares.py
+++ b/src/heathercleat/steering/process/capacity/fair_shares.py
@@ -13,8 +13,9 @@
 #: Smallest share in slots by which a time to wait is computed; a rank that gets nothing
 #: would have to wait for an unknown time.
 MIN_SHARE_SLOTS = 1.0
-#: Seconds for which claims are used again to scale the waits that other owners report;
-#: short beside the 0.15 s between reports. A request compares several owners.
+#: Seconds for which the sum of other owners' reports is used again, and claims to scale
+#: the waits that they report; short beside the 0.15 s between reports. A request
+#: compares several owners.
 CLAIMS_TTL_SECONDS = 0.02
 
 
@@ -36,6 +37,8 @@
         "_find_workspaces",
         "_fractions",
         "_queue",
+        "_others",
+        "_others_until",
         "_recent_claims",
         "_recent_until",
         "_clock",
@@ -48,6 +51,8 @@
         self._find_workspaces = find_workspaces
         self._fractions = fractions
         self._queue = None
+        self._others = ShareUsage(0)
+        self._others_until = DISTANT_PAST
         self._recent_claims = None
         self._recent_until = DISTANT_PAST
         self._clock = clock
@@ -56,6 +61,11 @@
         """Set the :class:`ServiceQueue` with the requests that wait at this VM."""
         self._queue = queue
 
+    @property
+    def is_active(self):
+        """Return whether the configuration in force lists workspaces."""
+        return bool(self._find_workspaces())
+
     def claims(self):
         """Return the :class:`Claims` as of now, ``None`` if slots are not divided."""
         workspaces = self._find_workspaces()
@@ -64,10 +74,19 @@
         own = self.own_usage(workspaces)
         region = ShareUsage(0)
         region.include(own)
-        for usage in self._reports.of_service(self._service):
-            region.include(_restricted(usage, workspaces))
+        region.include(self._others_usage(workspaces))
         return Claims(own, region, workspaces, self._fractions)
 
+    def _others_usage(self, workspaces):
+        """Return the sum of what other owners report, computed at most every 20 ms."""
+        now = self._clock.now()
+        if now >= self._others_until:
+            self._others = ShareUsage(0)
+            for usage in self._reports.of_service(self._service):
+                self._others.include(_restricted(usage, workspaces))
+            self._others_until = now + CLAIMS_TTL_SECONDS
+        return self._others
+
     def own_usage(self, workspaces):
         """Return the :class:`ShareUsage` of the targets that this VM owns."""
         now, hold_seconds = self._clock.now(), self._hold_seconds
@@ -287,8 +306,10 @@
         if not any(self.excess(self.user_of(each.call)) < excess for each in waiters):
             return None
         share = max(MIN_SHARE_SLOTS, self.share(user))
-        excess_slots = self._region.demand(user) + 1 - share
-        return max(1.0, excess_slots) * hold_seconds / share
+        held, waiting = self._region.held(user), self._region.waiting(user)
+        # The held slots end within one hold time, those that wait follow at the share.
+        until_within = hold_seconds * max(1.0, held + 1 - share) / max(1.0, held)
+        return until_within + waiting * hold_seconds / share
 
     def _count_before(self, call, is_late, waiters):
         """Return how many requests go before a new one.
--- a/src/heathercleat/steering/process/capacity/queue.py
+++ b/src/heathercleat/steering/process/capacity/queue.py
@@ -173,6 +173,11 @@
         """Return the share of slots left for requests that come after the others."""
         return max(MIN_SPARE_SHARE, self._spare_share)
 
+    @property
+    def is_divided(self):
+        """Return whether slots are divided among workspaces."""
+        return self._shares is not None and self._shares.is_active
+
     def claims(self):
         """Return the :class:`Claims` as of now, ``None`` if slots are not divided."""
         return self._shares and self._shares.claims()
@@ -211,6 +216,8 @@
             for each in self.waiters
             if each.queued_at <= latest and each.can_use(entry, free, now)
         ]
+        if len(eligible) < 2:
+            return eligible[0] if eligible else None
         claims = self.claims()
         return min(
             eligible,
--- a/src/heathercleat/steering/request/estimates.py
+++ b/src/heathercleat/steering/request/estimates.py
@@ -68,7 +68,7 @@
         """
         own = self._members.own.vm
         waits = [
-            self.wait(owner, call)
+            self._expected_wait(owner, call)
             for owner in region_targets.owners
             if owner == own or self._capacity_reports.has_valid_report(owner)
         ]
@@ -116,7 +116,7 @@
             self.usual_run_seconds(call, is_cached), now
         )
         if capacity.is_known(now) and not capacity.free(now):
-            seconds += self.wait(owner, call) or 0.0
+            seconds += self._expected_wait(owner, call) or 0.0
         if owner != self._members.own.vm:
             seconds += self._round_trip(owner)
         return seconds
