Give memory to arriving responses before requests that have not run

A refusal for memory marked all slots of the owner as unusable, an idle connection set the retry time of all refusals, and chunked responses counted as 0 bytes.

--- a/src/heathercleat/steering/process/memory/budget.py
+++ b/src/heathercleat/steering/process/memory/budget.py
@@ -121,8 +121,7 @@
 
         It precedes requests that wait for memory, since it has run already.
         """
-        limit = self._limit * MEDIUM_SHARE if size > SMALL_BYTES else self._limit
-        return await self._acquire(size, limit, wait_until, is_first=True)
+        return await self._acquire(size, self._limit, wait_until, is_first=True)
 
     async def grant_waiting(self):
         """Reserve bytes for those that wait, in order, as far as there is room."""
@@ -132,6 +131,8 @@
                 self._response_bytes += waiter.size
                 waiter.is_granted = True
                 await waiter.signal.set()
+            elif waiter.is_first:
+                break
         if self._is_short and not self._waiters:
             self._record_sufficiency()
 
@@ -151,12 +152,15 @@
         self._refused_count = 0
 
     async def _acquire(self, size, limit, wait_until, is_first=False):
-        if self._has_room(size, limit):
+        is_behind = self._has_waiting_response and not is_first
+        if not is_behind and self._has_room(size, limit):
             self._response_bytes += size
             return True
         self._record_shortage()
-        waiter = _Waiter(size, limit)
-        self._waiters.insert(0 if is_first else len(self._waiters), waiter)
+        waiter = _Waiter(size, limit, is_first)
+        self._waiters.append(waiter)
+        # Stable: responses that are arriving go first, otherwise in order of arrival.
+        self._waiters.sort(key=lambda each: not each.is_first)
         try:
             await self._wait(waiter, wait_until)
         except BaseException:
@@ -177,6 +181,11 @@
         except TaskTimeout:
             return
 
+    @property
+    def _has_waiting_response(self):
+        """Return whether a response that is arriving waits for memory."""
+        return bool(self._waiters) and self._waiters[0].is_first
+
     def _limit_for(self, size):
         """Return the total up to which a reservation of ``size`` bytes is granted."""
         if size <= SMALL_BYTES:
@@ -207,12 +216,16 @@
 
 
 class _Waiter:
-    """A response that waits for memory."""
+    """A response that waits for memory.
+
+    :param is_first: whether it is arriving, so that its request has run.
+    """
 
-    __slots__ = ("size", "limit", "signal", "is_granted")
+    __slots__ = ("size", "limit", "is_first", "signal", "is_granted")
 
-    def __init__(self, size, limit):
+    def __init__(self, size, limit, is_first):
         self.size = size
         self.limit = limit
+        self.is_first = is_first
         self.signal = Signal()
         self.is_granted = False
--- a/src/heathercleat/steering/process/memory/outputs.py
+++ b/src/heathercleat/steering/process/memory/outputs.py
@@ -13,6 +13,7 @@
 
 from heathercleat.connection.http import RESET_ON_CLOSE
 from heathercleat.events import Event
+from heathercleat.steering.process.memory.budget import SMALL_BYTES
 
 #: Seconds in which a peer must take at least one byte of a response. Callers wait for 3
 #: to 8 s. Over a lossy link a byte may need four transmissions, 4.5 s in all. A caller
@@ -217,7 +218,9 @@
     def next_drop_at(self, now):
         """Return when the next response will probably be dropped, or ``None``."""
         idle_from = now + PROGRESS_SECONDS - IDLE_SECONDS
-        deadlines = [each.progress_deadline for each in self._outputs]
+        deadlines = [
+            each.progress_deadline for each in self._outputs if each.held > SMALL_BYTES
+        ]
         return min((each for each in deadlines if each < idle_from), default=None)
 
     def check(self):
--- a/src/heathercleat/steering/request/response_body.py
+++ b/src/heathercleat/steering/request/response_body.py
@@ -61,19 +61,20 @@
     reservation = call.reservation
     if reservation is None:
         return await read_body(stream, limit)
-    length = int(find(headers, "content-length") or 0)
+    declared = find(headers, "content-length")
+    length = int(declared or 0)
     if call.method == b"HEAD":
         length, is_learned = 0, False
     if length > limit:
         raise ValueError(f"the body is larger than {limit} bytes")
-    if is_learned:
+    if is_learned and declared is not None:
         reservation.learn(length)
     await reservation.hold(length, call.deadline)
     body = ChunkedBody()
     async for data in body_chunks(stream, limit):
         await reservation.hold(len(body) + len(data), call.deadline, STEP_BYTES)
         body.append(data)
-    if is_learned and len(body) > length:
+    if is_learned and declared is None:
         reservation.learn(len(body))
     return body
 
--- a/src/heathercleat/steering/request/steer.py
+++ b/src/heathercleat/steering/request/steer.py
@@ -3,6 +3,7 @@
 from heathercleat.codes import ResultCode
 from heathercleat.errors import CallerDisconnectedError, RequestError
 from heathercleat.events import Event
+from heathercleat.steering.process.memory.responses import NO_MEMORY_REASON
 from heathercleat.steering.process.retry_after import compute_retry_at
 from heathercleat.steering.request.attempt_result import (
     NO_SLOT_IN_TIME_REASON,
@@ -323,6 +324,10 @@
             self._avoid_vms.add(destination.vm)
             self._call.affinity_until = min(self._call.affinity_until, now)
             return
+        if result.reason == NO_MEMORY_REASON:
+            # This says nothing about the slots of the owner.
+            self._avoid_vms.add(destination.vm)
+            return
         if has_no_slot_in_time:
             self._avoid_vms.add(destination.vm)
             self._call.affinity_until = min(self._call.affinity_until, now)
--- a/tests/test_response_memory.py
+++ b/tests/test_response_memory.py
@@ -299,3 +299,23 @@
         body.append(bytearray(data))
     assert len(body) == len(expected)
     assert b"".join(body.consume()) == expected
+
+
+def test_arriving_response_gets_memory_before_requests_that_have_not_run():
+    """New small requests once took all memory that became free until its deadline."""
+    memory = Memory()
+    budget = memory.budget
+    while run(budget.acquire_response, SMALL_BYTES, 0.0):
+        pass
+
+    async def main():
+        deadline = memory.clock.now() + 5.0
+        arriving = await spawn(budget.extend_response, 4 * SMALL_BYTES, deadline)
+        await sleep(0.01)
+        for _ in range(4):
+            budget.release_response(SMALL_BYTES)
+            assert not await budget.acquire_response(SMALL_BYTES, memory.clock.now())
+        await budget.grant_waiting()
+        return await arriving.join()
+
+    assert run(main)
