Let routes without a margin overflow as far as slots are missing

Cause: their objective does not cover a slow machine and the round trip with a margin, so none left the region, though two targets have 18 slots for some 27 at the peak.

Change: such routes count as movable again, but their objects leave only as far as demand has no slots, not from the start.

--- a/src/heathercleat/steering/process/capacity/regional_demand.py
+++ b/src/heathercleat/steering/process/capacity/regional_demand.py
@@ -154,6 +154,7 @@
         self._meter = DemandMeter(clock)
         self._reports = {}
         self._speed_reports_until = {}
+        self._services_with_margin = set()
         self._services = {}
         self._updated_at = clock.now()
         #: Fractions do not change until then unless those of other VMs are known.
@@ -182,6 +183,16 @@
         """Record a request of a client; see :meth:`DemandMeter.record_request`."""
         self._meter.record_request(service, route, is_movable)
 
+    def record_margin(self, service, has_margin):
+        """Record whether responses of another region are hardly ever late.
+
+        Only then do objects overflow before the region's slots are short.
+        """
+        if has_margin:
+            self._services_with_margin.add(service)
+        else:
+            self._services_with_margin.discard(service)
+
     def record_run(self, service, route, seconds, in_own_region):
         """Record a request at a target; see :meth:`DemandMeter.record_run`."""
         self._meter.record_run(service, route, seconds, in_own_region)
@@ -306,16 +317,18 @@
             overflow.peers_since = now
         if overflow.starts_until is None and self._meter.demand(service) is not None:
             overflow.start(now)
-        overflow.fractions = self._next_fractions(overflow, peers, max_change, now)
+        overflow.fractions = self._next_fractions(
+            service, overflow, peers, max_change, now
+        )
         self._log_change(service, overflow, now)
 
-    def _next_fractions(self, overflow, peers, max_change, now):
+    def _next_fractions(self, service, overflow, peers, max_change, now):
         """Return the next fractions of this region's objects.
 
         :param peers: the fractions at the other VMs of this region.
         """
         peaks = overflow.record_peaks(now)
-        required = self._required_fraction(overflow, peaks, now)
+        required = self._required_fraction(service, overflow, peaks, now)
         is_starting = overflow.is_starting(now)
         if is_starting and overflow.follows_peers:
             if peers:
@@ -332,7 +345,7 @@
         )
         return fractions if is_starting else _limit_deviation(fractions, peers)
 
-    def _required_fraction(self, overflow, peaks, now):
+    def _required_fraction(self, service, overflow, peaks, now):
         """Return the fraction that this region needs, for slots and cached objects."""
         load = overflow.loads[self.own_region]
         if not load.demand or not load.movable:
@@ -347,11 +360,11 @@
             for region, each in overflow.loads.items()
             if region != self.own_region and each.run_seconds
         )
+        uneven = 0.0
+        if service in self._services_with_margin:
+            uneven = uneven_fraction(self.own_region, overflow.loads)
         uncached = overflow.cache_shortage.update(
-            load,
-            min(others, default=None),
-            uneven_fraction(self.own_region, overflow.loads),
-            now,
+            load, min(others, default=None), uneven, now
         )
         return max(required_fraction(planned), uncached)
 
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -31,8 +31,10 @@
         self._demand = demand
         self._members = members
         self._estimates = estimates
-        # Names of the routes whose requests may go to other regions.
+        # Names of the routes whose requests may go to other regions, and of those
+        # whose responses from there are hardly ever late.
         self._movable_routes = set()
+        self._routes_with_margin = set()
 
     def is_in_effect(self, service):
         """Return whether objects of a service have an affinity target by region."""
@@ -47,9 +49,11 @@
             return
         # Others never use the slots of this region.
         if call.route.allows(self._demand.own_region):
-            self._demand.record_request(
-                call.service, call.route.name, self._is_movable(call)
-            )
+            is_movable = self._is_movable(call)
+            self._demand.record_request(call.service, call.route.name, is_movable)
+            if is_movable:
+                has_margin = call.route.name in self._routes_with_margin
+                self._demand.record_margin(call.service, has_margin)
 
     def record_run(self, call, result, in_own_region):
         """Record how long a request took at a target.
@@ -107,13 +111,23 @@
         """
         objective = call.route.latency_objective
         cached = self._estimates.cached_response_time(call.route)
-        if cached is None:
+        is_measured = cached is not None
+        if not is_measured:
             cached = USUAL_CACHED_SHARE * objective
-        margin = KEPT_MARGIN if call.route.name in self._movable_routes else 1.0
-        run_seconds = margin * RESPONSE_TIME_FACTOR * MAX_SLOWDOWN * cached
-        is_movable = run_seconds + round_trip <= objective
-        if is_movable:
-            self._movable_routes.add(call.route.name)
-        else:
-            self._movable_routes.discard(call.route.name)
-        return is_movable
+        run_seconds = MAX_SLOWDOWN * cached
+        margin_seconds = RESPONSE_TIME_FACTOR * run_seconds
+        limit, name = objective - round_trip, call.route.name
+        _update(self._routes_with_margin, name, margin_seconds, limit)
+        if not is_measured:
+            return name in self._routes_with_margin
+        _update(self._movable_routes, name, run_seconds, limit)
+        return name in self._movable_routes
+
+
+def _update(routes, name, seconds, limit):
+    """Add a route if it takes no more than ``limit`` seconds, or else remove it."""
+    kept_margin = KEPT_MARGIN if name in routes else 1.0
+    if kept_margin * seconds <= limit:
+        routes.add(name)
+    else:
+        routes.discard(name)
