--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -66,7 +66,7 @@
     Mutation(
         "SHARES-other-owners",
         f"{STEERING}/process/capacity/fair_shares.py",
-        "region.include(_restricted(usage, workspaces))",
+        "self._others.include(_restricted(usage, workspaces))",
         "pass",
         "tests/test_fair_shares.py",
         "-k",
@@ -164,7 +164,7 @@
     Mutation(
         "DRAIN-entry-lost-with-the-store",
         f"{STEERING}/process/store/follower.py",
-        "        self._on_store_return(now)\n",
+        "        self._on_store_return(self._clock.now())\n",
         "",
         "tests/test_restored_store.py",
         "-k",
@@ -275,8 +275,8 @@
     Mutation(
         "LIMIT-overdraft-after-wait",
         f"{STEERING}/process/capacity/admission.py",
-        "overdraft, now, now - OVERDRAFT_WAIT_SECONDS)",
-        "overdraft, now)",
+        "overdraft, now, now - OVERDRAFT_WAIT_SECONDS, slowdown",
+        "overdraft, now, None, slowdown",
         "tests/test_pacing.py",
     ),
     Mutation(
@@ -303,8 +303,8 @@
     Mutation(
         "LIMIT-passed-on",
         f"{STEERING}/process/membership/gossip.py",
-        "end += self._notices.pack(member.region, not is_newcomer)",
-        "pass",
+        "end += notices + extension_reports",
+        "end += extension_reports",
         "tests/test_notices.py",
         "tests/test_target_notices.py",
     ),
