--- a/src/heathercleat/steering/process/capacity/admission.py
+++ b/src/heathercleat/steering/process/capacity/admission.py
@@ -204,9 +204,8 @@
     def _is_wait_short(self, call, claims):
         """Return whether a request would wait no longer than a request holds a slot.
 
-        Such a wait keeps the slots that others leave in use. In a trial with affinity
-        and 8% more requests than slots, 240 per second were served, but 212 if only
-        requests could wait that were on time thereafter (235 without shares).
+        Such a wait keeps the slots that others leave in use: requests that wait for
+        their affinity target do not take them.
         """
         estimate = self.wait_estimate(call.service, call, claims)
         hold_seconds = self._queue(call.service).mean_hold_seconds
--- a/src/heathercleat/steering/process/capacity/fair_shares.py
+++ b/src/heathercleat/steering/process/capacity/fair_shares.py
@@ -192,8 +192,7 @@
         """Return whether a user's share of the slots of this VM alone counts.
 
         Not while the region's slots are short and the user asks for less than its share
-        of them. Its share here may be one slot or less, and holding one is no excess:
-        in a trial with 72 workspaces, 1% of the requests of small ones were refused.
+        of them. Its share here may be one slot or less, and holding one is no excess.
         """
         region = self._region
         return not region.is_short(user) or region.demand(user) >= region.share(user)
