--- a/src/heathercleat/steering/process/capacity/cache_shortage.py
+++ b/src/heathercleat/steering/process/capacity/cache_shortage.py
@@ -52,10 +52,10 @@
     def update(self, load, shortest_run, uneven, now):
         """Return the fraction after a new report.
 
-        :param uneven: see :func:`uneven_fraction`.
         :param load: the :class:`RegionLoad` of the region.
         :param shortest_run: mean seconds of a request at the targets of the region
             where they are lowest, or ``None`` if unknown.
+        :param uneven: see :func:`uneven_fraction`.
         """
         seconds, self._updated_at = now - self._updated_at, now
         if self._fraction is None:
--- a/src/heathercleat/steering/request/object_overflow.py
+++ b/src/heathercleat/steering/request/object_overflow.py
@@ -60,6 +60,8 @@
 
         :param result: the :class:`AttemptResult`.
         """
+        if not self.is_in_effect(call.service):
+            return
         if result.response_time is not None and not result.outcome.not_run:
             self._demand.record_run(
                 call.service, call.route.name, result.response_time, in_own_region
