Share the reading of a VM's peak memory between soak and tests

The soak and test_slow_readers each had it. The shared one raises if the process has ended, so the test's check stays as strict; the soak passes over such a VM as before.

--- a/standins/soak_pressure.py
+++ b/standins/soak_pressure.py
@@ -52,7 +52,11 @@
     def check(self):
         """Yield a line for each VM whose memory exceeded the limit."""
         for vm in self._fleet.vms.values():
-            peak = peak_bytes(vm.process)
+            try:
+                peak = peak_bytes(vm)
+            except ProcessLookupError:
+                # It was killed, and is restarted later.
+                continue
             if peak > MEMORY_BYTES:
                 yield f"{vm.name}: {peak >> 20} MB of memory"
 
@@ -94,11 +98,16 @@
             self._callers.pop(0).close()
 
 
-def peak_bytes(process):
-    """Return the peak resident memory of a process, 0 if it has ended."""
+def peak_bytes(vm):
+    """Return the peak resident memory of a VM.
+
+    :raises ProcessLookupError: if its process has ended.
+    """
     try:
-        status = Path(f"/proc/{process.pid}/status").read_text()
-    except OSError:
-        return 0
-    lines = [each for each in status.splitlines() if each.startswith("VmHWM")]
-    return int(lines[0].split()[1]) << 10 if lines else 0
+        status = Path(f"/proc/{vm.process.pid}/status").read_text()
+    except FileNotFoundError:
+        raise ProcessLookupError(vm.process.pid) from None
+    for line in status.splitlines():
+        if line.startswith("VmHWM"):
+            return int(line.split()[1]) << 10
+    raise ProcessLookupError(vm.process.pid)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -8,12 +8,12 @@
 import threading
 import time
 from contextlib import suppress
-from pathlib import Path
 
 import pytest
 
 from heathercleat.steering.process.memory.outputs import PROGRESS_SECONDS
 from standins.fleet import wait_for
+from standins.soak_pressure import peak_bytes
 from standins.steering_fleet import FRONT_PORT, SteeringFleet
 from tests.platform_samples import config
 
@@ -85,13 +85,6 @@
     return count
 
 
-def peak_bytes(vm):
-    """Return the peak resident memory of a VM."""
-    status = Path(f"/proc/{vm.process.pid}/status").read_text()
-    line = next(each for each in status.splitlines() if each.startswith("VmHWM"))
-    return int(line.split()[1]) << 10
-
-
 def gauge(fleet, vm, name):
     """Return a gauge of the metrics page."""
     prefix = f'heathercleat_steering_state{{name="{name}"}} '
