Log when another VM has a newer configuration for long

Of a refusal with 404 the logs did not tell whether other VMs had a newer configuration than the VM that refused, nor since when, nor the era of the store that the VM had read. Heartbeats carry the version; it is compared twice a second now (configuration_behind, configuration_current, a gauge), and configuration_adopted has the era and the version of the table.

No decision changes.

--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -5,6 +5,9 @@
 #: Seconds from the first report to this VM until it has heard all VMs. A version in a
 #: first report until then may be in force there for any time.
 START_SECONDS = 2.0
+#: Seconds for which another VM has to have a newer version before this is logged; a
+#: new version is in force at all VMs within less.
+BEHIND_SECONDS = 1.0
 
 
 class ConfigurationFreshness:
@@ -37,6 +40,16 @@
             return self._proven_at
         return None if newest.since is None else min(self._proven_at, newest.since)
 
+    @property
+    def newest_elsewhere(self):
+        """Return the name and the version of the live VM with the newest version.
+
+        Both are ``None`` if no VM reported one.
+        """
+        versions = ((each.version, vm) for vm, each in self._reports.items())
+        version, vm = max(versions, default=(None, None))
+        return vm, version
+
     def record_read(self, began_at):
         """Record that all changes up to an instant were read and applied."""
         self._advance(began_at)
@@ -127,3 +140,39 @@
         event = Event.PROOF_RETURNED if is_fresh else Event.PROOF_LOST
         age = None if proven_at is None else round(now - proven_at, 3)
         self._journal.write(event, age=age)
+
+
+class BehindMonitor:
+    """Logs when another VM has a newer configuration for long, and when it ends.
+
+    :param freshness: the :class:`ConfigurationFreshness`.
+    :param version: returns the version of the configuration in force, 0 without one.
+    """
+
+    def __init__(self, freshness, version, journal, clock):
+        self._freshness = freshness
+        self._version = version
+        self._journal = journal
+        self._clock = clock
+        self._behind_since = None
+        self._is_logged = False
+
+    def check(self):
+        """Log a change since the last check."""
+        vm, newest = self._freshness.newest_elsewhere
+        now, version = self._clock.now(), self._version()
+        if newest is None or newest <= version:
+            if self._is_logged:
+                seconds = round(now - self._behind_since, 3)
+                self._journal.write(
+                    Event.CONFIGURATION_CURRENT, version=version, seconds=seconds
+                )
+            self._behind_since, self._is_logged = None, False
+            return
+        if self._behind_since is None:
+            self._behind_since = now
+        if not self._is_logged and now - self._behind_since >= BEHIND_SECONDS:
+            self._is_logged = True
+            self._journal.write(
+                Event.CONFIGURATION_BEHIND, version=version, peer=vm, newest=newest
+            )
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -41,6 +41,7 @@
 from heathercleat.steering.process.capacity.view import TargetView
 from heathercleat.steering.process.capacity.workspace_shares import WorkspaceShares
 from heathercleat.steering.process.configuration_freshness import (
+    BehindMonitor,
     ConfigurationFreshness,
     FreshnessMonitor,
 )
@@ -70,6 +71,7 @@
 from heathercleat.steering.process.retry_detector import RetryDetector
 from heathercleat.steering.process.shutdown import Shutdown
 from heathercleat.steering.process.store.tables import Tables
+from heathercleat.steering.process.store.versions import era_of, number_of
 from heathercleat.steering.process.warm_connections import WarmConnections
 from heathercleat.steering.request.authentication import Authenticator
 from heathercleat.steering.request.crash_limits import CrashLimits
@@ -187,6 +189,9 @@
         self._freshness_monitor = FreshnessMonitor(
             self._freshness, settings.bounds, journal, clock
         )
+        self._behind_monitor = BehindMonitor(
+            self._freshness, lambda: self._configuration_version, journal, clock
+        )
         self._authenticator = Authenticator(self._freshness, settings.bounds)
         self._tables = Tables(
             settings,
@@ -465,6 +470,7 @@
                 self._suspects.expire()
                 self._notices.expire()
                 self._freshness_monitor.check()
+                self._behind_monitor.check()
                 if self._shares is not None:
                     self._shares.expire()
                 await self._target_pool.sweep()
@@ -557,6 +563,8 @@
             Event.CONFIGURATION_ADOPTED,
             version=routing_table.version,
             before=self._configuration_version or None,
+            era=era_of(self._tables.operator_rows.version),
+            table=number_of(self._tables.operator_rows.version),
         )
         self._routing_table = routing_table
         self.shutdown.run_times.retain({route.name for route in routing_table.routes})
@@ -593,6 +601,7 @@
             "free_slots": sum(each.free(now) for each in self._ledger.all()),
             "requests_under_way": self.active_requests.count,
             "configuration": self._configuration_version,
+            "newest_configuration": self._freshness.newest_elsewhere[1] or 0,
             "configuration_proof_age": _age(self._freshness.proven_at, now),
             "configuration_age": _age(self._tables.operator_rows.read_at, now),
             "targets_age": _age(self._tables.target_rows.read_at, now),
