--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,7 +1,9 @@
 """A store that is restored from a backup, and the rows that it has then."""
 
 import copy
+import signal
 import time
+from http.client import HTTPException
 
 import pytest
 
@@ -28,6 +30,8 @@
 #: Changes that the store acknowledges and then loses.
 LOST_CHANGES = 8
 ADDED_PATH = "/added/"
+#: Seconds after a restore in which operators write the lost configuration again.
+OPERATOR_SECONDS = 1.5
 
 
 @pytest.fixture
@@ -43,6 +47,12 @@
     return document
 
 
+def evacuated_at(fleet, vm):
+    """Return the failure domains that a VM last logged as evacuated."""
+    lines = [each for each in fleet.log(vm) if each["name"] == "evacuation_changed"]
+    return lines[-1]["after"]
+
+
 def lose_changes(fleet, count=LOST_CHANGES):
     """Make changes that all VMs see, and restore the store without them."""
     fleet.back_up_store()
@@ -63,6 +73,29 @@
     return [status(fleet, vm, path) for vm in fleet.vms.values()]
 
 
+def restart_all(fleet, while_stopped):
+    """Kill all VMs, call a function, and start them again."""
+    for vm in fleet.vms.values():
+        fleet.stop_vm(vm, signal.SIGKILL)
+    while_stopped()
+    for vm in fleet.vms.values():
+        fleet.restart_vm(vm)
+
+
+def statuses_during(fleet, vms, path, seconds):
+    """Return the statuses of requests to some VMs in a time, as a set."""
+    ends_at = time.monotonic() + seconds
+    seen = set()
+    while time.monotonic() < ends_at:
+        for vm in vms:
+            try:
+                seen.add(status(fleet, vm, path))
+            except (OSError, HTTPException):
+                continue
+        time.sleep(0.02)
+    return seen
+
+
 def entry_events(fleet, vm, target_id):
     """Return the names of the last two events about the entry of a target."""
     lines = [line for line in fleet.log(vm) if line.get("target") == target_id]
@@ -86,6 +119,53 @@
     assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
 
 
+def test_vms_that_start_under_a_restored_store_deny_no_route_that_it_lacks(fleet):
+    fleet.back_up_store()
+    fleet.put("op", "config", config_with_route("r8"))
+    time.sleep(CONFIG_SECONDS)
+    restart_all(fleet, fleet.restore_store)
+    vms = fleet.vms.values()
+    seen = statuses_during(fleet, vms, ADDED_PATH + "x", OPERATOR_SECONDS)
+    fleet.put("op", "config", config_with_route("r8"))
+    time.sleep(CONFIG_SECONDS)
+    assert seen == {503}
+    assert statuses(fleet, ADDED_PATH + "x") == [200] * len(fleet.vms)
+    assert statuses(fleet, "/unknown/x") == [404] * len(fleet.vms)
+
+
+def test_vm_that_starts_under_a_restored_store_gets_the_configuration_of_others(fleet):
+    started = fleet.vms["south-a-1"]
+    lose_changes(fleet)
+    time.sleep(READ_SECONDS)
+    fleet.stop_vm(started, signal.SIGKILL)
+    fleet.restart_vm(started)
+    seen = statuses_during(fleet, [started], "/lost/x", CONFIG_SECONDS)
+    assert 404 not in seen
+    assert status(fleet, started, "/lost/x") == 200
+
+
+def test_evacuation_that_a_restored_store_lacks_holds_until_it_is_written_again(fleet):
+    fleet.back_up_store()
+    fleet.put("op", "evacuate/north-a", {})
+    time.sleep(READ_SECONDS)
+    before = len(fleet.arrivals("i-1")) + len(fleet.arrivals("i-2"))
+    fleet.restore_store()
+    vms = fleet.vms.values()
+    statuses_during(fleet, vms, "/one/two/x", OPERATOR_SECONDS)
+    fleet.put("op", "evacuate/north-a", {})
+    statuses_during(fleet, vms, "/one/two/x", OPERATOR_SECONDS)
+    assert len(fleet.arrivals("i-1")) + len(fleet.arrivals("i-2")) == before
+
+
+def test_evacuation_that_is_not_written_again_after_a_restore_ends(fleet):
+    fleet.back_up_store()
+    fleet.put("op", "evacuate/north-a", {})
+    time.sleep(READ_SECONDS)
+    fleet.restore_store()
+    for vm in fleet.vms.values():
+        wait_for(lambda vm=vm: evacuated_at(fleet, vm) == [])
+
+
 def test_target_whose_entry_was_lost_is_used_until_it_is_written_again(fleet):
     entry_sequence = 7
     fleet.put("servers", "i-2", None)
