Notice within two seconds that a connection to the store went silent

What callers saw: a route added by a confirmed configuration refused with 404 for longer than its bound, after open connections had gone silent.

Cause: a reader's call for changes of the operators' table waits up to 5 s and times out after 6. If the connection goes silent meanwhile, and the kernel does not notice either, no reader sees a change until then. After the first failure a reader also paused, counted as a probe that uses no response, and did not read for another second. VMs that fetch the table from another VM tried a pooled connection, which may be silent, too.

Change: such a call waits 1 s; the first failed call is repeated at once, and its response is used; a fetch from another VM is repeated on a new connection. That keep-alive closes the connection after 2 to 3 s is not needed for it. Cost: a reader that sees no change makes 1 call a second for this table, 0.2 before.

--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -126,6 +126,8 @@
         self._retry_at = 0.0
         # Instant until which this VM does not act as a reader.
         self._yields_until = 0.0
+        # Whether the next call repeats the first one that failed.
+        self._retries_at_once = False
 
     @property
     def version(self):
@@ -202,7 +204,7 @@
             await self._newer_announced.wait()
 
     def _should_read_store(self):
-        if not self._is_loaded:
+        if not self._is_loaded or self._retries_at_once:
             return True
         if self._is_reader():
             return self._clock.now() >= self._yields_until
@@ -243,7 +245,12 @@
             self._is_loaded = False
             return 0.0
         except PlatformError as error:
+            was_lost = self.is_store_lost
             self._record_failure(error, began_at, is_total)
+            if not was_lost:
+                # Perhaps only the connection failed; the next call opens a new one.
+                self._retries_at_once = True
+                return 0.0
             await self._fetch_from_peer()
             self._retry_at = self._clock.now() + IDLE_RETRY_INTERVAL_SECONDS
             return uniform(0.5, 1.5) * RETRY_INTERVAL_SECONDS
@@ -251,6 +258,7 @@
 
     async def _call_store(self):
         began_at = self._clock.now()
+        is_retry, self._retries_at_once = self._retries_at_once, False
         if not self._is_loaded:
             snapshot = await self._store.read(self._table)
             self._record_response()
@@ -260,7 +268,7 @@
             return
         # A call that waits for changes would detect the end of an outage late.
         wait = 0.0 if self.is_store_lost else self._wait
-        is_probe = self.is_store_lost and not self._is_reader()
+        is_probe = self.is_store_lost and not is_retry and not self._is_reader()
         changes = await self._store.follow(self._table, self._copy.version, wait)
         self._record_response()
         if is_probe:
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -27,9 +27,9 @@
 MEMBER_TABLE = "heathercleat-members"
 #: Timeout of a call to the store in seconds, in addition to its wait for a change.
 STORE_TIMEOUT_SECONDS = 1.0
-#: Seconds for which a call waits for a change of the operators' table; long, since
-#: changes are rare.
-OPERATOR_WAIT_SECONDS = 5.0
+#: Seconds for which a call waits for a change of the operators' table. With the
+#: timeout, it bounds how long a connection that went silent delays a configuration.
+OPERATOR_WAIT_SECONDS = 1.0
 #: Upper bound of that wait as a share of the time until removed keys are refused, so
 #: that proofs of the newest configuration are renewed in time.
 PROOF_WAIT_SHARE = 0.2
@@ -44,7 +44,7 @@
 MEMBER_PAUSE_SECONDS = 60.0
 #: Number of VMs in all regions together that read the store.
 READER_COUNT = 3
-#: Timeout for fetching a table from another VM, in seconds.
+#: Timeout for fetching a table from another VM on one connection, in seconds.
 PEER_FETCH_TIMEOUT_SECONDS = 0.5
 #: Delay before a VM fetches a newer table from another failure domain of its region, in
 #: seconds; meanwhile a VM of its own failure domain may get the table. Without delays,
@@ -348,16 +348,24 @@
         if waited < self._fetch_delay(nearest):
             return None
         asked_at = self._clock.now()
-        fetching = self._fetch(nearest.ip, table, version)
         try:
-            snapshot = await with_deadline(
-                asked_at + PEER_FETCH_TIMEOUT_SECONDS, self._clock, fetching
-            )
+            snapshot = await self._fetch_in_time(nearest.ip, table, version)
         except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
             raise PeerError(f"{nearest.vm}: {error!r}") from None
         snapshot.reduce_remaining_use(self._clock.now() - asked_at)
         return snapshot
 
+    async def _fetch_in_time(self, ip, table, after):
+        """Fetch a table; try a new connection if the pooled one does not respond."""
+        for is_fresh in (False, True):
+            deadline = self._clock.now() + PEER_FETCH_TIMEOUT_SECONDS
+            fetching = self._fetch(ip, table, after, is_fresh)
+            try:
+                return await with_deadline(deadline, self._clock, fetching)
+            except TimeoutError:
+                if is_fresh:
+                    raise
+
     def _fetch_delay(self, member):
         """Return the seconds to wait before fetching from a VM.
 
@@ -372,9 +380,9 @@
             else OTHER_REGION_DELAY_SECONDS
         )
 
-    async def _fetch(self, ip, table, after):
+    async def _fetch(self, ip, table, after, is_fresh):
         port = self._settings.forward_port
-        stream = await self._pool.checkout(ip, port)
+        stream = await self._pool.checkout(ip, port, fresh=is_fresh)
         message = Message(path=state_path(table, after))
         is_complete = False
         try:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -31,6 +31,8 @@
         self.changes = []
         self.version = 0
         self.down = False
+        self.failures = 0
+        self.on_failure = lambda: None
         self.is_history_lost = False
         self.is_silent = False
         self.waits = []
@@ -71,6 +73,10 @@
 
     def _call(self):
         self.calls += 1
+        if self.failures:
+            self.failures -= 1
+            self.on_failure()
+            raise PlatformError("connection lost")
         if self.down:
             raise PlatformError("down")
 
@@ -178,6 +184,22 @@
     assert harness.follower.last_significant_version == 9
 
 
+def test_call_on_a_failed_connection_is_repeated_at_once_and_its_response_used():
+    harness = FollowerHarness()
+    calls_before = []
+
+    def fail_one_call():
+        calls_before.append(harness.store.calls)
+        harness.store.put("a", b"1")
+        harness.store.failures = 1
+        # Other VMs become the readers.
+        harness.store.on_failure = lambda: setattr(harness, "reader", False)
+
+    harness.run_steps(fail_one_call)
+    assert harness.store.calls == calls_before[0] + 2
+    assert harness.keys == ["a"]
+
+
 def test_end_of_an_outage_is_reported():
     harness = FollowerHarness()
     harness.run_steps(
