Refuse unknown routes for good only with a proof that they are unknown

What callers saw: 404 on a route of a confirmed configuration. All VMs had been started under a store that was restored from a backup without it, and knew the backup's configuration only; clients do not retry after a 404.

Cause: a refusal that rests on a configuration which the VM cannot show to be the newest. A process that starts took its first read as a proof of that, though it cannot know how long ago the store was restored, and a missing route was refused without asking for a proof at all.

Change: a missing route, and an unknown key where removals have no bound, gets 404 or 401 only with a proof of at most 15 s from after the last restore, and if no VM reported a newer version; else 503 with a time to retry. First reads of a restored store prove nothing for 2 s. The whole table is read again then, which proves at once and finds what was missed.

Why it holds: proofs come from reads that began after the rewrite, or from VMs whose version is not newer; both are compared with the instant at which this VM learned of the restore.

Cost: callers of wrong paths get 503 for that time.

--- a/src/heathercleat/steering/connection/call_reader.py
+++ b/src/heathercleat/steering/connection/call_reader.py
@@ -50,7 +50,7 @@
         await self._wait_for_start(arrived_at + MAX_START_WAIT_SECONDS)
         client = parse_client_head(headers)
         request.id = client.request_id or token_hex(REQUEST_ID_BYTES)
-        route = self._match(head, headers)
+        route = self._match(head, headers, arrived_at)
         workspace = self._node.authenticate(route, client.keys, arrived_at)
         if workspace is not None:
             request.workspace = workspace.name
@@ -98,7 +98,7 @@
         while not self._node.is_started and self._clock.now() < deadline:
             await sleep(START_POLL_SECONDS)
 
-    def _match(self, head, headers):
+    def _match(self, head, headers, arrived_at):
         routing_table = self._node.routing_table
         if routing_table is None:
             now = self._clock.now()
@@ -112,7 +112,7 @@
         route = routing_table.match(host.decode("latin-1").lower(), path)
         if route is None:
             message = f'no route for "{host.decode("latin-1")}" and "{path}"'
-            raise RequestError(ResultCode.NO_ROUTE, message)
+            raise self._node.refusals.of(ResultCode.NO_ROUTE, message, arrived_at)
         return route
 
     async def _charge(self, workspace, arrived_at):
--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -1,6 +1,7 @@
 """How recently the configuration in force is known to have been the newest."""
 
 from heathercleat.events import Event
+from heathercleat.process.clock import DISTANT_PAST
 
 #: Seconds from the first report to this VM until it has heard all VMs. A version in a
 #: first report until then may be in force there for any time.
@@ -8,6 +9,9 @@
 #: Seconds for which another VM has to have a newer version before this is logged; a
 #: new version is in force at all VMs within less.
 BEHIND_SECONDS = 1.0
+#: Maximum age of a proof on which this VM refuses what its configuration lacks. Longer
+#: than VMs take to renew and pass on proofs while the store responds.
+MAX_REFUSAL_PROOF_SECONDS = 15.0
 
 
 class ConfigurationFreshness:
@@ -31,6 +35,8 @@
         self._reports = {}
         self._starting_until = None
         self._newest_report = None
+        # Earlier proofs do not count for refusals.
+        self._refusal_proof_from = DISTANT_PAST
 
     @property
     def proven_at(self):
@@ -80,6 +86,26 @@
         proven_at = self.proven_at
         return proven_at is not None and at <= proven_at + max_age
 
+    def require_newer_proof(self, instant):
+        """Let only proofs from an instant on justify refusals.
+
+        Changes from before may be missing, as the store was restored from a backup.
+        """
+        self._refusal_proof_from = max(self._refusal_proof_from, instant)
+
+    def justifies_refusals(self, at):
+        """Return whether what the configuration lacks is known to be lacking.
+
+        :param at: instant at which the request arrived.
+        """
+        newest = self._newest_report
+        if newest is not None and newest.version > self._version():
+            return False
+        proven_at = self._proven_at
+        if proven_at is None or proven_at < self._refusal_proof_from:
+            return False
+        return at <= proven_at + MAX_REFUSAL_PROOF_SECONDS
+
     def _record_version(self, vm, version, sent_at):
         if self._starting_until is None:
             self._starting_until = sent_at + START_SECONDS
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -81,6 +81,7 @@
 from heathercleat.steering.request.forward import ForwardDispatcher
 from heathercleat.steering.request.local import LocalDispatcher
 from heathercleat.steering.request.object_overflow import ObjectOverflow
+from heathercleat.steering.request.refusals import Refusals
 from heathercleat.steering.request.steer import Steering
 from heathercleat.steering.version.routing import Limits
 from heathercleat.steering.version.split import Splitter
@@ -192,7 +193,10 @@
         self._behind_monitor = BehindMonitor(
             self._freshness, lambda: self._configuration_version, journal, clock
         )
-        self._authenticator = Authenticator(self._freshness, settings.bounds)
+        self.refusals = Refusals(self._freshness)
+        self._authenticator = Authenticator(
+            self._freshness, settings.bounds, self.refusals
+        )
         self._tables = Tables(
             settings,
             self._registry,
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -80,6 +80,8 @@
         the store was restored from a backup, with the instant of that read.
     :param on_current: called after each response with an instant, up to which all
         changes of the table are applied.
+    :param on_restored: called with the instant at which this VM learns, from the store
+        or from another VM, that the store was restored from a backup.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         remaining_use_seconds,
         on_store_return,
         on_current,
+        on_restored,
         journal,
         clock,
     ):
@@ -111,6 +114,7 @@
         self._remaining_use_seconds = remaining_use_seconds
         self._on_store_return = on_store_return
         self._on_current = on_current
+        self._on_restored = on_restored
         self._journal = journal
         self._clock = clock
         self._copy = TableCopy()
@@ -123,6 +127,8 @@
         self._read_at = None
         # Instant from which a read of the table has all acknowledged changes.
         self._complete_from = DISTANT_PAST
+        # Whether the whole table is read again at that instant.
+        self._reads_again = False
         self._retry_at = 0.0
         # Instant until which this VM does not act as a reader.
         self._yields_until = 0.0
@@ -259,6 +265,8 @@
     async def _call_store(self):
         began_at = self._clock.now()
         is_retry, self._retries_at_once = self._retries_at_once, False
+        if self._is_second_read_due(began_at):
+            self._reads_again = self._is_loaded = False
         if not self._is_loaded:
             snapshot = await self._store.read(self._table)
             self._record_response()
@@ -266,8 +274,12 @@
             self._apply_whole(snapshot)
             self._record_current(began_at)
             return
-        # A call that waits for changes would detect the end of an outage late.
-        wait = 0.0 if self.is_store_lost else self._wait
+        wait = self._wait
+        if self.is_store_lost:
+            # A call that waits for changes would detect the end of an outage late.
+            wait = 0.0
+        elif self._reads_again:
+            wait = min(wait, self._complete_from - began_at)
         is_probe = self.is_store_lost and not is_retry and not self._is_reader()
         changes = await self._store.follow(self._table, self._copy.version, wait)
         self._record_response()
@@ -280,6 +292,12 @@
         self._record_current(began_at - WATCH_LAG_SECONDS)
         self._announced_change_version = self.last_significant_version
 
+    def _is_second_read_due(self, now):
+        """Return whether changes that were lost are to be read now."""
+        if self.is_store_lost or not self._reads_again:
+            return False
+        return now >= self._complete_from
+
     async def _fetch_from_peer(self):
         if not self._update_behind_since():
             return
@@ -347,8 +365,7 @@
         A restore of the store that this VM learns of here delays the proofs of its own
         next reads, too. The snapshot tells for how long lost rows are still used.
         """
-        if self._is_of_later_era(snapshot):
-            self._expect_rewrites()
+        self._check_completeness(snapshot)
         if not snapshot.is_whole:
             self._apply(self._copy.merge_changes(snapshot))
         elif self._copy.replace_all(snapshot):
@@ -385,6 +402,7 @@
         Rows that the backup lacks are written again, so a row that is missing now may
         be lost rather than removed.
         """
+        self._check_completeness(snapshot)
         if not self._is_of_later_era(snapshot):
             return
         known = self._copy.version
@@ -396,7 +414,6 @@
             era=era_of(snapshot.version),
             version=number_of(snapshot.version),
         )
-        self._expect_rewrites()
         self._on_store_return(self._clock.now())
 
     def _is_of_later_era(self, snapshot):
@@ -404,9 +421,18 @@
         known = self._copy.version
         return bool(known) and era_of(snapshot.version) > era_of(known)
 
-    def _expect_rewrites(self):
-        """Count no read as complete until lost changes are written again."""
-        self._complete_from = self._clock.now() + REWRITE_SECONDS
+    def _check_completeness(self, snapshot):
+        """Count no read as complete until lost changes are written again.
+
+        A process that starts does not know when the store was last restored.
+        """
+        known, now = self._copy.version, self._clock.now()
+        if era_of(snapshot.version) <= era_of(known):
+            return
+        self._complete_from = now + REWRITE_SECONDS
+        self._reads_again = True
+        if known:
+            self._on_restored(now)
 
     def _record_current(self, instant):
         """Report that all changes up to an instant are applied.
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -95,6 +95,7 @@
             lambda member: member.operator_version,
             lambda: members.newest_operator_version,
             on_current=freshness.record_read,
+            on_restored=freshness.require_newer_proof,
         )
         self.target_rows = self._follow(
             TARGET_TABLE,
@@ -219,6 +220,7 @@
         remaining_use_seconds=dict,
         on_store_return=lambda earliest_end: None,
         on_current=lambda instant: None,
+        on_restored=lambda instant: None,
     ):
         async def fetch_newer(version, since):
             return await self._fetch_from_nearest(table, version, since, version_of)
@@ -236,6 +238,7 @@
             remaining_use_seconds,
             on_store_return,
             on_current,
+            on_restored,
             self._journal,
             self._clock,
         )
--- a/src/heathercleat/steering/request/authentication.py
+++ b/src/heathercleat/steering/request/authentication.py
@@ -2,10 +2,7 @@
 
 from heathercleat.codes import ResultCode
 from heathercleat.errors import RequestError
-
-#: Seconds after which a client may retry at a VM without a recent proof; other VMs may
-#: have one at once.
-STALE_RETRY_SECONDS = 0.3
+from heathercleat.steering.request.refusals import stale_configuration
 
 
 class Authenticator:
@@ -16,11 +13,13 @@
 
     :param freshness: the :class:`ConfigurationFreshness`.
     :param bounds: the :class:`Bounds`, for the time until a removed key is refused.
+    :param refusals: the :class:`Refusals`.
     """
 
-    def __init__(self, freshness, bounds):
+    def __init__(self, freshness, bounds, refusals):
         self._freshness = freshness
         self._bounds = bounds
+        self._refusals = refusals
 
     def authenticate(self, workspaces, route, keys, arrived_at):
         """Return the :class:`Workspace` of a request; ``None`` if it needs no key.
@@ -36,12 +35,12 @@
             return None
         if not self._freshness.was_newest(self._bounds.revocation, arrived_at):
             message = "this VM does not know whether keys have been removed"
-            retry_at = arrived_at + STALE_RETRY_SECONDS
-            raise RequestError(ResultCode.CONFIGURATION_STALE, message, retry_at)
+            raise stale_configuration(message, arrived_at)
         if len(keys) != 1:
             message = f"{len(keys)} keys; send exactly one"
             raise RequestError(ResultCode.UNKNOWN_KEY, message)
         workspace = workspaces.find(keys[0])
         if workspace is None:
-            raise RequestError(ResultCode.UNKNOWN_KEY, "no workspace holds this key")
+            message = "no workspace holds this key"
+            raise self._refusals.of(ResultCode.UNKNOWN_KEY, message, arrived_at)
         return workspace
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -113,6 +113,7 @@
             lambda: self.lapsing,
             self.outage_ends.append,
             self.current_instants.append,
+            lambda instant: None,
             Journal("vm-1", "north-a"),
             self.clock,
         )
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -221,7 +221,7 @@
         self.store.back_up()
         self.store.put("b", b"2")
 
-    def run(self, seconds, fetches_from_peer=False):
+    def run(self, seconds, fetches_from_peer=False, is_restored_at_start=False):
         follower = TableFollower(
             "op",
             self.store,
@@ -235,16 +235,19 @@
             dict,
             lambda earliest: None,
             self.proven.append,
+            lambda instant: None,
             Journal("vm-1", "north-a"),
             self.clock,
         )
 
         async def main():
             async with TaskGroup(wait=any) as group:
+                if is_restored_at_start:
+                    self.restore()
                 await group.spawn(follower.run)
                 await sleep(0.1)
-                self.store.restore()
-                self.restored_at = self.clock.now()
+                if not is_restored_at_start:
+                    self.restore()
                 if fetches_from_peer:
                     follower._apply_from_peer(self.store.snapshot())
                 await sleep(seconds)
@@ -253,6 +256,10 @@
         run(main)
         return [row.key for row in follower.snapshot().rows]
 
+    def restore(self):
+        self.store.restore()
+        self.restored_at = self.clock.now()
+
 
 def test_follower_takes_the_rows_of_a_restored_store(restored):
     assert restored.run(0.1) == ["a"]
@@ -275,3 +282,14 @@
     monkeypatch.setattr(follower_module, "WATCH_LAG_SECONDS", 0.0)
     restored.run(REWRITE_SECONDS / 2, fetches_from_peer=True)
     assert max(restored.proven) < restored.restored_at
+
+
+@pytest.mark.parametrize(
+    ("seconds", "expected"), [(REWRITE_SECONDS / 2, False), (REWRITE_SECONDS, True)]
+)
+def test_reads_of_a_process_that_starts_prove_nothing_while_rows_may_be_missing(
+    restored, seconds, expected
+):
+    restored.run(seconds, is_restored_at_start=True)
+    is_proven = bool(restored.proven)
+    assert is_proven is expected
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -10,9 +10,11 @@
 from heathercleat.platform.headers import parse_client_head, replace_identity
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.steering.process.configuration_freshness import (
+    MAX_REFUSAL_PROOF_SECONDS,
     ConfigurationFreshness,
 )
 from heathercleat.steering.request.authentication import Authenticator
+from heathercleat.steering.request.refusals import Refusals
 from heathercleat.steering.version.workspaces import Workspace
 from tests.platform_samples import SETTINGS, config, workspace
 from tests.steering_parts import route
@@ -28,13 +30,15 @@
 class Entrance:
     """An authenticator with a proof of the newest configuration from instant 100."""
 
-    def __init__(self, *workspaces):
+    def __init__(self, *workspaces, revocation=REVOCATION_SECONDS):
         self.table = decode(*workspaces)
         self.freshness = ConfigurationFreshness(lambda: self.table.version)
         self.freshness.record_read(100.0)
         bounds = decode_node_settings(SETTINGS).bounds
-        bounds.revocation = REVOCATION_SECONDS
-        self.authenticator = Authenticator(self.freshness, bounds)
+        bounds.revocation = revocation
+        self.authenticator = Authenticator(
+            self.freshness, bounds, Refusals(self.freshness)
+        )
 
     def authenticate(self, *keys, arrived_at=100.0, is_public=False):
         """Return the name of the workspace or the code of the error."""
@@ -88,6 +92,44 @@
     assert found is ResultCode.CONFIGURATION_STALE
 
 
+def test_key_is_not_called_unknown_without_a_proof_where_removals_have_no_bound():
+    entrance = Entrance(workspace("w1", "k1"), revocation=None)
+    late = 100.0 + MAX_REFUSAL_PROOF_SECONDS
+    assert entrance.authenticate(b"new", arrived_at=late) is ResultCode.UNKNOWN_KEY
+    found = entrance.authenticate(b"new", arrived_at=late + 0.1)
+    assert found is ResultCode.CONFIGURATION_STALE
+    assert entrance.authenticate(b"k1", arrived_at=late + 0.1) == "w1"
+
+
+def justified(seconds, *reports, restored_at=None):
+    """Return whether refusals are justified some seconds after a read at 100."""
+    freshness = ConfigurationFreshness(lambda: 7)
+    freshness.record_read(100.0)
+    if restored_at is not None:
+        freshness.require_newer_proof(restored_at)
+    for version, sent_at, age in reports:
+        freshness.record_report("vm-2", version, sent_at, age)
+    return freshness.justifies_refusals(100.0 + seconds)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "reports", "restored_at", "expected"),
+    [
+        (MAX_REFUSAL_PROOF_SECONDS, [], None, True),
+        (MAX_REFUSAL_PROOF_SECONDS + 0.1, [], None, False),
+        (20.0, [(7, 118.0, 2.0)], None, True),
+        (1.0, [(8, 101.0, 0.5)], None, False),
+        (1.0, [], 100.5, False),
+        (4.0, [(7, 104.0, 1.0)], 100.5, True),
+        (4.0, [(7, 104.0, 3.8)], 100.5, False),
+    ],
+)
+def test_refusals_need_a_recent_proof_from_after_the_last_restore(
+    seconds, reports, restored_at, expected
+):
+    assert justified(seconds, *reports, restored_at=restored_at) is expected
+
+
 def test_proof_of_a_newer_version_is_not_adopted_before_the_version():
     freshness = ConfigurationFreshness(lambda: 7)
     freshness.record_report("vm-2", 7, 20.0, None)
