Keep evacuations that a restored store lacks until they are written again

Cause: a row that the backup lacks was taken for a row that operators removed. Targets without a row were kept already, evacuations were not.

Change: for the 2 s after a restore in which rows may be missing, an evacuation without a row holds, unless the change says that operators removed it. It ends then without a further read. The decoding of evacuations no longer depends on that of the configuration, so that they apply beside an invalid one, too.

--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -20,19 +20,21 @@
 DEFAULT_LATENCY_OBJECTIVE = "1s"
 
 
-def decode_operator_rows(rows):
-    """Return ``(routing table or None, names of evacuated failure domains)``.
+def find_configuration(rows):
+    """Return the :class:`StoreRow` with the configuration, or ``None``.
 
     :param rows: each :class:`StoreRow` of the operators' table.
-    :raises ValueError: when the configuration is malformed.
     """
-    routing_table, evacuated = None, set()
-    for row in rows:
-        if row.key == CONFIG_KEY:
-            routing_table = decode_config(row.value)
-        elif row.key.startswith(EVACUATE_PREFIX):
-            evacuated.add(row.key.removeprefix(EVACUATE_PREFIX))
-    return routing_table, frozenset(evacuated)
+    return next((row for row in rows if row.key == CONFIG_KEY), None)
+
+
+def decode_evacuations(rows):
+    """Return the names of the failure domains whose evacuation has a row."""
+    return frozenset(
+        row.key.removeprefix(EVACUATE_PREFIX)
+        for row in rows
+        if row.key.startswith(EVACUATE_PREFIX)
+    )
 
 
 def decode_config(value):
--- a/src/heathercleat/steering/process/capacity/registry.py
+++ b/src/heathercleat/steering/process/capacity/registry.py
@@ -47,6 +47,8 @@
         self._by_service = {}
         self._cold_until = {}
         self._evacuated = frozenset()
+        # By failure domain: instant until which a lost evacuation still holds.
+        self._lost_evacuations = {}
         self._missing_deadline = 0.0
         self._is_loaded = False
         # Whether the initial entries are stored; only later ones are logged one by one.
@@ -152,16 +154,32 @@
         return changed
 
     def expire(self):
-        """Remove the missing targets whose remaining time of use is over."""
+        """End what holds only for a time without an entry.
+
+        That is the use of missing targets, and evacuations that were lost.
+        """
         now = self._clock.now()
+        self._expire_lost_evacuations(now)
         expired = [each for each, until in self._missing_until.items() if until <= now]
         for target_id in expired:
             self._remove(target_id, "entry still missing")
         if expired:
             self._rebuild()
 
-    def evacuate(self, failure_domains):
-        """Set the failure domains whose targets get no requests."""
+    def evacuate(self, failure_domains, ended=frozenset(), lost_until=None):
+        """Set the failure domains whose targets get no requests.
+
+        :param ended: failure domains whose evacuation the operators ended.
+        :param lost_until: instant until which all others that are evacuated now remain
+            so, since their evacuation may have been lost; ``None`` if none was.
+        """
+        lost = frozenset()
+        if lost_until is not None:
+            lost = self._evacuated - failure_domains - ended
+        self._lost_evacuations = dict.fromkeys(lost, lost_until)
+        self._set_evacuated(failure_domains | lost)
+
+    def _set_evacuated(self, failure_domains):
         if failure_domains == self._evacuated:
             return
         self._journal.write(
@@ -172,6 +190,14 @@
         self._evacuated = failure_domains
         self._rebuild()
 
+    def _expire_lost_evacuations(self, now):
+        ended = {each for each, until in self._lost_evacuations.items() if until <= now}
+        if not ended:
+            return
+        for each in ended:
+            del self._lost_evacuations[each]
+        self._set_evacuated(self._evacuated - ended)
+
     def remove_replaced(self, target_id, reason):
         """Remove a target that was replaced by another one at its address.
 
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -177,6 +177,15 @@
         """Return the instant of the store's last response, or ``None``."""
         return self._read_at
 
+    @property
+    def rows_missing_until(self):
+        """Return the instant until which rows may be missing; ``None`` if none are.
+
+        The store was restored from a backup, and is expected to have all rows then.
+        """
+        is_complete = self._clock.now() >= self._complete_from
+        return None if is_complete else self._complete_from
+
     def snapshot(self, after=0):
         """Return a :class:`Snapshot` of the changes since a version; 0 for all rows."""
         return self._copy.changes_since(after, self._remaining_use_seconds())
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -13,7 +13,11 @@
 )
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
-from heathercleat.platform.decode import decode_operator_rows
+from heathercleat.platform.decode import (
+    decode_config,
+    decode_evacuations,
+    find_configuration,
+)
 from heathercleat.platform.store import TableStoreClient
 from heathercleat.platform.targets import decode_target
 from heathercleat.platform.wire_names import OPERATOR_TABLE, TARGET_TABLE
@@ -280,9 +284,16 @@
         changed = [row.key for row in snapshot.rows]
         if not snapshot.is_whole and not changed:
             return changed
+        rows = self.operator_rows.snapshot().rows
+        self._registry.evacuate(
+            decode_evacuations(rows),
+            decode_evacuations(row for row in snapshot.rows if row.value is None),
+            self.operator_rows.rows_missing_until,
+        )
+        row = find_configuration(rows)
         try:
-            rows = self.operator_rows.snapshot().rows
-            routing_table, evacuated = decode_operator_rows(rows)
+            if row is not None:
+                self._adopt(decode_config(row.value))
         except ValueError as error:
             self._journal.write(
                 Event.CONFIGURATION_REJECTED,
@@ -290,9 +301,6 @@
                 reason=str(error),
             )
             return []
-        self._registry.evacuate(evacuated)
-        if routing_table is not None:
-            self._adopt(routing_table)
         return changed
 
     def _apply_target_rows(self, snapshot):
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -32,6 +32,45 @@
     assert ids(parts) == ["t1", "t2"]
 
 
+@pytest.fixture
+def evacuated_parts():
+    """Targets of two failure domains, one of which is evacuated."""
+    parts = Parts([entry("t1"), entry("t2", domain="north-b")])
+    parts.registry.evacuate(frozenset(["north-b"]))
+    return parts
+
+
+def test_lost_evacuation_holds_until_rows_are_complete_again(evacuated_parts):
+    parts = evacuated_parts
+    lost_until = parts.clock.now() + 2.0
+    parts.registry.evacuate(frozenset(), lost_until=lost_until)
+    parts.registry.evacuate(frozenset(["south-a"]), lost_until=lost_until)
+    parts.clock.time = lost_until - 0.1
+    parts.registry.expire()
+    assert ids(parts) == ["t1"]
+    parts.clock.time = lost_until
+    parts.registry.expire()
+    assert ids(parts) == ["t1", "t2"]
+    assert parts.registry.evacuated == {"south-a"}
+
+
+def test_evacuation_that_operators_end_does_not_count_as_lost(evacuated_parts):
+    parts = evacuated_parts
+    lost_until = parts.clock.now() + 2.0
+    parts.registry.evacuate(frozenset(), frozenset(["north-b"]), lost_until)
+    assert ids(parts) == ["t1", "t2"]
+
+
+def test_evacuation_that_is_written_again_does_not_lapse(evacuated_parts):
+    parts = evacuated_parts
+    lost_until = parts.clock.now() + 2.0
+    parts.registry.evacuate(frozenset(), lost_until=lost_until)
+    parts.registry.evacuate(frozenset(["north-b"]), lost_until=lost_until)
+    parts.clock.time = lost_until
+    parts.registry.expire()
+    assert ids(parts) == ["t1"]
+
+
 def end_store_outage(parts):
     """Report the end of a store outage that affected all VMs."""
     parts.registry.record_store_return(parts.clock.now())
