--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -5,13 +5,7 @@
 
 from curio import sleep
 
-from heathercleat.connection.http import (
-    CONNECTION_ERRORS,
-    Message,
-    exchange,
-    with_deadline,
-)
-from heathercleat.errors import PeerError, PlatformError
+from heathercleat.errors import PlatformError
 from heathercleat.events import Event
 from heathercleat.platform.decode import (
     decode_config,
@@ -21,9 +15,9 @@
 from heathercleat.platform.store import TableStoreClient
 from heathercleat.platform.targets import decode_target
 from heathercleat.platform.wire_names import OPERATOR_TABLE, TARGET_TABLE
-from heathercleat.steering.connection.forwarded import state_path, unpack_state
 from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.steering.process.store.member_rows import decode_member, encode_member
+from heathercleat.steering.process.store.peer_tables import PeerTables
 from heathercleat.steering.process.store.rejected_rows import RejectedRowLog
 from heathercleat.steering.process.store.versions import era_of
 from heathercleat.version.hashing import rank_by_weight
@@ -48,15 +42,6 @@
 MEMBER_PAUSE_SECONDS = 60.0
 #: Number of VMs in all regions together that read the store.
 READER_COUNT = 3
-#: Timeout for fetching a table from another VM on one connection, in seconds.
-PEER_FETCH_TIMEOUT_SECONDS = 0.5
-#: Delay before a VM fetches a newer table from another failure domain of its region, in
-#: seconds; meanwhile a VM of its own failure domain may get the table. Without delays,
-#: at 80 VMs a table can cross between regions 50 times at each change of the targets.
-REGION_DELAY_SECONDS = 0.15
-#: The same for fetching from another region, to limit traffic between regions.
-OTHER_REGION_DELAY_SECONDS = 0.5
-MAX_SNAPSHOT_BYTES = 16 << 20
 REGISTER_RETRY_SECONDS = 0.5
 #: Seconds between two checks whether this VM has to register again.
 REGISTER_CHECK_SECONDS = 1.0
@@ -83,11 +68,11 @@
         self._settings = settings
         self._registry = registry
         self._members = members
-        self._pool = pool
         self._adopt = adopt
         self._journal = journal
         self._clock = clock
         self._rejections = RejectedRowLog(journal, clock)
+        self._peer_tables = PeerTables(settings, members, pool, clock)
         self._own_store = self.new_store()
         # Era of the store to which this VM's row was written, or ``None``.
         self._registered_era = None
@@ -227,7 +212,9 @@
         on_restored=lambda instant: None,
     ):
         async def fetch_newer(version, since):
-            return await self._fetch_from_nearest(table, version, since, version_of)
+            return await self._peer_tables.fetch_newer(
+                table, version, since, version_of
+            )
 
         return TableFollower(
             table,
@@ -345,67 +332,6 @@
             except ValueError as error:
                 self._rejections.log(row.key, error)
 
-    async def _fetch_from_nearest(self, table, version, since, version_of):
-        """Return a newer snapshot from the nearest VM that has one, or ``None``."""
-        newer_members = [
-            member
-            for member in self._members.live_others()
-            if version_of(member) > version
-        ]
-        if not newer_members:
-            return None
-        waited = self._clock.now() - since
-        nearest = min(newer_members, key=self._fetch_delay)
-        if waited < self._fetch_delay(nearest):
-            return None
-        asked_at = self._clock.now()
-        try:
-            snapshot = await self._fetch_in_time(nearest.ip, table, version)
-        except (TimeoutError, ValueError, *CONNECTION_ERRORS) as error:
-            raise PeerError(f"{nearest.vm}: {error!r}") from None
-        snapshot.reduce_remaining_use(self._clock.now() - asked_at)
-        return snapshot
-
-    async def _fetch_in_time(self, ip, table, after):
-        """Fetch a table; try a new connection if the pooled one does not respond."""
-        for is_fresh in (False, True):
-            deadline = self._clock.now() + PEER_FETCH_TIMEOUT_SECONDS
-            fetching = self._fetch(ip, table, after, is_fresh)
-            try:
-                return await with_deadline(deadline, self._clock, fetching)
-            except TimeoutError:
-                if is_fresh:
-                    raise
-
-    def _fetch_delay(self, member):
-        """Return the seconds to wait before fetching from a VM.
-
-        The delay allows a nearer VM to get the table first.
-        """
-        own = self._members.own
-        if member.failure_domain == own.failure_domain:
-            return 0.0
-        return (
-            REGION_DELAY_SECONDS
-            if member.region == own.region
-            else OTHER_REGION_DELAY_SECONDS
-        )
-
-    async def _fetch(self, ip, table, after, is_fresh):
-        port = self._settings.forward_port
-        stream = await self._pool.checkout(ip, port, fresh=is_fresh)
-        message = Message(path=state_path(table, after))
-        is_complete = False
-        try:
-            response = await exchange(stream, message, MAX_SNAPSHOT_BYTES)
-            is_complete = True
-        finally:
-            if is_complete:
-                await self._pool.checkin(ip, port, stream)
-            else:
-                await self._pool.discard(ip, port, stream)
-        return unpack_state(response.body)
-
 
 def _operator_wait(bounds):
     """Return the seconds for which a call for the operators' table waits."""
