Pass the configuration in force between VMs

What callers saw: a VM that starts under a restored store refuses routes that the others serve, until operators write the lost configuration again; a VM that starts beside an invalid configuration answers 503 for as long as that row stands, though the others serve.

Cause: only the operators' row passes between VMs. The configuration in force may be another one, newer than the row or valid where the row is not, and then nothing gives it to a process that starts.

--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -59,6 +59,7 @@
             services=services,
             limits=_decode_limits(document["limits"]),
             workspaces=_decode_workspaces(document.get("tenants")),
+            document=value,
         )
     except (KeyError, TypeError, AttributeError) as error:
         raise ValueError(f"not a configuration: {error!r}") from None
--- a/src/heathercleat/steering/process/configuration_freshness.py
+++ b/src/heathercleat/steering/process/configuration_freshness.py
@@ -56,6 +56,11 @@
         version, vm = max(versions, default=(None, None))
         return vm, version
 
+    def version_at(self, vm):
+        """Return the version that a live VM reported; 0 if it reported none."""
+        report = self._reports.get(vm)
+        return report.version if report is not None else 0
+
     def record_read(self, began_at):
         """Record that all changes up to an instant were read and applied."""
         self._advance(began_at)
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -15,6 +15,10 @@
 from heathercleat.platform.store import TableStoreClient
 from heathercleat.platform.targets import decode_target
 from heathercleat.platform.wire_names import OPERATOR_TABLE, TARGET_TABLE
+from heathercleat.steering.process.store.configuration_exchange import (
+    IN_FORCE_TABLE,
+    ConfigurationExchange,
+)
 from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.steering.process.store.member_rows import decode_member, encode_member
 from heathercleat.steering.process.store.peer_tables import PeerTables
@@ -58,12 +62,22 @@
     :param registry: the :class:`TargetRegistry` for targets and evacuations.
     :param members: the :class:`Members`.
     :param pool: the connection pool for other VMs.
+    :param routing_table: returns the :class:`RoutingTable` in force, or ``None``.
     :param adopt: called with each new :class:`RoutingTable`.
     :param freshness: the :class:`ConfigurationFreshness`.
     """
 
     def __init__(
-        self, settings, registry, members, pool, adopt, freshness, journal, clock
+        self,
+        settings,
+        registry,
+        members,
+        pool,
+        routing_table,
+        adopt,
+        freshness,
+        journal,
+        clock,
     ):
         self._settings = settings
         self._registry = registry
@@ -73,6 +87,9 @@
         self._clock = clock
         self._rejections = RejectedRowLog(journal, clock)
         self._peer_tables = PeerTables(settings, members, pool, clock)
+        self.configuration_exchange = ConfigurationExchange(
+            self._peer_tables, freshness, routing_table, adopt, journal, clock
+        )
         self._own_store = self.new_store()
         # Era of the store to which this VM's row was written, or ``None``.
         self._registered_era = None
@@ -133,9 +150,12 @@
     def snapshot(self, table, after):
         """Return a :class:`Snapshot` of a table's changes since a version.
 
-        :param table: name of the operators' or of the targets' table.
+        :param table: name of the operators' or of the targets' table, or
+            :data:`IN_FORCE_TABLE`.
         :param after: the version, or 0 for all rows.
         """
+        if table == IN_FORCE_TABLE:
+            return self.configuration_exchange.snapshot()
         followers = {OPERATOR_TABLE: self.operator_rows, TARGET_TABLE: self.target_rows}
         return followers[table].snapshot(after)
 
--- a/src/heathercleat/steering/version/routing.py
+++ b/src/heathercleat/steering/version/routing.py
@@ -136,16 +136,27 @@
     """All routes, services and workspaces of one version.
 
     :param workspaces: a :class:`WorkspaceIndex`; ``None`` if requests need no key.
+    :param document: the encoded configuration from which it was decoded.
     :raises ValueError: if a route names a service that the version does not define.
     """
 
-    __slots__ = ("version", "services", "limits", "workspaces", "_hosts")
+    __slots__ = (
+        "version",
+        "services",
+        "limits",
+        "workspaces",
+        "document",
+        "_hosts",
+    )
 
-    def __init__(self, version, routes, services, limits, workspaces=None):
+    def __init__(
+        self, version, routes, services, limits, workspaces=None, document=b""
+    ):
         self.version = version
         self.services = services
         self.limits = limits
         self.workspaces = workspaces
+        self.document = document
         self._hosts = {}
         for route in routes:
             self._check_services(route)
--- a/tests/test_fleet_stops.py
+++ b/tests/test_fleet_stops.py
@@ -142,7 +142,15 @@
     journal, clock = Journal(vm.name, vm.domain), vm.network.clock
     registry = TargetRegistry(journal, clock)
     return Tables(
-        settings, registry, vm.members, None, None, vm.freshness, journal, clock
+        settings,
+        registry,
+        vm.members,
+        None,
+        lambda: None,
+        None,
+        vm.freshness,
+        journal,
+        clock,
     )
 
 
