Keep the last valid configuration in the store beside an invalid one

What callers saw: after all VMs had been started again while the operators' configuration could not be used, every request got 503 until operators corrected it.

Cause: nothing lasting held the configuration in force; VMs pass it on only while one of them runs.

Change: a reader of the store that cannot use the operators' row writes the configuration in force to a table of our own, with a digest of that row. A VM without a configuration restores the newest one that was in force beside the same row. Without the digest, a configuration from before a later valid one could come back.

--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -454,6 +454,7 @@
             self._tables.operator_rows.run,
             self._tables.target_rows.run,
             self._tables.configuration_exchange.run,
+            self._tables.configuration_archive.run,
             self._tables.follow_members,
             self._tables.keep_registered,
             self._quarantines.follow,
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -15,6 +15,9 @@
 from heathercleat.platform.store import TableStoreClient
 from heathercleat.platform.targets import decode_target
 from heathercleat.platform.wire_names import OPERATOR_TABLE, TARGET_TABLE
+from heathercleat.steering.process.store.configuration_archive import (
+    ConfigurationArchive,
+)
 from heathercleat.steering.process.store.configuration_exchange import (
     IN_FORCE_TABLE,
     ConfigurationExchange,
@@ -90,6 +93,9 @@
         self.configuration_exchange = ConfigurationExchange(
             self._peer_tables, freshness, routing_table, adopt, journal, clock
         )
+        self.configuration_archive = ConfigurationArchive(
+            self.new_store(), self.is_reader, routing_table, adopt, journal
+        )
         self._own_store = self.new_store()
         # Era of the store to which this VM's row was written, or ``None``.
         self._registered_era = None
@@ -298,17 +304,21 @@
             self.operator_rows.rows_missing_until,
         )
         row = find_configuration(rows)
+        if row is not None:
+            self._apply_configuration(row)
+        return changed
+
+    def _apply_configuration(self, row):
         try:
-            if row is not None:
-                self._adopt(decode_config(row.value))
+            routing_table = decode_config(row.value)
         except ValueError as error:
+            self.configuration_archive.record_invalid_row(row.value)
             self._journal.write(
-                Event.CONFIGURATION_REJECTED,
-                version=snapshot.version,
-                reason=str(error),
+                Event.CONFIGURATION_REJECTED, version=row.version, reason=str(error)
             )
-            return []
-        return changed
+            return
+        self.configuration_archive.record_valid_row()
+        self._adopt(routing_table)
 
     def _apply_target_rows(self, snapshot):
         rows = [row for row in snapshot.rows if row.value is not None]
--- a/tests/test_invalid_configuration.py
+++ b/tests/test_invalid_configuration.py
@@ -40,6 +40,13 @@
     return fleet.send(vm, "GET", path, f"q{time.monotonic_ns()}")[0]
 
 
+def restart_all(fleet):
+    for vm in fleet.vms.values():
+        fleet.stop_vm(vm, signal.SIGKILL)
+    for vm in fleet.vms.values():
+        fleet.restart_vm(vm)
+
+
 def write_invalid_configuration(fleet, document):
     fleet.put("op", "config", document)
     time.sleep(SPREAD_SECONDS)
@@ -64,13 +71,27 @@
     fleet,
 ):
     write_invalid_configuration(fleet, config_without_limits())
+    restart_all(fleet)
+    for vm in fleet.vms.values():
+        wait_for(lambda vm=vm: fleet.is_ready(vm))
+        assert status(fleet, vm, SERVED_PATH) == 200
+
+
+def test_valid_configuration_from_before_another_valid_one_is_not_restored(fleet):
+    write_invalid_configuration(fleet, config_without_limits())
+    restart_all(fleet)
+    fleet.put("op", "config", config("r10"))
+    time.sleep(SPREAD_SECONDS)
     for vm in fleet.vms.values():
         fleet.stop_vm(vm, signal.SIGKILL)
+    document = config_without_limits()
+    document["version"] = "r11"
+    fleet.put("op", "config", document)
     for vm in fleet.vms.values():
         fleet.restart_vm(vm)
+    time.sleep(SPREAD_SECONDS)
     for vm in fleet.vms.values():
-        wait_for(lambda vm=vm: fleet.is_ready(vm))
-        assert status(fleet, vm, SERVED_PATH) == 200
+        assert status(fleet, vm, SERVED_PATH) == 503
 
 
 def test_valid_configuration_after_an_invalid_one_is_taken(fleet):
