Refuse configurations with invalid values, and say what is right

What callers saw: 503 for all requests of a route whose configuration had a negative timeout or allowed regions as a text; it was in force at all VMs.

Cause: values were converted, not checked. int(), float() and bool() accept what they can convert, a text is a set of letters, and nothing compared routes with each other. What was refused was often refused by chance, with the text of a TypeError.

Names of services, hosts and routes and the prefixes of a host are unique, prefixes begin and end with a slash, some weight is more than 0, versions fit the heartbeats. Unknown fields are ignored, null counts as missing. Two kinds of valid configurations were refused or never matched: routes for downloads, and hosts with capitals.

Messages for workspaces begin with the position of the field now; the tests that look for them have the new texts, and no case was removed.

A property test replaces any value by any other.

--- a/src/heathercleat/platform/decode.py
+++ b/src/heathercleat/platform/decode.py
@@ -1,9 +1,7 @@
-"""Decoding of the operators' table."""
+"""Decoding and validation of the operators' table."""
 
-import json
-from math import isfinite
-
-from heathercleat.platform.units import parse_duration, parse_version
+from heathercleat.platform.fields import MAX_COUNT, parse_object
+from heathercleat.platform.units import parse_version
 from heathercleat.platform.wire_names import CONFIG_KEY, EVACUATE_PREFIX
 from heathercleat.steering.version.routing import (
     Limits,
@@ -18,6 +16,14 @@
 #: Defaults of a route without its own values.
 DEFAULT_TIMEOUT = "60s"
 DEFAULT_LATENCY_OBJECTIVE = "1s"
+#: The kind of a route by its name.
+_KINDS = {
+    "safe": RequestKind.SAFE,
+    "unsafe": RequestKind.UNSAFE,
+    "upload": RequestKind.UPLOAD,
+    # Large responses; the requests are safe.
+    "download": RequestKind.SAFE,
+}
 
 
 def find_configuration(rows):
@@ -41,106 +47,138 @@
     """Return the :class:`RoutingTable` of an operators' configuration.
 
     :param value: the row's value, JSON as bytes.
-    :raises ValueError: when it is malformed.
+    :raises ValueError: when it is malformed; names the field, its value and what it has
+        to be.
     """
+    fields = parse_object(value)
+    return RoutingTable(
+        version=_decode_version(fields),
+        routes=list(_decode_routes(fields)),
+        services=_decode_services(fields),
+        limits=_decode_limits(fields.object("limits")),
+        workspaces=_decode_workspaces(fields),
+        document=value,
+    )
+
+
+def _decode_version(fields):
+    text = fields.text("version")
     try:
-        document = json.loads(value)
-        services = {
-            each["name"]: _decode_service(each) for each in document["services"]
-        }
-        routes = [
-            _decode_route(host["host"], path)
-            for host in document["hosts"]
-            for path in host["paths"]
-        ]
-        return RoutingTable(
-            version=parse_version(document["version"]),
-            routes=routes,
-            services=services,
-            limits=_decode_limits(document["limits"]),
-            workspaces=_decode_workspaces(document.get("tenants")),
-            document=value,
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise ValueError(f"not a configuration: {error!r}") from None
-
-
-def _decode_service(document):
-    # Requests per second that a target can handle while its cache is cold.
-    cold_requests_per_second = float(document.get("coldPerS", 0)) or None
-    return Service(document["name"], cold_requests_per_second)
-
-
-def _decode_route(host, document):
+        version = parse_version(text)
+    except ValueError:
+        version = MAX_COUNT
+    if version >= MAX_COUNT:
+        raise fields.error("version", f"a version such as r12, below r{MAX_COUNT}")
+    return version
+
+
+def _decode_services(fields):
+    services = {}
+    for each in fields.objects("services"):
+        name = each.text("name")
+        if name in services:
+            raise each.error("name", "unique among the services")
+        # Requests per second that a target can handle while its cache is cold.
+        services[name] = Service(name, each.quantity("coldPerS", default=0.0) or None)
+    return services
+
+
+def _decode_routes(fields):
+    """Yield each :class:`Route`."""
+    hosts, names = set(), set()
+    for each in fields.objects("hosts"):
+        # Names of hosts do not depend on case.
+        host = each.text("host").lower()
+        if host in hosts:
+            raise each.error("host", "unique among the hosts")
+        hosts.add(host)
+        prefixes = set()
+        for path in each.objects("paths"):
+            route = _decode_route(host, path)
+            if route.name in names:
+                raise path.error("name", "unique among the routes")
+            if route.prefix in prefixes:
+                raise path.error("prefix", "unique among the routes of its host")
+            names.add(route.name)
+            prefixes.add(route.prefix)
+            yield route
+
+
+def _decode_route(host, fields):
     return Route(
-        name=document["name"],
+        name=fields.text("name"),
         host=host,
-        prefix=document["prefix"],
-        kind=RequestKind(document["kind"]),
-        timeout=parse_duration(document.get("timeout", DEFAULT_TIMEOUT)),
-        latency_objective=parse_duration(
-            document.get("targetLatency", DEFAULT_LATENCY_OBJECTIVE)
+        prefix=_decode_prefix(fields),
+        kind=_decode_kind(fields),
+        timeout=fields.duration("timeout", default=DEFAULT_TIMEOUT),
+        latency_objective=fields.duration(
+            "targetLatency", default=DEFAULT_LATENCY_OBJECTIVE
         ),
-        priority=int(document.get("priority", 0)),
-        max_attempts=int(document.get("maxAttempts", 1)),
-        sticky=bool(document.get("sessionAffinity", False)),
-        regions=frozenset(document.get("allowedRegions") or ()),
-        shares=tuple(_decode_shares(document)),
-        is_public=bool(document.get("public", False)),
+        priority=fields.integer("priority", default=0),
+        max_attempts=fields.integer("maxAttempts", minimum=1, default=1),
+        sticky=fields.flag("sessionAffinity"),
+        regions=frozenset(fields.texts("allowedRegions")),
+        shares=tuple(_decode_shares(fields)),
+        is_public=fields.flag("public"),
     )
 
 
-def _decode_shares(document):
-    if document.get("trafficSplit"):
-        for entry in document["trafficSplit"]:
-            yield ServiceShare(entry["service"], float(entry["weight"]))
-    else:
-        yield ServiceShare(document["service"], 1.0)
+def _decode_prefix(fields):
+    prefix = fields.text("prefix")
+    if not (prefix.startswith("/") and prefix.endswith("/")):
+        raise fields.error("prefix", "a path that begins and ends with a slash")
+    return prefix
+
 
+def _decode_kind(fields):
+    kind = _KINDS.get(fields.text("kind"))
+    if kind is None:
+        raise fields.error("kind", f"one of {', '.join(_KINDS)}")
+    return kind
 
-def _decode_limits(document):
+
+def _decode_shares(fields):
+    """Return the :class:`ServiceShare` of each service of a route."""
+    split = fields.objects("trafficSplit") if fields.has_value("trafficSplit") else []
+    if not split:
+        return [ServiceShare(fields.text("service"), 1.0)]
+    shares = [
+        ServiceShare(each.text("service"), each.quantity("weight")) for each in split
+    ]
+    if not any(each.weight for each in shares):
+        raise fields.error("trafficSplit", "a list with a weight of more than 0")
+    return shares
+
+
+def _decode_limits(fields):
     return Limits(
-        header_bytes=int(document["maxHeaderBytes"]),
-        body_bytes=int(document["maxBodyBytes"]),
-        header_timeout=parse_duration(document["headerTimeout"]),
-        idle_timeout=parse_duration(document["idleTimeout"]),
+        header_bytes=fields.integer("maxHeaderBytes", minimum=1),
+        body_bytes=fields.integer("maxBodyBytes"),
+        header_timeout=fields.duration("headerTimeout"),
+        idle_timeout=fields.duration("idleTimeout"),
     )
 
 
-def _decode_workspaces(documents):
+def _decode_workspaces(fields):
     """Return the :class:`WorkspaceIndex`, or ``None`` if requests need no key."""
-    if documents is None:
+    if not fields.has_value("tenants"):
         return None
     workspaces = WorkspaceIndex()
-    for document in documents:
-        keys = [key.encode() for key in document["apiKeys"]]
-        workspaces.add(_decode_workspace(document), keys)
+    for each in fields.objects("tenants"):
+        keys = [key.encode() for key in each.texts("apiKeys", is_secret=True)]
+        workspaces.add(_decode_workspace(each), keys)
     return workspaces
 
 
-def _decode_workspace(document):
-    name = document["name"]
-    if not (isinstance(name, str) and name.isascii() and name.isprintable()) or (
-        name != name.strip() or not name
-    ):
-        raise ValueError(f"the workspace name {name!r} is not a valid header value")
-    priority = document.get("priority")
+def _decode_workspace(fields):
+    name = fields.text("name")
+    if not (name.isascii() and name.isprintable()) or name != name.strip():
+        raise fields.error("name", "a valid header value")
     return Workspace(
         name,
         # A rate of 0 means that there is no limit.
-        rate=_decode_quantity(document, "ratePerS", name) or None,
-        burst=_decode_quantity(document, "burst", name),
-        priority=None if priority is None else int(priority),
-        regions=frozenset(document.get("allowedRegions") or ()),
+        rate=fields.quantity("ratePerS", default=0.0) or None,
+        burst=fields.quantity("burst", default=0.0),
+        priority=fields.integer("priority", default=None),
+        regions=frozenset(fields.texts("allowedRegions")),
     )
-
-
-def _decode_quantity(document, field, workspace):
-    """Return a number of 0 or more; 0 if the field is missing."""
-    value = document.get(field) or 0
-    number = float(value)
-    if not (isfinite(number) and number >= 0):
-        raise ValueError(
-            f'workspace "{workspace}": {field} is {value!r}; it has to be 0 or more'
-        )
-    return number
--- a/src/heathercleat/platform/units.py
+++ b/src/heathercleat/platform/units.py
@@ -22,6 +22,7 @@
 
     :raises ValueError: when ``text`` is not a version.
     """
-    if not text.startswith("r"):
+    digits = text.removeprefix("r")
+    if digits == text or not (digits.isascii() and digits.isdecimal()):
         raise ValueError(f'"{text}" is not a version; write it like r12')
-    return int(text[1:])
+    return int(digits)
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -4,6 +4,8 @@
 
 import pytest
 import yaml
+from hypothesis import given
+from hypothesis import strategies as st
 
 from heathercleat import FindingsError, HeathercleatError
 from heathercleat.platform.decode import (
@@ -88,6 +90,145 @@
         decode_config(json.dumps(document).encode())
 
 
+def changed_config(path, value):
+    """Return the sample configuration with the value at a path replaced.
+
+    :param path: names and positions; a missing last one is added.
+    """
+    document = config()
+    *parents, last = path
+    place = document
+    for each in parents:
+        place = place[each]
+    if isinstance(place, list) and last == len(place):
+        place.append(value)
+    else:
+        place[last] = value
+    return document
+
+
+FIRST_ROUTE = ("hosts", 0, "paths", 0)
+SECOND_ROUTE = ("hosts", 0, "paths", 1)
+INVALID_VALUES = [
+    ((*SECOND_ROUTE, "timeout"), "-1s"),
+    ((*SECOND_ROUTE, "timeout"), "0ms"),
+    ((*SECOND_ROUTE, "timeout"), "infs"),
+    ((*SECOND_ROUTE, "timeout"), 5),
+    ((*SECOND_ROUTE, "targetLatency"), "-300ms"),
+    ((*SECOND_ROUTE, "maxAttempts"), -1),
+    ((*SECOND_ROUTE, "maxAttempts"), 0),
+    ((*SECOND_ROUTE, "maxAttempts"), True),
+    ((*SECOND_ROUTE, "priority"), -1),
+    ((*SECOND_ROUTE, "priority"), "1"),
+    ((*SECOND_ROUTE, "allowedRegions"), "north"),
+    ((*SECOND_ROUTE, "allowedRegions"), ["north", 7]),
+    ((*SECOND_ROUTE, "sessionAffinity"), "false"),
+    ((*SECOND_ROUTE, "public"), 1),
+    ((*SECOND_ROUTE, "kind"), "often"),
+    ((*SECOND_ROUTE, "service"), ["s1"]),
+    ((*SECOND_ROUTE, "prefix"), "one/two/"),
+    ((*SECOND_ROUTE, "prefix"), "/one/two"),
+    ((*SECOND_ROUTE, "prefix"), "/one/"),
+    ((*SECOND_ROUTE, "name"), "one"),
+    ((*SECOND_ROUTE, "name"), None),
+    ((*FIRST_ROUTE, "trafficSplit", 0, "weight"), -90),
+    ((*FIRST_ROUTE, "trafficSplit", 0, "weight"), "90"),
+    ((*FIRST_ROUTE, "trafficSplit", 0, "weight"), float("nan")),
+    ((*FIRST_ROUTE, "trafficSplit"), [{"service": "s1", "weight": 0}]),
+    (("hosts", 1), {"host": "A.example", "paths": []}),
+    (("hosts", 0, "host"), None),
+    (("hosts",), {"host": "a.example"}),
+    (("services", 0, "name"), "s2"),
+    (("services", 0, "coldPerS"), -1),
+    (("limits", "maxHeaderBytes"), "16384"),
+    (("limits", "idleTimeout"), "-15s"),
+    (("limits",), "16384"),
+    (("version",), "r1_0"),
+    (("version",), "r-7"),
+    (("version",), 7),
+    (("version",), f"r{1 << 64}"),
+]
+
+
+@pytest.mark.parametrize(("path", "value"), INVALID_VALUES)
+def test_invalid_value_is_refused_with_its_field_and_what_is_right(path, value):
+    document = changed_config(path, value)
+    names = [each for each in path if isinstance(each, str)]
+    with pytest.raises(ValueError, match="it has to be") as caught:
+        decode_config(json.dumps(document).encode())
+    shown, _, expected = str(caught.value).partition("; it has to be ")
+    assert names[-1] in shown
+    assert expected
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ((*SECOND_ROUTE, "allowedRegions"), None),
+        ((*SECOND_ROUTE, "timeout"), None),
+        ((*SECOND_ROUTE, "priority"), None),
+        ((*SECOND_ROUTE, "trafficSplit"), []),
+        ((*FIRST_ROUTE, "trafficSplit", 0, "weight"), 0),
+        (("hosts", 1), {"host": "b.example", "paths": []}),
+        (("services", 0, "coldPerS"), 0),
+        (("unknown",), {"newer": "platform"}),
+    ],
+)
+def test_value_that_is_left_out_or_of_a_newer_platform_is_accepted(path, value):
+    document = changed_config(path, value)
+    assert decode_config(json.dumps(document).encode()).version == 7
+
+
+def test_downloads_are_safe():
+    document = changed_config((*SECOND_ROUTE, "kind"), "download")
+    table = decode_config(json.dumps(document).encode())
+    assert table.match("a.example", "/one/two/x").kind is RequestKind.SAFE
+
+
+def test_hosts_do_not_depend_on_case():
+    document = changed_config(("hosts", 0, "host"), "A.Example")
+    table = decode_config(json.dumps(document).encode())
+    assert table.match("a.example", "/one/x").name == "one"
+
+
+def paths_in(document, path=()):
+    """Yield the path of each value in a document."""
+    items = ()
+    if isinstance(document, dict):
+        items = document.items()
+    elif isinstance(document, list):
+        items = enumerate(document)
+    for key, value in items:
+        yield (*path, key)
+        yield from paths_in(value, (*path, key))
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=4), inner, max_size=3)
+    ),
+    max_leaves=4,
+)
+
+
+@given(st.sampled_from(list(paths_in(config()))), JSON_VALUES)
+def test_any_changed_value_is_refused_or_leaves_a_usable_configuration(path, value):
+    document = changed_config(path, value)
+    try:
+        table = decode_config(json.dumps(document).encode())
+    except ValueError:
+        return
+    for route in table.routes:
+        assert route.timeout > 0
+        assert route.latency_objective > 0
+        assert route.max_attempts >= 1
+        assert sum(share.weight for share in route.shares) > 0
+        assert all(share.weight >= 0 for share in route.shares)
+    assert len({route.name for route in table.routes}) == len(table.routes)
+
+
 def test_operator_rows_hold_configuration_and_evacuations():
     rows = [row("config", config()), row("evacuate/north-a", {}), row("other", {})]
     assert find_configuration(rows) is rows[0]
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -143,12 +143,13 @@
 @pytest.mark.parametrize(
     ("workspaces", "message"),
     [
+        ([{**workspace("w1"), "apiKeys": ["k1", 7]}], "a list of non-empty strings"),
         ([workspace("w1", "k1"), workspace("w2", "k1")], "share a key"),
         ([workspace("w1", "k1"), workspace("w1", "k2")], "defined twice"),
-        ([workspace("w1", "k1", rate=-1)], "ratePerS is -1"),
-        ([workspace("w1", "k1", burst=-0.5)], "burst is -0.5"),
-        ([workspace("w\n1", "k1")], "not a valid header value"),
-        ([workspace("", "k1")], "not a valid header value"),
+        ([workspace("w1", "k1", rate=-1)], 'ratePerS" is -1'),
+        ([workspace("w1", "k1", burst=-0.5)], 'burst" is -0.5'),
+        ([workspace("w\n1", "k1")], "a valid header value"),
+        ([workspace("", "k1")], "a non-empty string"),
     ],
 )
 def test_configuration_with_a_malformed_workspace_is_refused_whole(workspaces, message):
