Soak: configurations that change, and VMs all started under a restored store

Each configuration adds a route and drops an older one; some cannot be used. Probes go to all VMs beside the other faults: a route that every configuration has is never denied, one that was added for 5 s is denied by no VM that ran meanwhile, and a configuration written after the last fault is in force at all VMs within 4 s, with 404 for a route that never existed. At times all VMs are ended, and start while the store returns from a backup.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -4,14 +4,17 @@
 faults: VMs killed, paused or suspended, restarted, or started with a skewed wall clock;
 a store that is unavailable, slow, refuses a VM, or loses replies or its change history;
 targets that lose, truncate, refuse or delay responses; evacuations and new
-configurations; network faults of :mod:`standins.fault_proxy`; and the restores of
-the store and partitions from all targets of :mod:`standins.soak_restores`. With even
+configurations; network faults of :mod:`standins.fault_proxy`; the restores of the
+store and partitions from all targets of :mod:`standins.soak_restores`; and the
+configurations of :mod:`standins.soak_configurations`. With even
 seeds, callers compete and some do not read, and machines of targets become slow; see
 :mod:`standins.soak_pressure`. It checks, from what clients and targets observe:
 
 - a request that is not idempotent runs at most once;
 - a request refused with 503 has not run and does not run later;
 - a successful response is signed, complete and belongs to its request;
+- no route of all configurations is ever denied, and none that was added for long;
+- a configuration written after the last fault is in force at every VM;
 - a target removed after the last fault gets no requests once its drain is over, and
   gets requests again when it restarts under the same id;
 - after the last fault, requests are served again;
@@ -34,6 +37,7 @@
 
 from heathercleat.platform.wire_names import CONTENTION_CONTRACT
 from standins.fleet import STOP_SECONDS, wait_for
+from standins.soak_configurations import ConfigurationChanges, Configurations
 from standins.soak_notices import TargetNotices
 from standins.soak_pressure import Pressure
 from standins.soak_restores import RestoresAndPartitions
@@ -137,14 +141,16 @@
     """Injects random faults and undoes each one later; they may overlap.
 
     :param rng: source of all random choices.
-    :param config_versions: iterator over numbers for new configurations.
+    :param configurations: the :class:`Configurations`.
     """
 
-    def __init__(self, fleet, rng, config_versions):
+    def __init__(self, fleet, rng, configurations):
         self._fleet = fleet
         self._rng = rng
-        self._versions = config_versions
+        self._configurations = configurations
         self._undo = []
+        # By VM: when it was last ended, started, paused or resumed.
+        self.disturbed_at = {}
         self.log = []
 
     def run(self, seconds):
@@ -161,6 +167,11 @@
             self._undo_due(time.monotonic())
         self._undo_due(float("inf"))
 
+    def start_all(self):
+        """Start the VMs that were ended by other faults."""
+        for vm in self._fleet.vms.values():
+            self._fleet.start_if_ended(vm)
+
     def _kinds(self):
         return (
             self._kill,
@@ -190,14 +201,20 @@
     def _random_vm(self):
         return self._rng.choice(list(self._fleet.vms.values()))
 
-    def _kill(self):
+    def _disturbed_vm(self):
+        """Return a random VM that is going to be ended or paused."""
         vm = self._random_vm()
+        self.disturbed_at[vm.name] = time.monotonic()
+        return vm
+
+    def _kill(self):
+        vm = self._disturbed_vm()
         vm.process.kill()
         vm.process.wait()
         return lambda: self._start(vm)
 
     def _stop(self):
-        vm = self._random_vm()
+        vm = self._disturbed_vm()
         # Another fault may have started a new process by the time of the restart.
         stopped = vm.process
         stopped.send_signal(signal.SIGTERM)
@@ -211,15 +228,20 @@
         return restart
 
     def _start(self, vm):
-        # Another fault may have already restarted it.
-        if vm.process.poll() is not None:
-            skew = self._rng.choice((0.0, 0.0, *CLOCK_SKEW_SECONDS))
-            self._fleet.start_vm(vm, clock_skew=skew)
+        self.disturbed_at[vm.name] = time.monotonic()
+        skew = self._rng.choice((0.0, 0.0, *CLOCK_SKEW_SECONDS))
+        self._fleet.start_if_ended(vm, clock_skew=skew)
 
     def _pause(self):
-        paused = self._random_vm().process
+        vm = self._disturbed_vm()
+        paused = vm.process
         paused.send_signal(signal.SIGSTOP)
-        return lambda: paused.send_signal(signal.SIGCONT)
+
+        def resume():
+            self.disturbed_at[vm.name] = time.monotonic()
+            paused.send_signal(signal.SIGCONT)
+
+        return resume
 
     def _store_down(self):
         down = self._rng.choice(["busy", "silent", "reset"])
@@ -289,8 +311,7 @@
         return lambda: self._fleet.put("op", f"evacuate/{domain}", None)
 
     def _configure(self):
-        self._fleet.config["version"] = f"r{next(self._versions)}"
-        self._fleet.put("op", "config", self._fleet.config)
+        self._configurations.write()
 
 
 def check_target_removal(fleet, seed):
@@ -331,6 +352,8 @@
             yield f"{request.id}: ran {counts[request.id]} times"
         if request.status == 503 and counts[request.id]:
             yield f"{request.id}: refused, but ran"
+        if request.status == 404:
+            yield f"{request.id}: denied, though all configurations have its route"
         if request.status == 200:
             yield from _check_success(request)
 
@@ -361,8 +384,8 @@
     :param vms_per_domain: number of VMs in each failure domain.
     :param with_stops: whether planned stops follow the faults.
     :param with_notices: whether targets ask for less after the faults.
-    :param with_restores: whether the store is restored and VMs are partitioned
-        from all targets beside the other faults.
+    :param with_restores: whether the store is restored, VMs are partitioned from all
+        targets and configurations change beside the other faults.
     """
     rng = random.Random(seed)
     vms = dict.fromkeys(DOMAINS, vms_per_domain)
@@ -380,11 +403,21 @@
         suspends=suspends,
         contracts=[CONTENTION_CONTRACT] if is_contended else [],
     ) as fleet:
-        faults = FaultInjector(fleet, rng, iter(range(100, 10_000)))
+        configurations = Configurations(fleet, config)
+        faults = FaultInjector(fleet, rng, configurations)
         clients = Clients(fleet, seed)
         # A separate generator keeps the random choices of the faults independent.
         stops = PlannedStops(fleet, DOMAINS, seed, random.Random(f"{seed}-stops"))
-        restores = RestoresAndPartitions(fleet, random.Random(f"{seed}-restores"))
+        restores = RestoresAndPartitions(
+            fleet, faults.disturbed_at, random.Random(f"{seed}-restores")
+        )
+        changes = ConfigurationChanges(
+            fleet,
+            configurations,
+            faults.disturbed_at,
+            seed,
+            random.Random(f"{seed}-configurations"),
+        )
         pressure = Pressure(fleet, TARGETS, random.Random(f"{seed}-pressure"))
         clients.start()
         stops.start_clients()
@@ -393,10 +426,13 @@
                 pressure.start(seconds)
             if with_restores:
                 restores.start(seconds)
+                changes.start(seconds)
             faults.run(seconds)
             if with_restores:
                 restores.join()
-            violations = []
+                changes.join()
+            faults.start_all()
+            violations = list(changes.check())
             if is_contended:
                 pressure.join()
                 violations.extend(pressure.check())
@@ -417,7 +453,7 @@
         outcomes.update(stops.outcome_counts(spans))
     if violations:
         violations.extend(
-            f"fault: {line}" for line in _merge_logs(faults, restores, stops)
+            f"fault: {line}" for line in _merge_logs(faults, restores, changes, stops)
         )
     return violations, outcomes
 
--- a/standins/soak_restores.py
+++ b/standins/soak_restores.py
@@ -1,6 +1,7 @@
 """Faults of the soak test that overlap with its others.
 
-The store is restored from backups of itself, and VMs are partitioned from all targets.
+The store is restored from backups of itself, at times while all VMs are started again,
+and VMs are partitioned from all targets.
 """
 
 import threading
@@ -17,11 +18,13 @@
 class RestoresAndPartitions:
     """Injects these faults in a thread, one after another.
 
+    :param disturbed_at: by VM, the last instant at which it was ended or started.
     :param rng: source of all random choices.
     """
 
-    def __init__(self, fleet, rng):
+    def __init__(self, fleet, disturbed_at, rng):
         self._fleet = fleet
+        self._disturbed_at = disturbed_at
         self._rng = rng
         self._thread = None
         self.log = []
@@ -38,7 +41,9 @@
 
     def _run(self, ends_at):
         while time.monotonic() < ends_at:
-            inject = self._rng.choice((self._restore_store, self._partition_vms))
+            inject = self._rng.choice(
+                (self._restore_store, self._restart_all, self._partition_vms)
+            )
             undo = inject()
             self.log.append(f"{time.monotonic():.2f} {inject.__name__}")
             time.sleep(self._rng.uniform(*DURATION_SECONDS))
@@ -50,6 +55,23 @@
         rewrite_s = self._rng.uniform(0.0, MAX_REWRITE_SECONDS)
         return lambda: self._fleet.restore_store(rewrite_s)
 
+    def _restart_all(self):
+        """End all VMs; they start under a store that was restored meanwhile."""
+        restore = self._restore_store()
+        vms = list(self._fleet.vms.values())
+
+        def restart():
+            for vm in vms:
+                self._disturbed_at[vm.name] = time.monotonic()
+                vm.process.kill()
+                vm.process.wait()
+            restore()
+            for vm in vms:
+                self._disturbed_at[vm.name] = time.monotonic()
+                self._fleet.start_if_ended(vm)
+
+        return restart
+
     def _partition_vms(self):
         """Partition one VM or more, except one."""
         vms = list(self._fleet.vms.values())
--- a/standins/steering_fleet.py
+++ b/standins/steering_fleet.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import threading
 from http.client import HTTPException
 
 from heathercleat.steering.process.store.tables import MEMBER_TABLE
@@ -93,6 +94,7 @@
         self._proxied = proxied
         self._suspends = suspends
         self._contracts = list(contracts)
+        self._start_lock = threading.Lock()
         self.config = config
         self.store = (f"127.{subnet}.200.1", STORE_PORT)
         self.targets = targets
@@ -163,6 +165,15 @@
         }
         vm.process = self._processes.start(vm.name, command, **variables)
 
+    def start_if_ended(self, vm, clock_skew=0.0):
+        """Start the process of a VM, unless it runs; from any thread.
+
+        :param clock_skew: as in :meth:`start_vm`.
+        """
+        with self._start_lock:
+            if vm.process.poll() is not None:
+                self.start_vm(vm, clock_skew)
+
     def partition_vm(self, vm, mode):
         """Partition a VM from all targets, unless they are proxied.
 
