--- a/tests/test_invalid_configuration.py
+++ b/tests/test_invalid_configuration.py
@@ -20,7 +20,7 @@
 
 @pytest.fixture
 def fleet():
-    with SteeringFleet(config(), DOMAINS, VMS, TARGETS, subnet=33) as started:
+    with SteeringFleet(config(), DOMAINS, VMS, TARGETS, subnet=50) as started:
         yield started
 
 
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -21,7 +21,7 @@
 @pytest.fixture
 def fleet():
     with SteeringFleet(
-        config(), DOMAINS, VMS, TARGETS, subnet=34, proxied=True
+        config(), DOMAINS, VMS, TARGETS, subnet=51, proxied=True
     ) as started:
         yield started
 
