--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -222,10 +222,8 @@
     Mutation(
         "CONFIG-proof-after-a-restore-learned-from-a-peer",
         f"{STEERING}/process/store/follower.py",
-        """            self._expect_rewrites()
-        if not snapshot""",
-        """            pass
-        if not snapshot""",
+        "        self._check_completeness(snapshot)\n        if not snapshot.is_whole:",
+        "        if not snapshot.is_whole:",
         "tests/test_store_eras.py",
     ),
     Mutation(
@@ -594,7 +592,7 @@
     ),
     Mutation(
         "CONFIG",
-        f"{STEERING}/process/store/tables.py",
+        f"{STEERING}/process/store/peer_tables.py",
         "        if not newer_members:",
         "        if True:",
         "tests/test_steering_path.py",
