Stand-in: write lost changes again also after a second restore

Lost changes are kept until they are written; a newer write of the row takes their place. The new test of the stand-in fails without it.

--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -55,6 +55,8 @@
         self._version = 0
         self._era = 0
         self._backup = None
+        # Last change of each row that operators and targets still have to write again.
+        self._lost = {}
         self._counts = {}
         self._dropped_until = 0
         self._switches = {
@@ -90,8 +92,9 @@
         if url.path == "/restore":
             lost = self._restore(self._backup)
             if message.body:
+                self._lost.update(lost)
                 rewrite_s = json.loads(message.body)["rewrite_s"]
-                await spawn(self._rewrite, lost, rewrite_s, daemon=True)
+                await spawn(self._rewrite, rewrite_s, daemon=True)
             return Message()
         if url.path == "/counts":
             return _json(self._counts)
@@ -179,6 +182,7 @@
 
     def _write(self, table, key, value):
         self._version += 1
+        self._lost.pop((table, key), None)
         row = {"table": table, "part": "", "key": key, "ver": self._version}
         if value is None:
             self._rows.pop((table, key), None)
@@ -199,19 +203,19 @@
         self._era += 1
         return {(each["table"], each["key"]): each for each in changes}
 
-    async def _rewrite(self, lost, seconds):
-        """Write the lost changes of operators and targets again after some seconds."""
+    async def _rewrite(self, seconds):
+        """Write the lost changes of operators and targets again after some seconds.
+
+        If the store is restored again meanwhile, they are written after that.
+        """
         era = self._era
         await sleep(seconds)
-        written = {
-            (each["table"], each["key"]) for each in self._changes_since_backup()
-        }
-        for (table, key), row in lost.items():
-            if era == self._era and table in _READ_ONLY and (table, key) not in written:
+        if era != self._era:
+            return
+        for (table, key), row in list(self._lost.items()):
+            if table in _READ_ONLY:
                 self._write(table, key, row.get("value"))
-
-    def _changes_since_backup(self):
-        return [each for each in self._changes if each["ver"] > self._backup.version]
+        self._lost = {}
 
     def _trim_history(self):
         while len(self._changes) > self._switches["history"]:
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -168,3 +168,18 @@
     store.switch(era=era)
     with pytest.raises(PlatformError, match="era|literal"):
         run_client(store.client.read, "op")
+
+
+def test_standin_writes_what_was_lost_again_after_a_second_restore(store):
+    store.put("op", "evacuate/north-a", {})
+    store.control("POST", "/backup")
+    store.put("op", "evacuate/north-a", None)
+    store.put("op", "config", {"version": "r8"})
+    store.control("POST", "/restore", {"rewrite_s": 0.5})
+    store.control("POST", "/backup")
+    store.control("POST", "/restore", {"rewrite_s": 0.1})
+    wait_for(
+        lambda: (
+            [row.key for row in run_client(store.client.read, "op").rows] == ["config"]
+        )
+    )
