--- a/standins/soak.py
+++ b/standins/soak.py
@@ -14,7 +14,8 @@
 - a request refused with 503 has not run and does not run later;
 - a successful response is signed, complete and belongs to its request;
 - no route of all configurations is ever denied, and none that was added for long;
-- a configuration written after the last fault is in force at every VM;
+- a configuration written after the last fault is in force at every VM, which denies
+  a route that never existed;
 - a target removed after the last fault gets no requests once its drain is over, and
   gets requests again when it restarts under the same id;
 - after the last fault, requests are served again;
