--- a/standins/table_store.py
+++ b/standins/table_store.py
@@ -55,7 +55,7 @@
         self._version = 0
         self._era = 0
         self._backup = None
-        # Last change of each row that operators and targets still have to write again.
+        # Last state of each row that operators and targets still have to write again.
         self._lost = {}
         self._counts = {}
         self._dropped_until = 0
@@ -195,13 +195,17 @@
         self._trim_history()
 
     def _restore(self, backup):
-        """Restore a backup; return the last change of each row that it lacks."""
-        changes = [each for each in self._changes if each["ver"] > backup.version]
+        """Restore a backup; return the last state of each row that it lacks."""
+        lost = {
+            each: row for each, row in self._rows.items() if row["ver"] > backup.version
+        }
+        # Removed rows; the history may not reach back to the backup.
+        lost.update({each: {} for each in backup.rows if each not in self._rows})
         self._rows = dict(backup.rows)
         self._changes = list(backup.changes)
         self._version = backup.version
         self._era += 1
-        return {(each["table"], each["key"]): each for each in changes}
+        return lost
 
     async def _rewrite(self, seconds):
         """Write the lost changes of operators and targets again after some seconds.
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -183,3 +183,19 @@
             [row.key for row in run_client(store.client.read, "op").rows] == ["config"]
         )
     )
+
+
+def test_standin_writes_what_was_lost_again_beyond_its_history(store):
+    store.put("op", "evacuate/north-a", {})
+    store.control("POST", "/backup")
+    store.put("op", "evacuate/north-a", None)
+    store.put("op", "config", {"version": "r8"})
+    store.put("op", "note", {})
+    store.switch(history=1)
+    store.control("POST", "/restore", {"rewrite_s": 0.1})
+    wait_for(
+        lambda: (
+            [row.key for row in run_client(store.client.read, "op").rows]
+            == ["config", "note"]
+        )
+    )
