--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -30,7 +30,7 @@
 #: Callers that do not read; their responses exceed the memory of a VM.
 CALLERS = 60
 RECEIVE_BUFFER_BYTES = 32 << 10
-LARGE_PATH = "/one/two/large"
+LARGE_PATH = "/one/two/large/"
 SMALL_PATH = "/one/two/small"
 
 
