--- a/src/heathercleat/platform/fields.py
+++ b/src/heathercleat/platform/fields.py
@@ -68,11 +68,9 @@
             f'the field "{self._path_of(name)}" is {shown}; it has to be {expected}'
         )
 
-    def text(self, name, default=_REQUIRED):
+    def text(self, name):
         """Return a non-empty string."""
         value = self._get(name)
-        if value is None and default is not _REQUIRED:
-            return default
         if not isinstance(value, str) or not value:
             raise self.error(name, "a non-empty string")
         return value
