--- a/src/heathercleat/process/logs.py
+++ b/src/heathercleat/process/logs.py
@@ -2,7 +2,7 @@
 
 import json
 import sys
-from collections import deque
+from collections import Counter, deque
 from logging import ERROR, Formatter, Handler, getLogger
 from threading import Event, Thread
 from time import sleep
@@ -25,9 +25,16 @@
         self._logger = logger or getLogger(LOGGER_NAME)
         self._vm = vm
         self._failure_domain = failure_domain
+        self._error_counts = Counter()
+
+    def count_errors(self, event):
+        """Return how often ``event``, of level ``ERROR``, was logged."""
+        return self._error_counts[event]
 
     def write(self, event, **event_fields):
         """Log ``event``; the keyword arguments become fields of the line."""
+        if event.level >= ERROR:
+            self._error_counts[event] += 1
         if not self._logger.isEnabledFor(event.level):
             return
         fields = {
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -620,6 +620,7 @@
             "slow_machines": self._speed_reports.slow_count,
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
+            "task_failures": self._journal.count_errors(Event.TASK_FAILED),
             **memory_gauges(self.body_memory),
         }
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -6,9 +6,11 @@
 from time import sleep
 
 import pytest
+from curio import run
 
 from heathercleat.events import Event
 from heathercleat.process.logs import WRITE_INTERVAL_SECONDS, Journal, LogWriter
+from heathercleat.process.supervision import run_supervised
 from standins.fleet import Processes
 
 
@@ -58,3 +60,21 @@
         assert processes.log("vm") == [{"event": 1}]
     finally:
         processes.stop()
+
+
+def test_failed_loop_is_counted_and_logged_with_the_place_of_its_error():
+    journal = Journal("vm-1", "north-a")
+
+    async def fail():
+        if journal.count_errors(Event.TASK_FAILED):
+            raise SystemExit
+        raise ValueError("unusable")
+
+    def supervise():
+        with pytest.raises(SystemExit):
+            run(run_supervised, fail, journal, 0.0)
+
+    (line,) = lines_of(supervise)
+    assert line["name"] == "task_failed"
+    assert line["where"].startswith("test_logs.py:")
+    assert line["where"].endswith(" fail")
