Tables: a response with several changes of one row has one of them (DRAIN)

Cause: the store's feed has each change of a row. TableCopy.merge_changes returned all of them, and the code that applies them takes a key for one row: TargetRegistry.reject() removed a target with two invalid rows twice, a KeyError that ended the loop of the follower. Likewise a row that was valid and then invalid in one response stayed usable, and a target that was removed and added again in one response was removed.

Evidence: task_failed, one line a VM, KeyError of that key at registry.py _remove.

Change: merge_changes returns the last change of each row. That holds for all tables and for responses of the store and of other VMs, since each goes through it; a whole table has each key once already.

--- a/src/heathercleat/steering/process/store/table_copy.py
+++ b/src/heathercleat/steering/process/store/table_copy.py
@@ -102,17 +102,18 @@
     def merge_changes(self, snapshot):
         """Merge changed rows; return a :class:`Snapshot` of those that were new.
 
+        It has only the last change of each row, although the store may report several.
         A whole table is read in pages, so known rows may be newer than the version of
         its snapshot. Older changes must not overwrite them. Changes of an earlier era
         of the store may have been lost since, and are ignored.
         """
         is_outdated = era_of(snapshot.version) < era_of(self._version)
         rows = () if is_outdated else snapshot.rows
-        new_rows = [each for each in rows if self._merge_row(each)]
+        new_rows = {each.key: each for each in rows if self._merge_row(each)}
         self._version = max(self._version, snapshot.version)
         return Snapshot(
             self._version,
-            new_rows,
+            list(new_rows.values()),
             snapshot.last_significant_version,
             snapshot.remaining_use_seconds,
             is_whole=False,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "DRAIN-one-row-per-key",
+        f"{STEERING}/process/store/table_copy.py",
+        "list(new_rows.values()),",
+        "[each for each in rows if self._rows.get(each.key) in (each, None)],",
+        "tests/test_target_table.py",
+    ),
     Mutation(
         "SHARES-order",
         f"{STEERING}/process/capacity/fair_shares.py",
