Tables: rows whose application failed are applied again (DRAIN)

Cause: the follower merges a response into its copy, which advances the version it asks from, and then applies it. After an error the loop was restarted behind these rows, and the next read counted as a proof that all changes were applied. The same at the first read and for tables fetched from other VMs, which then sent nothing that was new to the copy.

Evidence: one task_failed a VM, not one for each restart, while the removed targets got requests to their end.

An error of any kind in decoding a row rejects that row only.

--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -621,6 +621,7 @@
             "moved_share": round(self._shift.share, 3),
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
             "task_failures": self._journal.count_errors(Event.TASK_FAILED),
+            "failed_applications": self._journal.count_errors(Event.ROWS_NOT_APPLIED),
             **memory_gauges(self.body_memory),
         }
 
--- a/src/heathercleat/steering/process/store/follower.py
+++ b/src/heathercleat/steering/process/store/follower.py
@@ -8,6 +8,7 @@
 from heathercleat.errors import PeerError, PlatformError
 from heathercleat.events import Event
 from heathercleat.process.clock import DISTANT_PAST
+from heathercleat.process.supervision import locate
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from heathercleat.steering.process.store.table_copy import TableCopy
 from heathercleat.steering.process.store.versions import era_of, number_of
@@ -36,6 +37,10 @@
 REWRITE_SECONDS = 2.0
 
 
+class RowsNotAppliedError(Exception):
+    """Rows are in the copy of a table, but applying them failed."""
+
+
 class Outage:
     """A period in which the store does not respond to this VM.
 
@@ -123,6 +128,8 @@
         self._announced_change_version = 0
         self._first_read_at = None
         self._is_loaded = False
+        # Whether the copy may have rows that were not applied.
+        self._has_unapplied_rows = False
         self._outage = None
         self._read_at = None
         # Instant from which a read of the table has all acknowledged changes.
@@ -259,6 +266,8 @@
         except HistoryLostError:
             self._is_loaded = False
             return 0.0
+        except RowsNotAppliedError:
+            return uniform(0.5, 1.5) * RETRY_INTERVAL_SECONDS
         except PlatformError as error:
             was_lost = self.is_store_lost
             self._record_failure(error, began_at, is_total)
@@ -284,8 +293,9 @@
             self._record_current(began_at)
             return
         wait = self._wait
-        if self.is_store_lost:
-            # A call that waits for changes would detect the end of an outage late.
+        if self.is_store_lost or self._has_unapplied_rows:
+            # A call that waits for changes would detect the end of an outage late, and
+            # delay the rows that are not applied.
             wait = 0.0
         elif self._reads_again:
             wait = min(wait, self._complete_from - began_at)
@@ -329,7 +339,10 @@
                 version=number_of(snapshot.last_significant_version),
                 era=era_of(snapshot.last_significant_version),
             )
-            self._apply_from_peer(snapshot)
+            try:
+                self._apply_from_peer(snapshot)
+            except RowsNotAppliedError:
+                await sleep(uniform(0.5, 1.5) * RETRY_INTERVAL_SECONDS)
 
     def _announces_first_read(self):
         if self._first_read_at is None:
@@ -343,7 +356,7 @@
         If the table was read again because the history was lost, the rows may include
         a change that no later response contains, so the version is announced at once.
         """
-        is_first, self._is_loaded = not self._copy.version, True
+        is_first, self._is_loaded = not self._copy.last_significant_version, True
         if not self._copy.replace_all(snapshot):
             self._journal.write(
                 Event.READ_IGNORED,
@@ -354,7 +367,7 @@
                 read=number_of(snapshot.version),
             )
             return
-        keys = self._apply(snapshot)
+        keys = self._apply_rows(snapshot)
         if keys or is_first:
             self._copy.record_changes(keys, snapshot.version)
         if is_first:
@@ -364,7 +377,7 @@
 
     def _apply_changes(self, snapshot):
         """Apply changed rows from the store."""
-        keys = self._apply(self._copy.merge_changes(snapshot))
+        keys = self._apply_rows(self._copy.merge_changes(snapshot))
         if keys:
             self._copy.record_changes(keys, self._copy.version)
 
@@ -376,14 +389,40 @@
         """
         self._check_completeness(snapshot)
         if not snapshot.is_whole:
-            self._apply(self._copy.merge_changes(snapshot))
+            self._apply_rows(self._copy.merge_changes(snapshot))
         elif self._copy.replace_all(snapshot):
-            self._apply(snapshot)
+            self._apply_rows(snapshot)
         self._is_loaded = True
         keys = [row.key for row in snapshot.rows]
         self._copy.record_changes(keys, snapshot.last_significant_version)
         self._announced_change_version = self.last_significant_version
 
+    def _apply_rows(self, snapshot):
+        """Apply rows that the copy has; return the keys of significant changes.
+
+        After a failure all rows of the copy are applied, since no response of the store
+        or of another VM repeats those that failed.
+
+        :raises RowsNotAppliedError: when it fails; the error is logged.
+        """
+        if self._has_unapplied_rows:
+            snapshot = self._copy.changes_since(0, snapshot.remaining_use_seconds)
+        self._has_unapplied_rows = True
+        try:
+            keys = self._apply(snapshot)
+        except Exception as error:
+            self._journal.write(
+                Event.ROWS_NOT_APPLIED,
+                table=self._table,
+                version=number_of(snapshot.version),
+                rows=len(snapshot.rows),
+                reason=repr(error),
+                where=locate(error),
+            )
+            raise RowsNotAppliedError(self._table) from error
+        self._has_unapplied_rows = False
+        return keys
+
     def _record_failure(self, error, began_at, is_total):
         if self._outage is None:
             self._outage = Outage(self._clock.now())
@@ -446,9 +485,10 @@
     def _record_current(self, instant):
         """Report that all changes up to an instant are applied.
 
-        Not while changes may be missing because the store was restored from a backup.
+        Not while rows are not applied, or changes may be missing because the store was
+        restored from a backup.
         """
-        if instant >= self._complete_from:
+        if instant >= self._complete_from and not self._has_unapplied_rows:
             self._on_current(instant)
 
     def _record_response(self):
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -355,11 +355,14 @@
         return [row.key for row in snapshot.rows]
 
     def _decode(self, rows, decode):
-        """Yield the decoded rows; log invalid ones."""
+        """Yield the decoded rows; log invalid ones.
+
+        Any error is that of one row, so that no row keeps the others from being used.
+        """
         for row in rows:
             try:
                 yield decode(row)
-            except ValueError as error:
+            except Exception as error:  # noqa: BLE001
                 self._rejections.log(row.key, error)
 
 
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -3,7 +3,7 @@
 import pytest
 from curio import TaskGroup, run, sleep
 
-from heathercleat.errors import PeerError, PlatformError
+from heathercleat.errors import PeerError
 from heathercleat.process.clock import SystemClock
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.store.follower import (
@@ -11,74 +11,12 @@
     RETRY_INTERVAL_SECONDS,
     TableFollower,
 )
-from heathercleat.steering.process.store.protocol import (
-    HistoryLostError,
-    Snapshot,
-    StoreRow,
-)
+from heathercleat.steering.process.store.protocol import Snapshot, StoreRow
 from heathercleat.steering.process.store.table_copy import MAX_REMOVALS, TableCopy
+from tests.scripted_store import ScriptedStore
 
 WAIT_SECONDS = 0.02
 PAUSE_SECONDS = 0.01
-SILENT_SECONDS = 60.0
-
-
-class ScriptedStore:
-    """A table in memory whose calls can fail."""
-
-    def __init__(self):
-        self.rows = {}
-        self.changes = []
-        self.version = 0
-        self.down = False
-        self.failures = 0
-        self.on_failure = lambda: None
-        self.is_history_lost = False
-        self.is_silent = False
-        self.waits = []
-        self.reads = 0
-        self.calls = 0
-
-    def put(self, key, value):
-        self.version += 1
-        row = StoreRow(key, value, self.version)
-        self.changes.append(row)
-        self.rows[key] = row
-        if value is None:
-            del self.rows[key]
-
-    async def read(self, table):
-        self._call()
-        self.reads += 1
-        return Snapshot(self.version, list(self.rows.values()))
-
-    async def follow(self, table, after, wait):
-        self.waits.append(wait)
-        self._call()
-        if self.is_silent:
-            await sleep(SILENT_SECONDS)
-            raise PlatformError("no answer")
-        if self.is_history_lost:
-            self.is_history_lost = False
-            raise HistoryLostError("gone")
-        changes = [row for row in self.changes if row.version > after]
-        return Snapshot(self.version, changes, is_whole=False)
-
-    async def hang(self, table, after, wait):
-        """Report a lost history once, then wait for a change for a long time."""
-        if self.is_history_lost:
-            self.is_history_lost = False
-            raise HistoryLostError("gone")
-        await sleep(SILENT_SECONDS)
-
-    def _call(self):
-        self.calls += 1
-        if self.failures:
-            self.failures -= 1
-            self.on_failure()
-            raise PlatformError("connection lost")
-        if self.down:
-            raise PlatformError("down")
 
 
 class FollowerHarness:
@@ -98,6 +36,7 @@
         self.outage_ends = []
         self.current_instants = []
         self.is_significant = True
+        self.failing_applications = 0
         self.lapsing = {}
         self.clock = SystemClock()
         self.follower = TableFollower(
@@ -119,6 +58,9 @@
         )
 
     def _apply(self, snapshot):
+        if self.failing_applications:
+            self.failing_applications -= 1
+            raise KeyError("a")
         keys = sorted(row.key for row in snapshot.rows)
         self.applied.append((snapshot.is_whole, keys))
         return keys if self.is_significant else []
@@ -521,3 +463,57 @@
     assert not harness.follower.is_store_lost
     assert len(harness.outage_ends) == 1
     assert harness.keys == keys
+
+
+@pytest.mark.parametrize("failures", [1, 2])
+def test_rows_that_could_not_be_applied_are_applied_with_the_next_call(failures):
+    harness = FollowerHarness()
+    harness.store.put("a", b"1")
+
+    def change():
+        harness.store.put("b", b"2")
+        harness.failing_applications = failures
+
+    waits = [lambda: None] * 5
+    harness.run_steps(change, *waits)
+    assert (True, ["a", "b"]) in harness.applied
+    assert harness.follower.announced_change_version == harness.store.version
+
+
+def test_first_table_that_could_not_be_applied_is_applied_with_the_next_call():
+    harness = FollowerHarness()
+    harness.store.put("a", b"1")
+    harness.failing_applications = 1
+    harness.run_steps()
+    assert harness.applied[0] == (True, ["a"])
+    assert harness.follower.last_significant_version == harness.store.version
+
+
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_rows_of_a_peer_that_could_not_be_applied_are_applied_later(is_whole):
+    harness = FollowerHarness(Snapshot(0, []), reader=False)
+    harness.store.put("a", b"1")
+
+    def change_elsewhere():
+        harness.failing_applications = 1
+        rows = [StoreRow("a", b"1", 1), StoreRow("b", b"2", 9)]
+        harness.peer = Snapshot(9, rows, is_whole=is_whole)
+
+    waits = [lambda: None] * 5
+    harness.run_steps(change_elsewhere, *waits)
+    assert harness.applied[-1] == (True, ["a", "b"])
+    assert harness.follower.last_significant_version == 9
+
+
+def test_read_whose_rows_could_not_be_applied_proves_nothing():
+    harness = FollowerHarness()
+    harness.store.put("a", b"1")
+    proofs = []
+
+    def change():
+        harness.store.put("b", b"2")
+        harness.failing_applications = 1 << 30
+        proofs.append(len(harness.current_instants))
+
+    harness.run_steps(change)
+    assert len(harness.current_instants) == proofs[0]
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -57,10 +57,17 @@
     Mutation(
         "DRAIN-one-row-per-key",
         f"{STEERING}/process/store/table_copy.py",
-        "list(new_rows.values()),",
-        "[each for each in rows if self._rows.get(each.key) in (each, None)],",
+        "new_rows = {each.key: each for",
+        "new_rows = {each.version: each for",
         "tests/test_target_table.py",
     ),
+    Mutation(
+        "DRAIN-failed-rows-again",
+        f"{STEERING}/process/store/follower.py",
+        "self._has_unapplied_rows = True",
+        "pass",
+        "tests/test_follower.py",
+    ),
     Mutation(
         "SHARES-order",
         f"{STEERING}/process/capacity/fair_shares.py",
