Entries: texts that cannot be encoded are rejected (FAILBACK)

Cause: an entry of another writer names the service "caf\ud83d". JSON may escape half of a surrogate pair, and the decoder takes any non-empty string. The owner of that target names its service in each heartbeat (waits), and msgpack cannot encode it: Gossip.run fails before it sends, is restarted and fails again. After 1.2 s the next VM becomes the owner and falls silent in turn.

Hypotheses: (1) the row ends a loop that reads the store: ruled out, the one failed task is Gossip.run; (2) the logs or the exchange of tables fail on the text: ruled out, the follower never failed; (3) packing of heartbeats: shown by task_failed, UnicodeEncodeError in Packer.pack at each restart.

Change: texts of entries and of configurations have to be encodable; a row that has another is rejected by its own error, as other invalid rows. The operators' configuration had the same gap (services are named in the loss rates).

The five tests fail without the change.

--- a/src/heathercleat/platform/fields.py
+++ b/src/heathercleat/platform/fields.py
@@ -69,10 +69,10 @@
         )
 
     def text(self, name):
-        """Return a non-empty string."""
+        """Return a non-empty string that can be encoded."""
         value = self._get(name)
-        if not isinstance(value, str) or not value:
-            raise self.error(name, "a non-empty string")
+        if not _is_text(value):
+            raise self.error(name, "a non-empty string of Unicode characters")
         return value
 
     def integer(self, name, minimum=0, maximum=MAX_COUNT, default=_REQUIRED):
@@ -122,15 +122,14 @@
         return value
 
     def texts(self, name, is_secret=False):
-        """Return a list of non-empty strings, empty by default."""
+        """Return a list of non-empty strings that can be encoded, empty by default."""
         values = self._get(name)
         if values is None:
             return []
-        is_valid = isinstance(values, list) and all(
-            isinstance(each, str) and each for each in values
-        )
-        if not is_valid:
-            raise self.error(name, "a list of non-empty strings", is_secret)
+        if not isinstance(values, list) or not all(map(_is_text, values)):
+            raise self.error(
+                name, "a list of non-empty strings of Unicode characters", is_secret
+            )
         return values
 
     def object(self, name):
@@ -152,6 +151,20 @@
         return f"{self._path}.{name}" if self._path else name
 
 
+def _is_text(value):
+    """Return whether a value is a non-empty string that can be encoded.
+
+    JSON can escape one half of a surrogate pair, which no encoding accepts.
+    """
+    if not isinstance(value, str) or not value:
+        return False
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def abbreviate(value):
     """Return a value for an error message."""
     return "missing or null" if value is None else repr(value)[:_MAX_SHOWN_LENGTH]
--- a/tests/test_platform_decode.py
+++ b/tests/test_platform_decode.py
@@ -110,6 +110,8 @@
 FIRST_ROUTE = ("hosts", 0, "paths", 0)
 SECOND_ROUTE = ("hosts", 0, "paths", 1)
 INVALID_VALUES = [
+    (("services", 0, "name"), "caf\ud83d"),
+    ((*FIRST_ROUTE, "name"), "\udc00"),
     ((*SECOND_ROUTE, "timeout"), "-1s"),
     ((*SECOND_ROUTE, "timeout"), "0ms"),
     ((*SECOND_ROUTE, "timeout"), "infs"),
--- a/tests/test_target_rows.py
+++ b/tests/test_target_rows.py
@@ -2,6 +2,7 @@
 
 import json
 
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -33,6 +34,8 @@
     ("service", None),
     ("service", 7),
     ("service", ""),
+    ("service", "caf\ud83d"),
+    ("version", "\udc00"),
     ("zone", ["north-a"]),
     ("zone", {}),
     ("zone", None),
@@ -139,6 +142,16 @@
     assert 0 <= entry.cold_for < float("inf")
 
 
+@given(st.text(st.characters(categories=("Cs", "L")), max_size=4))
+def test_service_of_any_entry_can_be_sent_to_other_vms(text):
+    """A heartbeat that cannot be encoded makes its VM seem dead."""
+    try:
+        entry = decode_target(row(target(service=text)))
+    except ValueError:
+        return
+    assert msgpack.unpackb(msgpack.packb(entry.service)) == text
+
+
 @given(st.binary(max_size=60))
 def test_any_bytes_are_refused(value):
     with pytest.raises(ValueError):
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "FAILBACK-texts-can-be-encoded",
+        "src/heathercleat/platform/fields.py",
+        "value.encode()",
+        "value.encode(errors='surrogatepass')",
+        "tests/test_target_rows.py",
+    ),
     Mutation(
         "DRAIN-one-row-per-key",
         f"{STEERING}/process/store/table_copy.py",
