Heartbeats: reports can neither enlarge nor end them (FAILBACK)

Cause: one datagram holds what keeps a VM live and what comes from outside: the names of services and targets. If one of them cannot be encoded, Gossip.run fails before anything is sent; if there are many, the datagram is longer than the 8,192 bytes that others read, and is cut. An optional report that failed or was too long was dropped without a log line, or ended the round.

Change: a heartbeat is bounded (3,500 bytes). If it does not fit or cannot be encoded, it goes without reports, suspects and updates, and a piece of the reports goes in each heartbeat, as one more optional report that earlier builds ignore: changed ones first, slots before waits, a quarter of the piece for those not sent for the longest time. Datagrams that are too long are rejected with a log line.

Bytes of heartbeats that fit are unchanged. The mutations FAILBACK-heartbeats-are-bounded and FAILBACK-reports-fail-alone bring the faults back, and the tests fail.

--- a/src/heathercleat/steering/process/capacity/capacity_reports.py
+++ b/src/heathercleat/steering/process/capacity/capacity_reports.py
@@ -15,6 +15,7 @@
         "capacities",
         "wait_estimates",
         "loss_rates",
+        "default_loss_rate",
         "reported_at",
         "valid_until",
     )
@@ -23,6 +24,8 @@
         self.capacities = {}
         self.wait_estimates = {}
         self.loss_rates = {}
+        # Loss rate of the other services; ``None`` if it is unknown.
+        self.default_loss_rate = None
         self.reported_at = DISTANT_PAST
         self.valid_until = 0.0
 
@@ -131,6 +134,34 @@
             for service, on_time, late in waits
         }
         report.loss_rates = dict(losses)
+        report.default_loss_rate = None
+
+    def merge_piece(self, owner, capacities, waits, losses, valid_seconds):
+        """Merge a piece of the report of an owner; its other pieces stay valid.
+
+        The parameters are those of :meth:`record_report`; an item without values means
+        that its report ended. A service without a loss rate has one of 0.
+
+        :param valid_seconds: seconds for which the piece is valid.
+        """
+        now = self._clock.now()
+        report = self._report(owner)
+        report.reported_at = now
+        report.valid_until = now + valid_seconds
+        report.default_loss_rate = 0.0
+        for target_id, *values in capacities:
+            if values:
+                self.capacity(target_id, owner).update(*values, report.valid_until)
+            elif (ended := report.capacities.pop(target_id, None)) is not None:
+                ended.expire()
+        for service, *values in waits:
+            report.wait_estimates.pop(service, None)
+            if values and values[0] is not None:
+                report.wait_estimates[service] = WaitEstimate(*values)
+        for service, *values in losses:
+            report.loss_rates.pop(service, None)
+            if values:
+                (report.loss_rates[service],) = values
 
     def retain(self, owners):
         """Drop the reports of all owners except these."""
@@ -172,7 +203,8 @@
 
     def loss_rate(self, owner, service):
         """Return the loss rate that an owner reports, or ``None``."""
-        return self._report(owner).loss_rates.get(service)
+        report = self._report(owner)
+        return report.loss_rates.get(service, report.default_loss_rate)
 
     def record_no_free_slot(self, target_id, owner, service, wait):
         """Record that an owner had no free slot for a request.
--- a/src/heathercleat/steering/process/membership/extensions.py
+++ b/src/heathercleat/steering/process/membership/extensions.py
@@ -12,7 +12,7 @@
 from heathercleat.events import Event
 
 #: Maximum bytes of one encoded report, so that a heartbeat stays within one datagram
-#: of 8 KB with three of them.
+#: of 8 KB with four of them.
 MAX_REPORT_BYTES = 1024
 
 
@@ -35,10 +35,14 @@
 
 
 class Extensions:
-    """The :class:`HeartbeatExtension` objects of a VM."""
+    """The :class:`HeartbeatExtension` objects of a VM.
 
-    def __init__(self, extensions, journal):
+    :param failures: the :class:`RejectedItemLog` for reports that cannot be sent.
+    """
+
+    def __init__(self, extensions, failures, journal):
         self._extensions = {each.name: each for each in extensions}
+        self._failures = failures
         self._journal = journal
 
     def pack(self):
@@ -46,8 +50,7 @@
         reports = {
             name: report
             for name, each in self._extensions.items()
-            if (report := each.report()) is not None
-            and len(msgpack.packb(report)) <= MAX_REPORT_BYTES
+            if (report := self._report(each)) is not None
         }
         return msgpack.packb(reports) if reports else b""
 
@@ -62,3 +65,16 @@
             except (ValueError, TypeError) as error:
                 reason = f"report {name}: {error!r}"
                 self._journal.write(Event.PEER_REJECTED, peer=vm, reason=reason)
+
+    def _report(self, extension):
+        """Return the report of an extension; log one that cannot be sent."""
+        try:
+            report = extension.report()
+            size = len(msgpack.packb(report))
+        except Exception as error:  # noqa: BLE001
+            self._failures.log(extension.name, error)
+            return None
+        if size > MAX_REPORT_BYTES:
+            self._failures.log(extension.name, f"{size} bytes are too many")
+            return None
+        return report
--- a/src/heathercleat/steering/process/membership/gossip.py
+++ b/src/heathercleat/steering/process/membership/gossip.py
@@ -48,6 +48,11 @@
 #: datagram does not keep this VM in the lookups of others.
 LEAVE_SECONDS = 0.4
 MAX_DATAGRAM_BYTES = 8192
+#: Maximum bytes of a heartbeat without what follows it in the datagram. Reports that do
+#: not fit are sent in pieces; see :class:`ReportPieces`.
+MAX_HEARTBEAT_BYTES = 3500
+#: Seconds after a heartbeat without its reports in which no further one is logged.
+IN_PIECES_SECONDS = 10.0
 #: Maximum VMs whose updates are sent again when the views of partners differ.
 MAX_REPAIRED_AT_ONCE = 24
 #: Full rounds with different views until updates are sent again, if the view of this VM
@@ -91,7 +96,9 @@
     :param suspects: the :class:`Suspects`.
     :param workspace_reports: the :class:`WorkspaceReports`.
     :param notices: the :class:`Notices`.
-    :param extensions: the :class:`Extensions`.
+    :param extensions: the :class:`Extensions`, with the report pieces.
+    :param report_pieces: the :class:`ReportPieces`.
+    :param failures: the :class:`RejectedItemLog` for what cannot be sent.
     :param compose: returns a new :class:`Heartbeat` for an interval.
     :param on_heartbeat: a coroutine function that is called after each heartbeat.
     """
@@ -108,6 +115,8 @@
         workspace_reports,
         notices,
         extensions,
+        report_pieces,
+        failures,
         compose,
         on_heartbeat,
         journal,
@@ -123,6 +132,11 @@
         self._workspace_reports = workspace_reports
         self._notices = notices
         self._extensions = extensions
+        self._report_pieces = report_pieces
+        self._failures = failures
+        # Instant until which this VM counts as one that sends its reports in pieces.
+        self._in_pieces_until = clock.now()
+        self._heartbeat_bytes = 0
         self._compose = compose
         self._on_heartbeat = on_heartbeat
         self._journal = journal
@@ -154,6 +168,14 @@
         region = member.region if member else None
         return self._region_round_trips.get(region, INITIAL_ROUND_TRIP_SECONDS)
 
+    def gauges(self):
+        """Return the gauges on what this VM sends, by name."""
+        return {
+            "heartbeat_bytes": self._heartbeat_bytes,
+            "reports_in_pieces": int(self._clock.now() < self._in_pieces_until),
+            "reports_not_sent": self._failures.count,
+        }
+
     def reporting_members(self):
         """Return the strong serving VMs that send their reports to this VM.
 
@@ -170,7 +192,7 @@
     async def listen(self):
         """Receive heartbeats until cancelled."""
         while True:
-            data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            data, address = await self._sock.recvfrom(MAX_DATAGRAM_BYTES + 1)
             try:
                 newcomer = self.receive(data)
             except (ValueError, TypeError, UnpackException) as error:
@@ -189,6 +211,8 @@
         :raises ValueError: when the datagram is malformed. :mod:`msgpack` may raise
             further errors.
         """
+        if len(data) > MAX_DATAGRAM_BYTES:
+            raise ValueError(f"more than {MAX_DATAGRAM_BYTES} bytes")
         unpacker = msgpack.Unpacker()
         unpacker.feed(data)
         heartbeat = Heartbeat.from_fields(unpacker.unpack())
@@ -342,7 +366,49 @@
             heartbeat = heartbeat.without_updates()
         if kind.includes_suspects:
             heartbeat.suspects = [each.fields() for each in self._suspects.updates()]
-        return heartbeat.pack()
+        return self._pack_bounded(heartbeat)
+
+    def _pack_bounded(self, heartbeat):
+        """Return an encoded heartbeat of at most :data:`MAX_HEARTBEAT_BYTES`.
+
+        What comes from outside is left out if it does not fit or cannot be encoded, so
+        that it cannot keep other VMs from learning that this one is live. Reports are
+        sent in pieces then. Updates and suspects are sent again while partners differ.
+        """
+        has_reports = heartbeat.has_reports
+        packed = self._try_pack(heartbeat)
+        if has_reports:
+            self._record_size(packed)
+        if packed is None and has_reports:
+            self._report_pieces.offer(heartbeat)
+            packed = self._try_pack(heartbeat.without_reports())
+        if packed is None:
+            packed = self._try_pack(heartbeat.without_suspects())
+        if packed is None:
+            packed = heartbeat.without_updates().pack()
+        return packed
+
+    def _try_pack(self, heartbeat):
+        """Return an encoded heartbeat; ``None`` if it is unusable."""
+        try:
+            packed = heartbeat.pack()
+        except (ValueError, TypeError, OverflowError) as error:
+            self._failures.log("heartbeat", error)
+            return None
+        return packed if len(packed) <= MAX_HEARTBEAT_BYTES else None
+
+    def _record_size(self, packed):
+        """Record the size of a heartbeat with reports.
+
+        :param packed: the encoded heartbeat, or ``None`` if it is unusable.
+        """
+        if packed is not None:
+            self._heartbeat_bytes = len(packed)
+            return
+        now = self._clock.now()
+        if now >= self._in_pieces_until:
+            self._journal.write(Event.REPORTS_IN_PIECES, limit=MAX_HEARTBEAT_BYTES)
+        self._in_pieces_until = now + IN_PIECES_SECONDS
 
     def _gets_fewer_heartbeats(self, member):
         """Return whether a VM gets fewer heartbeats because it is in another region.
@@ -366,6 +432,9 @@
                 # Messages are told apart by their position.
                 notices = msgpack.packb([])
             end += notices + extension_reports
+        if len(body) + len(end) > MAX_DATAGRAM_BYTES:
+            self._failures.log("datagram", f"{len(body)} and {len(end)} bytes")
+            end = msgpack.packb(trailer)
         address = ip, self._settings.gossip_port
         try:
             await self._sock.sendto(body + end, address)
--- a/src/heathercleat/steering/process/membership/heartbeat.py
+++ b/src/heathercleat/steering/process/membership/heartbeat.py
@@ -69,6 +69,11 @@
         self.news = []
         return self
 
+    def without_suspects(self):
+        """Remove the suspects; return ``self``."""
+        self.suspects = []
+        return self
+
     @property
     def has_reports(self):
         """Return whether the heartbeat has reports of capacity, waits and losses."""
--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -55,6 +55,7 @@
 )
 from heathercleat.steering.process.membership.member import Stage
 from heathercleat.steering.process.membership.members import Members
+from heathercleat.steering.process.membership.report_pieces import ReportPieces
 from heathercleat.steering.process.membership.workspace_reports import (
     WorkspaceReports,
 )
@@ -67,6 +68,7 @@
 from heathercleat.steering.process.quota.levels import Levels
 from heathercleat.steering.process.quota.quota import Quota
 from heathercleat.steering.process.quota.usage import Usage
+from heathercleat.steering.process.rejected_items import RejectedItemLog
 from heathercleat.steering.process.request_log import RequestLog
 from heathercleat.steering.process.retry_detector import RetryDetector
 from heathercleat.steering.process.shutdown import Shutdown
@@ -241,6 +243,8 @@
         self._speed_reports = SpeedReports(
             self._ledger, self._capacity_reports, self._registry, clock
         )
+        failures = RejectedItemLog(journal, clock, Event.REPORT_NOT_SENT)
+        report_pieces = ReportPieces(self._capacity_reports, self._held_slots, failures)
         self._gossip = Gossip(
             settings,
             self._members,
@@ -253,7 +257,11 @@
                 self._freshness, lambda: self._configuration_version, usage_exchange
             ),
             self._notices,
-            Extensions(self._heartbeat_extensions(), journal),
+            Extensions(
+                [report_pieces, *self._heartbeat_extensions()], failures, journal
+            ),
+            report_pieces,
+            failures,
             composer.compose,
             self._tables.fetch_if_behind,
             journal,
@@ -622,6 +630,7 @@
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
             "task_failures": self._journal.count_errors(Event.TASK_FAILED),
             "failed_applications": self._journal.count_errors(Event.ROWS_NOT_APPLIED),
+            **self._gossip.gauges(),
             **memory_gauges(self.body_memory),
         }
 
--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -16,8 +16,8 @@
     decode_quarantine,
     encode_quarantine,
 )
+from heathercleat.steering.process.rejected_items import RejectedItemLog
 from heathercleat.steering.process.store.protocol import HistoryLostError
-from heathercleat.steering.process.store.rejected_rows import RejectedRowLog
 from heathercleat.steering.process.store.versions import era_of
 
 #: Seconds for which a read waits for a change; long, since quarantines are rare.
@@ -52,7 +52,7 @@
         self._vm = vm
         self._journal = journal
         self._clock = clock
-        self._rejected_rows = RejectedRowLog(journal, clock)
+        self._rejected_rows = RejectedItemLog(journal, clock)
         self._pending = deque(maxlen=MAX_PENDING_WRITES)
         # Version of the table at the last read, ``None`` to read all rows.
         self._version = None
--- a/src/heathercleat/steering/process/store/rejected_rows.py
+++ b/src/heathercleat/steering/process/rejected_items.py
@@ -1,4 +1,4 @@
-"""Log lines for invalid table rows."""
+"""Log lines for invalid table rows, and for reports that cannot be sent."""
 
 from heathercleat.events import Event
 
@@ -11,18 +11,29 @@
 _MAX_SHOWN_CHARS = 200
 
 
-class RejectedRowLog:
-    """Logs rejected rows, with a rate limit."""
+class RejectedItemLog:
+    """Logs and counts rejected items, with a rate limit of the lines.
 
-    def __init__(self, journal, clock):
+    :param event: the :class:`Event` of the lines.
+    """
+
+    def __init__(self, journal, clock, event=Event.ROW_REJECTED):
         self._journal = journal
         self._clock = clock
+        self._event = event
+        self._count = 0
         self._window_ends_at = 0.0
         self._line_count = 0
         self._omitted_count = 0
 
+    @property
+    def count(self):
+        """Return the number of rejected items so far."""
+        return self._count
+
     def log(self, key, error):
-        """Log a rejected row, or count it if the rate limit is reached."""
+        """Log a rejected item, or count it if the rate limit is reached."""
+        self._count += 1
         now = self._clock.now()
         if now >= self._window_ends_at:
             self._window_ends_at = now + WINDOW_SECONDS
@@ -32,7 +43,7 @@
             return
         self._line_count += 1
         self._journal.write(
-            Event.ROW_REJECTED,
+            self._event,
             key=key[:_MAX_SHOWN_CHARS],
             reason=str(error)[:_MAX_SHOWN_CHARS],
             left_out=self._omitted_count,
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -15,6 +15,7 @@
 from heathercleat.platform.store import TableStoreClient
 from heathercleat.platform.targets import decode_target
 from heathercleat.platform.wire_names import OPERATOR_TABLE, TARGET_TABLE
+from heathercleat.steering.process.rejected_items import RejectedItemLog
 from heathercleat.steering.process.store.configuration_archive import (
     ConfigurationArchive,
 )
@@ -25,7 +26,6 @@
 from heathercleat.steering.process.store.follower import TableFollower
 from heathercleat.steering.process.store.member_rows import decode_member, encode_member
 from heathercleat.steering.process.store.peer_tables import PeerTables
-from heathercleat.steering.process.store.rejected_rows import RejectedRowLog
 from heathercleat.steering.process.store.versions import era_of
 from heathercleat.version.hashing import rank_by_weight
 
@@ -88,7 +88,7 @@
         self._adopt = adopt
         self._journal = journal
         self._clock = clock
-        self._rejections = RejectedRowLog(journal, clock)
+        self._rejections = RejectedItemLog(journal, clock)
         self._peer_tables = PeerTables(settings, members, pool, clock)
         self.configuration_exchange = ConfigurationExchange(
             self._peer_tables, freshness, routing_table, adopt, journal, clock
--- a/standins/membership_simulation.py
+++ b/standins/membership_simulation.py
@@ -5,6 +5,7 @@
 
 import msgpack
 
+from heathercleat.events import Event
 from heathercleat.platform.settings import decode_node_settings
 from heathercleat.process.logs import Journal
 from heathercleat.steering.process.capacity.capacity_reports import CapacityReports
@@ -15,10 +16,11 @@
     ConfigurationFreshness,
 )
 from heathercleat.steering.process.membership.extensions import Extensions
-from heathercleat.steering.process.membership.gossip import Gossip
+from heathercleat.steering.process.membership.gossip import MAX_DATAGRAM_BYTES, Gossip
 from heathercleat.steering.process.membership.heartbeat import Heartbeat
 from heathercleat.steering.process.membership.member import make_update
 from heathercleat.steering.process.membership.members import Members
+from heathercleat.steering.process.membership.report_pieces import ReportPieces
 from heathercleat.steering.process.membership.workspace_reports import (
     WorkspaceReports,
 )
@@ -27,6 +29,7 @@
 from heathercleat.steering.process.quota.levels import Levels
 from heathercleat.steering.process.quota.quota import Quota
 from heathercleat.steering.process.quota.usage import Usage
+from heathercleat.steering.process.rejected_items import RejectedItemLog
 from tests.fakes import ManualClock
 from tests.platform_samples import SETTINGS
 
@@ -73,7 +76,7 @@
         if receiver is None or not receiver.running or self.is_cut(sender, receiver):
             return
         if self._rng.random() >= self.loss:
-            receiver.receive(data)
+            receiver.receive(data[: MAX_DATAGRAM_BYTES + 1])
 
     def run(self, seconds):
         """Advance the simulated time."""
@@ -103,6 +106,7 @@
         self.domain = domains[number % len(domains)]
         self.ip = f"10.0.{number // 200}.{number % 200 + 1}"
         self.running = True
+        self.malformed_count = 0
         self.configuration_version = 1
         self.next_round_at = network.clock.time + random.Random(number).uniform(
             0.0, 0.2
@@ -131,6 +135,8 @@
         )
         registry = TargetRegistry(journal, clock)
         self.notices = Notices(registry, self.members.region_of, journal, clock)
+        failures = RejectedItemLog(journal, clock, Event.REPORT_NOT_SENT)
+        pieces = ReportPieces(self.capacity_reports, self.held, failures)
         self.gossip = Gossip(
             settings,
             self.members,
@@ -141,7 +147,9 @@
             self.suspects,
             self.workspace_reports,
             self.notices,
-            Extensions(network.extensions_of(self), journal),
+            Extensions([pieces, *network.extensions_of(self)], failures, journal),
+            pieces,
+            failures,
             self.compose,
             do_nothing,
             journal,
@@ -178,8 +186,11 @@
         self.network.send(self, address[0], data)
 
     def receive(self, data):
-        """Process a received datagram."""
-        self.gossip.receive(data)
+        """Process a received datagram; ignore one that is malformed."""
+        try:
+            self.gossip.receive(data)
+        except (ValueError, msgpack.UnpackException):
+            self.malformed_count += 1
 
     def step(self):
         """Run a gossip round if one is due."""
--- a/tests/test_target_rows.py
+++ b/tests/test_target_rows.py
@@ -10,13 +10,13 @@
 from heathercleat.errors import HeathercleatError
 from heathercleat.platform.targets import decode_target
 from heathercleat.process.logs import Journal
-from heathercleat.steering.process.store.member_rows import decode_member, encode_member
-from heathercleat.steering.process.store.protocol import StoreRow
-from heathercleat.steering.process.store.rejected_rows import (
+from heathercleat.steering.process.rejected_items import (
     MAX_LINES_PER_WINDOW,
     WINDOW_SECONDS,
-    RejectedRowLog,
+    RejectedItemLog,
 )
+from heathercleat.steering.process.store.member_rows import decode_member, encode_member
+from heathercleat.steering.process.store.protocol import StoreRow
 from tests.fakes import ManualClock
 from tests.platform_samples import target
 
@@ -194,7 +194,7 @@
 
 def test_log_of_rejected_rows_is_rate_limited():
     logger, clock = RecordingLogger(), ManualClock()
-    rejections = RejectedRowLog(Journal("vm-1", "north-a", logger), clock)
+    rejections = RejectedItemLog(Journal("vm-1", "north-a", logger), clock)
     for number in range(10 * MAX_LINES_PER_WINDOW):
         rejections.log(f"i-{number}", HeathercleatError)
     assert len(logger.fields) == MAX_LINES_PER_WINDOW
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,28 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "FAILBACK-heartbeats-are-bounded",
+        f"{STEERING}/process/membership/gossip.py",
+        "return packed if len(packed) <= MAX_HEARTBEAT_BYTES else None",
+        "return packed",
+        "tests/test_report_pieces.py",
+    ),
+    Mutation(
+        "FAILBACK-reports-fail-alone",
+        f"{STEERING}/process/membership/gossip.py",
+        """            self._failures.log("heartbeat", error)
+            return None""",
+        "            raise",
+        "tests/test_report_pieces.py",
+    ),
+    Mutation(
+        "FAILBACK-unchanged-reports-are-refreshed",
+        f"{STEERING}/process/membership/report_pieces.py",
+        "CHANGES_SHARE = 0.75",
+        "CHANGES_SHARE = 1.0",
+        "tests/test_report_pieces.py",
+    ),
     Mutation(
         "FAILBACK-texts-can-be-encoded",
         "src/heathercleat/platform/fields.py",
