HTTP: a message of many small parts lets other requests run

What callers saw: while a target sent small chunks or interim responses without end, all other requests at its VM waited; five at a sound service timed out.

Cause: receiving does not wait while bytes are there, and 64 KB hold up to 7,000 parts, so that the task of one connection never gave way.

Change: HttpStream lets other tasks run after 32 events of a message.

--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -5,12 +5,15 @@
 from dataclasses import dataclass, field
 
 import h11
-from curio import timeout_after
+from curio import sleep, timeout_after
 from curio.errors import TaskTimeout
 from curio.io import Socket
 
 MAX_HEADER_BYTES = 16 * 1024
 RECEIVE_BYTES = 64 * 1024
+#: Number of events of one message after which other tasks run. A peer that sends small
+#: chunks fast would stop them otherwise, since receiving does not wait then.
+EVENTS_PER_TURN = 32
 #: Smaller messages are sent in one write, for which their parts are copied.
 MAX_JOINED_BYTES = 32 * 1024
 CONNECTION_ERRORS = (OSError, h11.ProtocolError, EOFError)
@@ -33,6 +36,7 @@
         self._conn = self._new_connection()
         self._bytes_sent = 0
         self._has_body_started = False
+        self._event_count = 0
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     @property
@@ -79,6 +83,9 @@
         :raises h11.RemoteProtocolError: when the peer violated the protocol.
         """
         while True:
+            self._event_count += 1
+            if self._event_count % EVENTS_PER_TURN == 0:
+                await sleep(0)
             event = self._conn.next_event()
             if event is h11.PAUSED:
                 raise EOFError("no further message on this connection")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "GONE-messages-give-way",
+        f"{PACKAGE}/connection/http.py",
+        "if self._event_count % EVENTS_PER_TURN == 0:",
+        "if False:",
+        "tests/test_endless_responses.py",
+    ),
     Mutation(
         "FAILBACK-heartbeats-are-bounded",
         f"{STEERING}/process/membership/gossip.py",
