Responses that are being read are bounded by the memory of the VM

What callers saw: a target whose response has a valid head and a body that never ends made its VM hold up to 64 MB for each request: 707 to 773 MB at 12 requests, where memoryMb is 300 and the process is killed with all it serves.

Cause: where callers do not compete for memory, only bodies of requests were counted. A declared length over the limit was read up to the limit, too.

Change: bodies of responses that are being read have 0.35 of the memory together, without the first 64 KB of each, so that small responses are not lost beside large ones. A response for which there is no more is given up as one that fails (the request may have run: 502, or another target for safe requests), and a declared length over the limit is given up at its head. A gauge shows the bytes.

--- a/src/heathercleat/steering/process/node.py
+++ b/src/heathercleat/steering/process/node.py
@@ -19,7 +19,7 @@
 from heathercleat.process.signals import SignalWatch
 from heathercleat.process.supervision import run_supervised
 from heathercleat.steering.process.active_requests import ActiveRequests
-from heathercleat.steering.process.body_memory import BodyMemory
+from heathercleat.steering.process.body_memory import BodyMemory, ResponseBuffers
 from heathercleat.steering.process.capacity.admission import Admission
 from heathercleat.steering.process.capacity.capacity_reports import CapacityReports
 from heathercleat.steering.process.capacity.ejection_limit import EjectionLimit
@@ -129,6 +129,7 @@
         self.retry_detector = RetryDetector()
         self.active_requests = ActiveRequests()
         self._target_bodies = None
+        self._response_buffers = None
         self.body_memory = self._new_body_memory()
         # Each step uses the objects of earlier steps.
         self._build_state()
@@ -294,6 +295,7 @@
             clock,
             self._target_bodies,
             self._regional_demand.record_speed_report,
+            self._response_buffers,
         )
         self._members.on_change(self._forget_reports)
         self._registry.on_change(self._update_serving)
@@ -381,6 +383,7 @@
         """Return the memory for bodies: a budget if callers compete for it."""
         settings = self._settings
         if not settings.is_contended:
+            self._response_buffers = ResponseBuffers(settings.memory)
             return BodyMemory(settings.memory)
         self._target_bodies = TargetBodies()
         return new_budget(settings.memory, self._journal, self.clock)
@@ -630,6 +633,9 @@
             "log_lines_dropped": self._log_writer.dropped if self._log_writer else 0,
             "task_failures": self._journal.count_errors(Event.TASK_FAILED),
             "failed_applications": self._journal.count_errors(Event.ROWS_NOT_APPLIED),
+            "response_buffer_bytes": self._response_buffers.reserved
+            if self._response_buffers
+            else 0,
             **self._gossip.gauges(),
             **memory_gauges(self.body_memory),
         }
--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -32,13 +32,16 @@
     :param stream: an open :class:`HttpStream`.
     :param call: the :class:`Call`.
     :param entry: the :class:`TargetEntry`.
+    :param buffers: the :class:`ResponseBuffers`, or ``None``; see
+        :func:`read_response_body`.
     """
 
-    def __init__(self, stream, call, entry, clock):
+    def __init__(self, stream, call, entry, clock, buffers=None):
         self._stream = stream
         self._call = call
         self._entry = entry
         self._clock = clock
+        self._buffers = buffers
         self._request_events = []
         self._head = None
         self._is_sent = False
@@ -122,6 +125,7 @@
             headers,
             MAX_RESPONSE_BYTES,
             event.status_code < _FIRST_ERROR_STATUS,
+            self._buffers,
         )
         if head.request_id is not None and head.request_id != self._call.id:
             self._stream.reset_for_response(self._request_events)
--- a/src/heathercleat/steering/request/local.py
+++ b/src/heathercleat/steering/request/local.py
@@ -43,6 +43,8 @@
     :param suspects: the :class:`Suspects`.
     :param reachability: the :class:`TargetReachability`.
     :param target_bodies: the :class:`TargetBodies`, or ``None`` for no limit.
+    :param response_buffers: the :class:`ResponseBuffers`, or ``None`` where responses
+        have memory reserved.
     :param record_speed_report: called with the service of a target that reported the
         speed of its machine.
     """
@@ -62,6 +64,7 @@
         clock,
         target_bodies=None,
         record_speed_report=lambda service: None,
+        response_buffers=None,
     ):
         self._admission = admission
         self._ledger = ledger
@@ -78,6 +81,7 @@
         self._clock = clock
         self._target_bodies = target_bodies
         self._record_speed_report = record_speed_report
+        self._response_buffers = response_buffers
 
     async def run(self, call, preferred, avoid, wait_until):
         """Return the :class:`AttemptResult` of one attempt.
@@ -172,7 +176,9 @@
         if unsent is not None:
             await self._pool.checkin(entry.host, entry.port, stream)
             return unsent
-        exchange = TargetExchange(stream, call, entry, self._clock)
+        exchange = TargetExchange(
+            stream, call, entry, self._clock, self._response_buffers
+        )
         # Aborting would not undo a request that must not run twice.
         call.on_disconnect = (
             StreamInterrupter(stream) if call.route.kind.is_idempotent else None
--- a/src/heathercleat/steering/request/response_body.py
+++ b/src/heathercleat/steering/request/response_body.py
@@ -46,7 +46,9 @@
         self._size = 0
 
 
-async def read_response_body(stream, call, headers, limit, is_learned=True):
+async def read_response_body(
+    stream, call, headers, limit, is_learned=True, buffers=None
+):
     """Return the body of a response.
 
     It is read into the memory that is reserved for it; waits for more if needed.
@@ -55,18 +57,20 @@
     :param headers: headers of the response.
     :param limit: maximum size in bytes.
     :param is_learned: whether to expect the size of later responses of the route.
+    :param buffers: the :class:`ResponseBuffers`, which limit the memory of responses
+        without a reservation; ``None`` for no limit.
     :raises ValueError: if the body is too large.
     :raises TimeoutError: if there is no memory until the deadline.
     """
     reservation = call.reservation
-    if reservation is None:
-        return await read_body(stream, limit)
     declared = find(headers, "content-length")
     length = int(declared or 0)
     if call.method == b"HEAD":
         length, is_learned = 0, False
     if length > limit:
         raise ValueError(f"the body is larger than {limit} bytes")
+    if reservation is None:
+        return await _read_counted(stream, limit, buffers)
     if is_learned and declared is not None:
         reservation.learn(length)
     await reservation.hold(length, call.deadline)
@@ -79,6 +83,15 @@
     return body
 
 
+async def _read_counted(stream, limit, buffers):
+    if buffers is None:
+        return await read_body(stream, limit)
+    with buffers.new_buffer() as buffer:
+        async for data in body_chunks(stream, limit):
+            buffer.append(data)
+        return bytes(buffer)
+
+
 async def body_chunks(stream, limit):
     """Yield the data of the body of the current message.
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -12,6 +12,7 @@
 import pytest
 
 from standins.fleet import wait_for
+from standins.soak_pressure import peak_bytes
 from standins.steering_fleet import TARGET_PORT, SteeringFleet
 from tests.platform_samples import config
 
@@ -19,6 +20,8 @@
 SOUND = "i-1"
 TARGETS = {SOUND: ("s2", "north-a", 4)}
 ENDLESS_SLOTS = 12
+#: Memory limit of the VMs in the settings that the fleet writes.
+MEMORY_BYTES = 300 << 20
 DEADLINE_MS = 1000
 #: Longest time of a request in seconds: its deadline, and what tests may take beside.
 LONGEST_SECONDS = 2.0
@@ -30,10 +33,13 @@
     "head without a line": (b"", b"x"),
     "head of many lines": (HEAD, b"X-Field: value\r\n"),
     "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "declared body": (HEAD + b"Content-Length: 1000000000000\r\n\r\n", b"x"),
     "chunks": (CHUNKED, b"4\r\nabcd\r\n"),
+    "large chunks": (CHUNKED, b"10000\r\n" + b"x" * 0x10000 + b"\r\n"),
     "chunk size": (CHUNKED, b"0"),
     "chunk extension": (CHUNKED + b"4;", b"x"),
     "trailers": (CHUNKED + b"0\r\n", b"X-Field: value\r\n"),
+    "body until the end": (HEAD + b"\r\n", b"x"),
 }
 
 
@@ -153,6 +159,7 @@
         endless = [each.result() for each in sending]
         wait_for(lambda: not target.open_sockets, 3.0)
     assert vm.process.poll() is None
+    assert peak_bytes(vm) < MEMORY_BYTES
     assert {status for _, status, _ in endless} <= {502, 503, 504}
     not_run = {request_id for request_id, status, _ in endless if status == 503}
     assert not not_run & target.received
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "LOST-responses-are-bounded",
+        f"{STEERING}/process/body_memory.py",
+        "RESPONSE_MEMORY_SHARE = 0.35",
+        "RESPONSE_MEMORY_SHARE = 35.0",
+        "tests/test_endless_responses.py",
+    ),
     Mutation(
         "GONE-messages-give-way",
         f"{PACKAGE}/connection/http.py",
