Targets: interim responses without end are given up at once

What callers saw: a request at a target that sends interim responses without end waited until its deadline (504); a safe one had no time left for another target.

Cause: interim responses were skipped without a limit.

Change: after 16 of them the attempt has failed, as with other bytes that are no response, and the connection is closed.

Test: all endless bytes but those of valid chunks are given up before the deadline; the case of interim responses fails without the change (504).

--- a/src/heathercleat/steering/request/exchange.py
+++ b/src/heathercleat/steering/request/exchange.py
@@ -23,6 +23,8 @@
 SLOWLY_READ_BYTES = 32 << 10
 #: Maximum number of responses to read; those to earlier requests are skipped.
 MAX_STALE_RESPONSES = 4
+#: Maximum number of interim responses before a response.
+MAX_INTERIM_RESPONSES = 16
 _FIRST_ERROR_STATUS = 400
 
 
@@ -111,11 +113,7 @@
 
     async def _read_response(self):
         """Read the next response; return whether it belongs to this request."""
-        event = await self._stream.next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self._stream.next_event()
-        if not isinstance(event, h11.Response):
-            raise EOFError("closed before the answer")
+        event = await self._read_response_head()
         headers = list(event.headers)
         check_framing(headers, ResultCode.BAD_ANSWER)
         head = parse_response_head(event.status_code, headers)
@@ -137,6 +135,19 @@
         self._response = TargetResponse(event.status_code, response_headers, body)
         return True
 
+    async def _read_response_head(self):
+        """Return the next final :class:`h11.Response`.
+
+        :raises ValueError: after too many interim ones.
+        """
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            event = await self._stream.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise EOFError("closed before the answer")
+        raise ValueError(f"more than {MAX_INTERIM_RESPONSES} interim responses")
+
     def _evaluate(self):
         """Return the result for a complete response."""
         head, response, target = self._head, self._response, self._entry.id
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -166,3 +166,13 @@
     assert max(seconds for *_, seconds in endless) <= LONGEST_SECONDS
     assert {status for _, status, _ in sound} == {200}
     assert max(seconds for *_, seconds in sound) <= LONGEST_SECONDS
+
+
+@pytest.mark.parametrize("name", [each for each in ENDLESS if "chunks" not in each])
+def test_endless_bytes_that_are_no_response_are_given_up_at_once(fleet, name):
+    (vm,) = fleet.vms.values()
+    with run_target(fleet, *ENDLESS[name]):
+        wait_for(lambda: "i-9" in str(fleet.log(vm)))
+        _, status, seconds = send_timed(fleet, vm, "POST", "/one/x")
+    assert status == 502
+    assert seconds < DEADLINE_MS / 1000
