Archive: an invalid row no longer keeps configurations from being kept

A row of the archive's table that no VM wrote can raise TypeError or zlib.error (seen in a fuzz of the decoder; those of targets, VMs, quarantines and configurations raised ValueError only). It ended ConfigurationArchive.run at each turn, so that nothing was kept or restored beside an invalid configuration, and VMs that start would have none.

Change: such a row is rejected with a log line, as rows of other tables are.

--- a/src/heathercleat/steering/process/store/configuration_archive.py
+++ b/src/heathercleat/steering/process/store/configuration_archive.py
@@ -45,9 +45,23 @@
 
     @classmethod
     def unpack(cls, value):
-        """Return the configuration in the value of a row."""
-        invalid_digest, version, document = msgpack.unpackb(value)
-        return cls(invalid_digest, version, zlib.decompress(document))
+        """Return the configuration in the value of a row.
+
+        :raises ValueError: if the row is not one that a VM wrote.
+        """
+        fields = msgpack.unpackb(value)
+        is_valid = isinstance(fields, list) and list(map(type, fields)) == [
+            bytes,
+            int,
+            bytes,
+        ]
+        if not is_valid:
+            raise ValueError(f"{fields!r} is not a list of digest, version, document")
+        invalid_digest, version, document = fields
+        try:
+            return cls(invalid_digest, version, zlib.decompress(document))
+        except zlib.error as error:
+            raise ValueError(f"not compressed: {error}") from None
 
 
 class ConfigurationArchive:
@@ -58,13 +72,15 @@
         nothing.
     :param routing_table: returns the :class:`RoutingTable` in force, or ``None``.
     :param adopt: called with the restored :class:`RoutingTable`.
+    :param rejections: the :class:`RejectedItemLog` for invalid rows.
     """
 
-    def __init__(self, store, is_reader, routing_table, adopt, journal):
+    def __init__(self, store, is_reader, routing_table, adopt, rejections, journal):
         self._store = store
         self._is_reader = is_reader
         self._routing_table = routing_table
         self._adopt = adopt
+        self._rejections = rejections
         self._journal = journal
         self._invalid_digest = None
         self._kept_version = None
@@ -130,9 +146,15 @@
     async def _read(self):
         """Return each :class:`ArchivedConfiguration` by the key of its row."""
         snapshot = await self._store.read(ARCHIVE_TABLE)
-        return {
-            row.key: ArchivedConfiguration.unpack(row.value) for row in snapshot.rows
-        }
+        return dict(self._decode(snapshot.rows))
+
+    def _decode(self, rows):
+        """Yield the key and the configuration of each valid row; log the others."""
+        for row in rows:
+            try:
+                yield row.key, ArchivedConfiguration.unpack(row.value)
+            except ValueError as error:
+                self._rejections.log(row.key, error)
 
 
 def _is_as_new(archived, other):
--- a/src/heathercleat/steering/process/store/tables.py
+++ b/src/heathercleat/steering/process/store/tables.py
@@ -94,7 +94,12 @@
             self._peer_tables, freshness, routing_table, adopt, journal, clock
         )
         self.configuration_archive = ConfigurationArchive(
-            self.new_store(), self.is_reader, routing_table, adopt, journal
+            self.new_store(),
+            self.is_reader,
+            routing_table,
+            adopt,
+            self._rejections,
+            journal,
         )
         self._own_store = self.new_store()
         # Era of the store to which this VM's row was written, or ``None``.
