Store: rows that cannot be used cost neither the response nor the table

Found on the paths related to both cases, by reading and in tests, not on a deployment.

- A response with a malformed row raised TypeError or KeyError out of the client, which ended the follower at each turn; it is an error of the store now, which other VMs' tables make up for.
- A row whose key has half of a surrogate pair was taken into the copy, and the whole table could no longer be encoded for other VMs, nor its next page asked for.
It is left out, as no entry has such a name.
- A row of another part could overwrite that of the same key; it is left out.

The seven tests fail without the change.

--- a/src/heathercleat/platform/store.py
+++ b/src/heathercleat/platform/store.py
@@ -66,15 +66,16 @@
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
             if start is not None:
                 query["from"] = start
-            response = await self._call("GET", f"{READ_PATH}?{urlencode(query)}")
+            path = f"{READ_PATH}?{urlencode(query, errors='surrogatepass')}"
+            response = await self._get_rows(path)
             version = response.version if version is None else version
             if response.era != era_of(version):
                 raise HistoryLostError(f"{table}: the store was restored from a backup")
             page = response.rows
             rows.extend(page)
-            if not response.document.get("truncated") or not page:
+            if not response.is_truncated:
                 return Snapshot(version, rows)
-            start = page[-1].key + "\0"
+            start = response.last_key + "\0"
 
     async def follow(self, table, after, wait):
         """Return the rows changed since version ``after`` as a :class:`Snapshot`.
@@ -86,7 +87,7 @@
         number = number_of(after)
         query = {"table": table, "after": number, "waitMs": int(wait * 1000)}
         path = f"{FEED_PATH}?{urlencode(query)}"
-        response = await self._call("GET", path, wait=wait)
+        response = await self._get_rows(path, wait)
         if response.era != era_of(after):
             raise HistoryLostError(f"{table}: the store was restored from a backup")
         return Snapshot(response.version, response.rows, is_whole=False)
@@ -113,6 +114,14 @@
         """Close the connection."""
         await self._connection.close()
 
+    async def _get_rows(self, path, wait=0.0):
+        """Return the :class:`_RowsResponse` to a call for rows."""
+        response = await self._call("GET", path, wait=wait)
+        try:
+            return _RowsResponse(response.document, response.era)
+        except (ValueError, TypeError, LookupError, AttributeError) as error:
+            raise PlatformError(f"GET {path}: {error!r}") from None
+
     async def _call(self, method, path, body=b"", wait=0.0):
         """Return the :class:`_StoreResponse` to one call."""
         deadline = self._clock.now() + self._timeout + wait
@@ -155,15 +164,29 @@
         self.document = document
         self.era = era
 
-    @property
-    def version(self):
-        """Return the newest version of the store."""
-        return make_version(self.era, self.document["ver"])
 
-    @property
-    def rows(self):
-        """Return the list of each :class:`StoreRow`."""
-        return [self._decode_row(each) for each in self.document["rows"]]
+class _RowsResponse:
+    """The rows in a successful response.
+
+    Rows of other parts, and rows whose key cannot be encoded, are left out: none of
+    them is used, and the latter could not be sent to other VMs.
+
+    :param document: its JSON document; the errors for a malformed one are those of
+        access to its items.
+    :param era: the era of the store; 0 if it does not report one.
+    """
+
+    __slots__ = ("era", "version", "rows", "is_truncated", "last_key")
+
+    def __init__(self, document, era):
+        self.era = era
+        self.version = make_version(era, document["ver"])
+        documents = document.get("rows", ())
+        self.rows = [
+            self._decode_row(each) for each in documents if _is_usable_row(each)
+        ]
+        self.is_truncated = bool(documents and document.get("truncated"))
+        self.last_key = documents[-1]["key"] if documents else None
 
     def _decode_row(self, document):
         # A removed row has a tombstone instead of a value.
@@ -171,3 +194,13 @@
         value = None if is_removed else b64decode(document["value"])
         version = make_version(self.era, document["ver"])
         return StoreRow(document["key"], value, version)
+
+
+def _is_usable_row(document):
+    if document.get("part"):
+        return False
+    try:
+        document["key"].encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/tests/test_table_store.py
+++ b/tests/test_table_store.py
@@ -8,9 +8,11 @@
 import pytest
 from curio import run
 
+from heathercleat.connection.http import Message
 from heathercleat.errors import PlatformError
 from heathercleat.platform.store import PAGE_ROWS, TableStoreClient
 from heathercleat.process.clock import SystemClock
+from heathercleat.steering.connection.forwarded import pack_state, unpack_state
 from heathercleat.steering.process.settings import Address
 from heathercleat.steering.process.store.protocol import HistoryLostError
 from standins.fleet import SUBNET_VARIABLE, Processes, call, wait_for
@@ -199,3 +201,39 @@
             == ["config", "note"]
         )
     )
+
+
+@pytest.mark.parametrize(
+    "documents",
+    [None, 7, ["a"], [{}], [{"key": 7, "ver": 1}], [{"key": "a", "ver": "1"}]],
+    ids=repr,
+)
+def test_malformed_rows_are_an_error_of_the_store(documents, monkeypatch):
+    client = client_of(documents, monkeypatch)
+    for call_store in (client.read, lambda table: client.follow(table, 1, 0.0)):
+        with pytest.raises(PlatformError, match="rows-"):
+            run_client(call_store, "servers")
+
+
+def test_row_that_cannot_be_used_keeps_no_other_row_from_being_read(monkeypatch):
+    """Its key could not be sent to other VMs, which would get none of the rows."""
+    documents = [
+        {"key": "a", "ver": 3, "value": ""},
+        {"key": "a", "part": "p", "ver": 4, "tombstone": True},
+        {"key": "b\ud83d", "ver": 5, "value": ""},
+    ]
+    snapshot = run_client(client_of(documents, monkeypatch).read, "servers")
+    assert [(row.key, row.version) for row in snapshot.rows] == [("a", 3)]
+    assert unpack_state(pack_state(snapshot)).rows[0].key == "a"
+
+
+def client_of(documents, monkeypatch):
+    """Return a client of a store that responds with these rows."""
+    client = TableStoreClient(Address("127.0.0.1", 1), SystemClock(), TIMEOUT_SECONDS)
+    body = json.dumps({"rows": documents, "ver": 9}).encode()
+
+    async def respond(message):
+        return Message(body=body)
+
+    monkeypatch.setattr(client._connection, "exchange", respond)
+    return client
