Quarantines: rows whose merge failed are merged again

Not seen on a deployment; no row of the fuzz raised in a merge.

Change: the version and the era are recorded after the rows. The test fails without the change (the quarantine is never known).

--- a/src/heathercleat/steering/process/quarantine/table.py
+++ b/src/heathercleat/steering/process/quarantine/table.py
@@ -101,12 +101,13 @@
             self._log_failure(error)
             await sleep(RETRY_SECONDS)
             return
-        era_before, self._era = self._era, era_of(snapshot.version)
-        self._version = snapshot.version
         for row in snapshot.rows:
             await self._merge_row(row)
-        if era_before is not None and era_before < self._era:
+        era = era_of(snapshot.version)
+        if self._era is not None and self._era < era:
             await self._write_lost_changes({row.key for row in snapshot.rows})
+        # After an error in between, the same rows are read and merged again.
+        self._era, self._version = era, snapshot.version
 
     async def _next_snapshot(self):
         if self._version is None:
--- a/tests/test_restored_quarantines.py
+++ b/tests/test_restored_quarantines.py
@@ -122,3 +122,23 @@
         lambda: quarantines.store.restore({}),
     )
     assert quarantines.store.rows == {}
+
+
+def test_rows_whose_merge_failed_are_merged_again(quarantines, monkeypatch):
+    quarantines.run(quarantines.quarantine)
+    rows = dict(quarantines.store.rows)
+    reader = RestoredQuarantines()
+    reader.store.rows = rows
+    merge = reader.suspects.merge
+    failures = [KeyError("once")]
+
+    def fail_once(update):
+        if failures:
+            raise failures.pop()
+        merge(update)
+
+    monkeypatch.setattr(reader.suspects, "merge", fail_once)
+    with pytest.raises(KeyError):
+        run(reader._table._read)
+    run(reader._table._read)
+    assert reader.suspects.refused_until(FINGERPRINT) is not None
