HTTP: a request that offers another protocol is answered (LOST)

Cause: h11 reports the end of such a request only once a response declines the offer. The reader took the next pipelined request for impossible, and shut down the sending side before the response was there.

Change: an offer is ignored when the head is read (RFC 9110, 7.8): parsing goes on as if the request had none. CONNECT, readiness and look-ups were not tried.

--- a/src/heathercleat/connection/http.py
+++ b/src/heathercleat/connection/http.py
@@ -92,6 +92,8 @@
             if event is not h11.NEED_DATA:
                 if isinstance(event, h11.Data | h11.EndOfMessage):
                     self._has_body_started = True
+                elif isinstance(event, h11.Request) and _offers_protocol(event):
+                    self._ignore_offer(event)
                 return event
             if self._conn.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
@@ -183,6 +185,25 @@
             self._role, max_incomplete_event_size=self._max_header_bytes
         )
 
+    def _ignore_offer(self, request):
+        """Continue as if a request offered no other protocol.
+
+        :mod:`h11` would not report its end until the offer is declined by a response,
+        and later requests of the connection would wait for that.
+        """
+        unread, closed = self._conn.trailing_data
+        headers = [each for each in request.headers if each[0] != b"upgrade"]
+        if request.http_version == b"1.0":
+            headers.append((b"connection", b"close"))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        self._conn = self._new_connection()
+        self._conn.receive_data(h11.Connection(h11.CLIENT).send(head) + unread)
+        self._conn.next_event()
+        if closed:
+            self._conn.receive_data(b"")
+
     def next_cycle(self):
         """Prepare for the next message; return whether the connection is reusable."""
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
@@ -238,6 +259,11 @@
             pass
 
 
+def _offers_protocol(request):
+    """Return whether a request offers to switch to another protocol."""
+    return any(name == b"upgrade" for name, _ in request.headers)
+
+
 @dataclass(slots=True)
 class Message:
     """A complete HTTP message in memory, for small internal exchanges."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -138,11 +138,15 @@
         finally:
             await self.server.close()
 
-    def send(self, method="GET"):
-        """Send a request without waiting for earlier responses."""
+    def send(self, method="GET", more_headers=""):
+        """Send a request without waiting for earlier responses.
+
+        :param more_headers: lines of its head.
+        """
         name = f"q{len(self.sent)}"
         self.sent.append((name, method))
         head = f"{method} /x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {name}\r\n"
+        head += more_headers
         body = "Content-Length: 2\r\n\r\nhi" if method == "POST" else "\r\n"
         self.client.sendall((head + body).encode())
         wait_delivered(self.client)
@@ -241,6 +245,20 @@
     assert pipelined.received == ["q0", "q1", "q2"]
 
 
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize("protocol", ["h2c", "websocket"])
+def test_request_that_offers_another_protocol_is_answered(pipelined, method, protocol):
+    offer = f"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: {protocol}\r\n"
+    pipelined.send()
+    pipelined.send(method, offer)
+    pipelined.respond("q0")
+    pipelined.respond("q1")
+    pipelined.send()
+    pipelined.respond("q2")
+    assert pipelined.received == ["q0", "q1", "q2"]
+    assert not pipelined.closed
+
+
 def test_exclusive_request_waits_for_earlier_ones(pipelined):
     pipelined.send()
     pipelined.send("POST")
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -54,6 +54,13 @@
 
 
 MUTATIONS = (
+    Mutation(
+        "LOST-offers-are-ignored",
+        f"{PACKAGE}/connection/http.py",
+        'return any(name == b"upgrade" for name, _ in request.headers)',
+        "return False",
+        "tests/test_pipelining.py",
+    ),
     Mutation(
         "LOST-responses-are-bounded",
         f"{STEERING}/process/body_memory.py",
