Report pieces: a report that changed is not repeated more often than needed

A report that fits only into the part for unchanged ones kept at least one repeat for the next piece.

--- a/src/heathercleat/steering/process/membership/report_pieces.py
+++ b/src/heathercleat/steering/process/membership/report_pieces.py
@@ -138,7 +138,7 @@
             yield item
         for item in self._fitting(self._sent.items(), room, _oldest_first):
             sent = item[1]
-            sent.remaining = max(sent.remaining, REFRESH_REPEATS) - 1
+            sent.remaining = (sent.remaining or REFRESH_REPEATS) - 1
             yield item
 
     def _fitting(self, items, room, rank):
